--- /dev/null
+++ b/crates/berylwheel-http/src/body.rs
@@ -0,0 +1,112 @@
+//! Bodies: bounded reading, and streaming from a channel.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use futures_lite::AsyncBufRead;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncReadExt;
+use futures_lite::Stream;
+use http_types::Body;
+
+use crate::timeout;
+
+/// Chunks that wait for a slow reader before the sender has to wait.
+const CHANNEL_CHUNKS: usize = 16;
+
+/// The sending end of a body made by [`channel_body`].
+pub type BodySender = Sender<io::Result<Vec<u8>>>;
+
+/// Reads a whole body within a size and a time.
+///
+/// # Errors
+/// [`Code::BodyTooLarge`], [`Code::SlowSender`], or [`Code::MalformedRequest`] if it breaks off.
+pub async fn read_body(body: Body, limit: ByteSize, time: Millis) -> Result<Vec<u8>, Refusal> {
+    if body.len().is_some_and(|n| n as u64 > limit.0) {
+        return Err(Refusal::not_run(Code::BodyTooLarge, format!("the limit is {limit}")));
+    }
+    let mut bytes = Vec::new();
+    let mut bounded = body.take(limit.0 + 1);
+    match timeout(time, bounded.read_to_end(&mut bytes)).await {
+        None => Err(Refusal::not_run(Code::SlowSender, format!("the limit is {time}"))),
+        Some(Err(error)) => Err(Refusal::not_run(Code::MalformedRequest, error.to_string())),
+        Some(Ok(n)) if n as u64 > limit.0 => {
+            Err(Refusal::not_run(Code::BodyTooLarge, format!("the limit is {limit}")))
+        }
+        Some(Ok(_)) => Ok(bytes),
+    }
+}
+
+/// Returns a body of unknown length and the channel that feeds it.
+///
+/// The body ends when the sender is dropped, and fails when an error is sent. Sending fails once
+/// the reader has gone.
+///
+/// ```
+/// use futures_lite::{AsyncReadExt, future};
+/// let (sender, mut body) = berylwheel_http::channel_body();
+/// sender.try_send(Ok(b"ab".to_vec())).unwrap();
+/// drop(sender);
+/// let mut text = String::new();
+/// future::block_on(body.read_to_string(&mut text)).unwrap();
+/// assert_eq!(text, "ab");
+/// ```
+pub fn channel_body() -> (BodySender, Body) {
+    let (sender, receiver) = async_channel::bounded(CHANNEL_CHUNKS);
+    let reader = ChunkReader { receiver: Box::pin(receiver), chunk: Vec::new(), used: 0 };
+    (sender, Body::from_reader(reader, None))
+}
+
+struct ChunkReader {
+    receiver: Pin<Box<Receiver<io::Result<Vec<u8>>>>>,
+    chunk: Vec<u8>,
+    used: usize,
+}
+
+impl AsyncRead for ChunkReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = match self.as_mut().poll_fill_buf(cx) {
+            Poll::Ready(Ok(bytes)) => bytes,
+            Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+            Poll::Pending => return Poll::Pending,
+        };
+        let n = available.len().min(buf.len());
+        buf[..n].copy_from_slice(&available[..n]);
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncBufRead for ChunkReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.used == this.chunk.len() {
+            match this.receiver.as_mut().poll_next(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Ok(&[])),
+                Poll::Ready(Some(Err(error))) => return Poll::Ready(Err(error)),
+                Poll::Ready(Some(Ok(chunk))) => {
+                    this.chunk = chunk;
+                    this.used = 0;
+                }
+            }
+        }
+        Poll::Ready(Ok(&this.chunk[this.used..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n: usize) {
+        self.used += n;
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-http/src/client.rs
@@ -0,0 +1,271 @@
+//! The sending side: a client with a pool of idle connections per address.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+
+use berylwheel_types::FastMap;
+use berylwheel_types::Millis;
+use futures_lite::AsyncBufRead;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncReadExt;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::Url;
+
+use crate::Connection;
+use crate::timeout;
+
+/// Idle connections kept per address.
+const IDLE_LIMIT: usize = 32;
+
+/// A request to send.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Header names and values.
+    pub headers: Vec<(String, String)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// Whether a connection from the pool may be used. A request that may not be repeated needs a
+    /// fresh one: on a pooled connection that the peer is closing it is unknown whether it ran.
+    pub pooled: bool,
+    /// Time for the response's head to arrive.
+    pub head_time: Millis,
+}
+
+impl Outgoing {
+    /// Returns a request without headers that may use the pool and waits 10 s for the head.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            pooled: true,
+            head_time: Millis(10_000),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(self, body: impl Into<Vec<u8>>) -> Self {
+        Self { body: body.into(), ..self }
+    }
+}
+
+/// Why a request failed, and whether any of it can have reached the peer.
+#[derive(Debug)]
+pub struct ClientError {
+    /// Whether bytes of the request were handed to the system for sending.
+    pub sent: bool,
+    /// Whether the time limit ran out.
+    pub timed_out: bool,
+    /// What went wrong.
+    pub detail: String,
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sent = if self.sent { "after sending" } else { "before sending" };
+        write!(f, "{} ({sent})", self.detail)
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// An HTTP/1.1 client. Clones share the pool.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<FastMap<SocketAddr, Vec<Connection>>>>,
+}
+
+impl Client {
+    /// Sends a request and returns the response once its head has arrived.
+    ///
+    /// # Errors
+    /// Fails if the peer cannot be reached, breaks off, or does not answer in time.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        outgoing: &Outgoing,
+    ) -> Result<(Response, ResponseStream), ClientError> {
+        if outgoing.pooled
+            && let Some(connection) = self.take_idle(address)
+        {
+            return self.exchange(address, connection, outgoing).await;
+        }
+        let opened = timeout(outgoing.head_time, Connection::open(address)).await;
+        let connection = match opened {
+            Some(Ok(connection)) => connection,
+            Some(Err(error)) => {
+                let detail = format!("cannot connect to {address}: {error}");
+                return Err(ClientError { sent: false, timed_out: false, detail });
+            }
+            None => {
+                let detail = format!("no connection to {address} in {}", outgoing.head_time);
+                return Err(ClientError { sent: false, timed_out: true, detail });
+            }
+        };
+        self.exchange(address, connection, outgoing).await
+    }
+
+    /// Sends a request and reads the whole response within `time`.
+    ///
+    /// # Errors
+    /// As [`Client::send`], and if the body is over `limit` bytes or does not arrive in time.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        outgoing: &Outgoing,
+        limit: u64,
+        time: Millis,
+    ) -> Result<(Response, Vec<u8>), ClientError> {
+        let failed = |timed_out, detail: String| ClientError { sent: true, timed_out, detail };
+        let whole = async {
+            let (response, mut stream) = self.send(address, outgoing).await?;
+            let mut bytes = Vec::new();
+            (&mut stream)
+                .take(limit + 1)
+                .read_to_end(&mut bytes)
+                .await
+                .map_err(|error| failed(false, error.to_string()))?;
+            if bytes.len() as u64 > limit {
+                return Err(failed(false, format!("response over {limit} bytes")));
+            }
+            if response.len().is_some_and(|n| n != bytes.len()) {
+                return Err(failed(false, "response broke off".to_owned()));
+            }
+            Ok((response, bytes))
+        };
+        timeout(time, whole)
+            .await
+            .unwrap_or_else(|| Err(failed(true, format!("no whole response in {time}"))))
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().expect("no panic while locked");
+        let pool = idle.get_mut(&address)?;
+        while let Some(connection) = pool.pop() {
+            if !connection.is_stale() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn put_idle(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.lock().expect("no panic while locked");
+        let pool = idle.entry(address).or_default();
+        if pool.len() < IDLE_LIMIT {
+            pool.push(connection);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        outgoing: &Outgoing,
+    ) -> Result<(Response, ResponseStream), ClientError> {
+        let before = connection.bytes_written();
+        let failed = |timed_out, detail: String| ClientError {
+            sent: connection.bytes_written() > before,
+            timed_out,
+            detail: format!("{address}: {detail}"),
+        };
+        let request = build(address, outgoing).map_err(|detail| failed(false, detail))?;
+        let answer = async_h1::connect(connection.clone(), request);
+        let mut response = match timeout(outgoing.head_time, answer).await {
+            None => return Err(failed(true, format!("no answer in {}", outgoing.head_time))),
+            Some(Err(error)) => return Err(failed(false, error.to_string())),
+            Some(Ok(response)) => response,
+        };
+        let close =
+            response.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
+        let stream = ResponseStream {
+            body: response.take_body(),
+            reuse: (!close).then(|| (self.clone(), address, connection.clone())),
+        };
+        Ok((response, stream))
+    }
+}
+
+fn build(address: SocketAddr, outgoing: &Outgoing) -> Result<Request, String> {
+    let url = format!("http://{address}{}", outgoing.path);
+    let url = Url::parse(&url).map_err(|error| error.to_string())?;
+    let mut request = Request::new(outgoing.method, url);
+    if !outgoing.body.is_empty() {
+        request.set_body(Body::from_bytes(outgoing.body.clone()));
+    }
+    for (name, value) in &outgoing.headers {
+        request.insert_header(name.as_str(), value.as_str());
+    }
+    Ok(request)
+}
+
+/// The body of a response. Its connection goes back to the pool once the body was read to its end.
+#[derive(Debug)]
+pub struct ResponseStream {
+    body: Body,
+    reuse: Option<(Client, SocketAddr, Connection)>,
+}
+
+impl ResponseStream {
+    fn at_end(&mut self) {
+        if let Some((client, address, connection)) = self.reuse.take() {
+            client.put_idle(address, connection);
+        }
+    }
+}
+
+impl AsyncRead for ResponseStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.body).poll_read(cx, buf);
+        if let Poll::Ready(Ok(0)) = &result
+            && !buf.is_empty()
+        {
+            self.at_end();
+        }
+        result
+    }
+}
+
+impl AsyncBufRead for ResponseStream {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let filled = std::task::ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?;
+        if filled.is_empty() {
+            if let Some((client, address, connection)) = this.reuse.take() {
+                client.put_idle(address, connection);
+            }
+            return Poll::Ready(Ok(&[]));
+        }
+        Poll::Ready(Ok(filled))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n: usize) {
+        Pin::new(&mut self.body).consume(n);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-schedule/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/berylwheel-types/src/clock.rs
@@ -0,0 +1,129 @@
+//! Time as the decision code sees it, and the one clock that processes read.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Millis;
+
+/// A point in time, in milliseconds since the Unix epoch.
+///
+/// ```
+/// use berylwheel_types::{Millis, Timestamp};
+/// let t = Timestamp::from_millis(1_000);
+/// assert_eq!((t + Millis(500)).since(t), Millis(500));
+/// assert_eq!(t.since(t + Millis(500)), Millis(0));
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// Returns the time `ms` milliseconds after the Unix epoch.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time that has gone by since `earlier`, zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Millis> for Timestamp {
+    type Output = Self;
+
+    fn add(self, span: Millis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl AddAssign<Millis> for Timestamp {
+    fn add_assign(&mut self, span: Millis) {
+        *self = *self + span;
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// A clock that stands still until it is advanced.
+///
+/// ```
+/// use berylwheel_types::{ManualClock, Millis, Timestamp};
+/// let clock = ManualClock::new(Timestamp::from_millis(10));
+/// clock.advance(Millis(5));
+/// assert_eq!(clock.now(), Timestamp::from_millis(15));
+/// ```
+#[derive(Debug, Clone)]
+pub struct ManualClock(Arc<AtomicU64>);
+
+impl ManualClock {
+    /// Returns a clock that shows `start`.
+    pub fn new(start: Timestamp) -> Self {
+        Self(Arc::new(AtomicU64::new(start.0)))
+    }
+
+    /// Returns the time that the clock shows.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.0.load(Ordering::SeqCst))
+    }
+
+    /// Moves the clock on by `span`.
+    pub fn advance(&self, span: Millis) {
+        self.0.fetch_add(span.0, Ordering::SeqCst);
+    }
+}
+
+/// The clock of a process: the system's, or one that a test advances.
+///
+/// The real clock reads the wall clock once and then counts monotonic time, so it never runs
+/// backwards within a process.
+///
+/// ```
+/// use berylwheel_types::Clock;
+/// let clock = Clock::real();
+/// assert!(clock.now() <= clock.now());
+/// ```
+#[derive(Debug, Clone)]
+pub enum Clock {
+    /// Wall-clock start plus monotonic time since.
+    Real { start: Timestamp, origin: Instant },
+    /// Stands still until a test advances it.
+    Manual(ManualClock),
+}
+
+impl Clock {
+    /// Returns a clock that follows the system's time.
+    pub fn real() -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Self::Real { start: Timestamp(wall.as_millis() as u64), origin: Instant::now() }
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Timestamp {
+        match self {
+            Self::Real { start, origin } => *start + Millis(origin.elapsed().as_millis() as u64),
+            Self::Manual(clock) => clock.now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-types/src/lib.rs
@@ -0,0 +1,40 @@
+//! Shared vocabulary of berylwheel: identifiers, sizes, rates, time, result codes.
+
+mod clock;
+mod code;
+mod hash;
+mod id;
+mod quantity;
+mod rank;
+mod refusal;
+
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use clock::Timestamp;
+pub use code::Code;
+pub use code::Ran;
+pub use hash::FastMap;
+pub use hash::FastSet;
+pub use hash::stable_hash;
+pub use id::BackendId;
+pub use id::BillKey;
+pub use id::BudgetId;
+pub use id::ChangeId;
+pub use id::CreditId;
+pub use id::FailureDomain;
+pub use id::FenceNumber;
+pub use id::Incarnation;
+pub use id::KindId;
+pub use id::ModelId;
+pub use id::ParseIdError;
+pub use id::RequestId;
+pub use id::RouterId;
+pub use id::Version;
+pub use id::WorkspaceId;
+pub use quantity::ByteSize;
+pub use quantity::Millis;
+pub use quantity::ParseQuantityError;
+pub use quantity::Share;
+pub use quantity::Tokens;
+pub use rank::Rank;
+pub use refusal::Refusal;
--- /dev/null
+++ b/crates/berylwheel-types/src/quantity.rs
@@ -0,0 +1,236 @@
+//! Sizes, spans of time and shares, each a type of its own with its unit.
+
+use std::fmt;
+use std::iter::Sum;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::ops::Sub;
+use std::ops::SubAssign;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A quantity that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseQuantityError {
+    /// What was expected, with an example.
+    pub expected: &'static str,
+}
+
+impl fmt::Display for ParseQuantityError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "expected {}", self.expected)
+    }
+}
+
+impl std::error::Error for ParseQuantityError {}
+
+/// Splits `text` into a whole number and the factor of its unit.
+fn parse_scaled(
+    text: &str,
+    units: &[(&str, u64)],
+    expected: &'static str,
+) -> Result<u64, ParseQuantityError> {
+    let error = ParseQuantityError { expected };
+    let text = text.trim();
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '_').unwrap_or(text.len());
+    let (digits, unit) = text.split_at(split);
+    let number: u64 = digits.replace('_', "").parse().map_err(|_| error.clone())?;
+    let unit = unit.trim();
+    let Some((_, factor)) = units.iter().find(|(name, _)| *name == unit) else {
+        return Err(error);
+    };
+    number.checked_mul(*factor).ok_or(error)
+}
+
+/// A count of tokens.
+///
+/// Addition and subtraction panic on overflow in debug builds, as the integers do; use
+/// [`Tokens::saturating_sub`] where the difference may be negative.
+///
+/// ```
+/// use berylwheel_types::Tokens;
+/// assert_eq!("2k".parse::<Tokens>().unwrap(), Tokens(2_000));
+/// assert_eq!(Tokens(5).to_string(), "5");
+/// assert!("-5".parse::<Tokens>().is_err());
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// No tokens.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the difference, or zero if `other` is larger.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let units = [("", 1), ("k", 1_000), ("M", 1_000_000), ("G", 1_000_000_000)];
+        parse_scaled(text, &units, "a whole number of tokens, such as 500, 20k or 3M").map(Self)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0 + other.0)
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        self.0 += other.0;
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0 - other.0)
+    }
+}
+
+impl SubAssign for Tokens {
+    fn sub_assign(&mut self, other: Self) {
+        self.0 -= other.0;
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I: Iterator<Item = Self>>(items: I) -> Self {
+        Self(items.map(|t| t.0).sum())
+    }
+}
+
+/// A span of time in milliseconds.
+///
+/// ```
+/// use berylwheel_types::Millis;
+/// assert_eq!("2s".parse::<Millis>().unwrap(), Millis(2_000));
+/// assert_eq!("250ms".parse::<Millis>().unwrap(), Millis(250));
+/// assert!("soon".parse::<Millis>().is_err());
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the span as the standard library's duration.
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let units = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+        parse_scaled(text, &units, "a span of time with its unit, such as 250ms, 5s or 10m")
+            .map(Self)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0 >= 1_000 && self.0.is_multiple_of(1_000) {
+            return write!(f, "{}s", self.0 / 1_000);
+        }
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// A size in bytes.
+///
+/// ```
+/// use berylwheel_types::ByteSize;
+/// assert_eq!("64KB".parse::<ByteSize>().unwrap(), ByteSize(65_536));
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ByteSize(pub u64);
+
+impl FromStr for ByteSize {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let units = [("", 1), ("B", 1), ("KB", 1 << 10), ("MB", 1 << 20)];
+        parse_scaled(text, &units, "a size in bytes, such as 512, 64KB or 1MB").map(Self)
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n >= 1 << 20 && n.is_multiple_of(1 << 20) => write!(f, "{}MB", n >> 20),
+            n if n >= 1 << 10 && n.is_multiple_of(1 << 10) => write!(f, "{}KB", n >> 10),
+            n => write!(f, "{n}B"),
+        }
+    }
+}
+
+/// A share of a whole, in thousandths.
+///
+/// ```
+/// use berylwheel_types::Share;
+/// assert_eq!("12.5%".parse::<Share>().unwrap(), Share::from_permille(125));
+/// assert_eq!(Share::from_permille(500).to_string(), "50%");
+/// assert!("150%".parse::<Share>().is_err());
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Share(u32);
+
+impl Share {
+    /// Returns the share of `permille` thousandths.
+    pub const fn from_permille(permille: u32) -> Self {
+        Self(permille)
+    }
+
+    /// Returns the share as a fraction from 0 to 1.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl FromStr for Share {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error =
+            ParseQuantityError { expected: "a share from 0% to 100%, such as 50% or 12.5%" };
+        let number = text.trim().strip_suffix('%').ok_or(error.clone())?;
+        let percent: f64 = number.parse().map_err(|_| error.clone())?;
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(error);
+        }
+        Ok(Self((percent * 10.0).round() as u32))
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / 10.0)
+    }
+}
