Add the scheduler with its full interface

Ruled out: deficits kept per rank without regard to startable work, since a rank blocked by a hung kind would save up credit; time-based shares, since requests differ in tokens by orders of magnitude; a workspace bound over all kinds, since a kind that hangs would use up the workspace's other kinds. Change: Work gains `model`, so that a request for a busy model does not block another model's queue.

--- /dev/null
+++ b/crates/berylwheel-schedule/src/peers.rs
@@ -0,0 +1,87 @@
+//! Totals of tokens served, the own ones and those of other routers.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use berylwheel_types::FastMap;
+use berylwheel_types::Millis;
+use berylwheel_types::Rank;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use berylwheel_types::WorkspaceId;
+
+use crate::Served;
+use crate::meter::DecayedSum;
+
+/// Entries that a heartbeat carries.
+const LARGEST: usize = 16;
+
+/// Over this time the largest workspaces are chosen.
+const RECENT_WINDOW: Millis = Millis(10_000);
+
+/// What this router has served.
+#[derive(Debug, Default)]
+pub(crate) struct OwnTotals {
+    totals: BTreeMap<(WorkspaceId, Rank), (Tokens, Option<DecayedSum>)>,
+    latest: Timestamp,
+}
+
+impl OwnTotals {
+    pub(crate) fn add(&mut self, now: Timestamp, workspace: WorkspaceId, rank: Rank, by: Tokens) {
+        self.latest = self.latest.max(now);
+        let (total, recent) = self.totals.entry((workspace, rank)).or_default();
+        *total += by;
+        recent.get_or_insert_with(DecayedSum::new).add(now, RECENT_WINDOW, by.0 as f64);
+    }
+
+    /// Returns the totals of those that were served most lately.
+    pub(crate) fn largest(&self) -> Vec<Served> {
+        let mut all: Vec<_> = self
+            .totals
+            .iter()
+            .map(|((workspace, rank), (total, recent))| {
+                let recent = recent.map_or(0.0, |r| r.value(self.latest, RECENT_WINDOW));
+                (recent as u64, workspace, *rank, *total)
+            })
+            .collect();
+        all.sort_by_key(|(recent, ..)| Reverse(*recent));
+        all.truncate(LARGEST);
+        all.into_iter()
+            .map(|(_, workspace, rank, tokens)| Served {
+                workspace: workspace.clone(),
+                rank,
+                tokens,
+            })
+            .collect()
+    }
+
+    pub(crate) fn of_rank(&self, rank: Rank) -> Tokens {
+        self.totals.iter().filter(|((_, r), _)| *r == rank).map(|(_, (total, _))| *total).sum()
+    }
+}
+
+/// The last heartbeat of each other router.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTotals {
+    last: FastMap<RouterId, Vec<Served>>,
+}
+
+impl PeerTotals {
+    /// Stores the totals of `from` and returns the growth since its last heartbeat.
+    pub(crate) fn update(&mut self, from: &RouterId, served: &[Served]) -> Vec<Served> {
+        let last = self.last.insert(from.clone(), served.to_vec()).unwrap_or_default();
+        served
+            .iter()
+            .filter_map(|new| {
+                let old = last
+                    .iter()
+                    .find(|old| old.workspace == new.workspace && old.rank == new.rank)?;
+                // A smaller total means that the router has restarted and counts from zero.
+                let growth =
+                    if new.tokens < old.tokens { new.tokens } else { new.tokens - old.tokens };
+                Some(Served { tokens: growth, ..new.clone() })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-schedule/src/release.rs
@@ -0,0 +1,221 @@
+//! Ways in which queued or running work gives way: eviction, expiry and preemption.
+
+use std::cmp::Reverse;
+
+use berylwheel_types::Code;
+use berylwheel_types::FastMap;
+use berylwheel_types::KindId;
+use berylwheel_types::Ran;
+use berylwheel_types::Rank;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+
+use crate::Scheduler;
+use crate::Work;
+use crate::kind::Kind;
+use crate::kind::bounded;
+use crate::scheduler::Entry;
+use crate::scheduler::State;
+
+/// How often one request may be preempted, so that long urgent load cannot restart it forever.
+const MOST_PREEMPTIONS: u32 = 3;
+
+/// A request that was never started has not run. Of one that was started and put back it is not
+/// known how far the server got.
+fn refuse(entry: &Entry, code: Code, detail: String) -> Refusal {
+    match entry.requeues {
+        0 => Refusal::not_run(code, detail),
+        _ => Refusal::unknown(code, detail),
+    }
+}
+
+impl Scheduler {
+    /// Evicts the newest queued work of the largest workspace if `work` belongs to a smaller one.
+    /// Returns whether there is room for `work` now.
+    pub(crate) fn make_room(&mut self, now: Timestamp, work: &Work) -> bool {
+        let Some(victim) = self.victim(work) else {
+            return false;
+        };
+        let full = self.queue_full(now, &work.kind);
+        if let Some(entry) = self.take_queued(&victim) {
+            let detail = format!("the queue of {} is full; smaller callers come first", work.kind);
+            let refusal =
+                Refusal { retry_after: full.retry_after, ..refuse(&entry, full.code, detail) };
+            self.evicted.push((victim, refusal));
+        }
+        true
+    }
+
+    fn victim(&self, work: &Work) -> Option<RequestId> {
+        let kind = self.kinds.get(&work.kind)?;
+        let largest = kind.larger_caller(&work.workspace)?;
+        let less_urgent = Rank::ALL.into_iter().rev().filter(|rank| *rank >= work.rank);
+        let victim = less_urgent
+            .filter_map(|rank| self.lanes[rank.index()].newest(&largest, &work.kind))
+            .next()?;
+        let freed = self.entries.get(victim)?.work.size.0;
+        let bytes = kind.bytes - freed + work.size.0;
+        let fits = kind.queued <= kind.limits.queue && bytes <= kind.limits.queue_bytes.0;
+        fits.then(|| victim.clone())
+    }
+
+    /// Returns queued requests that ended without a start since the last call: their deadline can
+    /// no longer be met, or they made room for a smaller workspace.
+    pub fn expired(&mut self, now: Timestamp) -> Vec<(RequestId, Refusal)> {
+        for kind in self.kinds.values_mut() {
+            kind.tick(now);
+        }
+        let mut late: Vec<RequestId> = Vec::new();
+        for request in self.lanes.iter().flat_map(|lane| lane.requests()) {
+            if self.entries.get(request).is_some_and(|entry| self.is_late(now, &entry.work)) {
+                late.push(request.clone());
+            }
+        }
+        let mut ended = std::mem::take(&mut self.evicted);
+        for request in late {
+            let Some(entry) = self.take_queued(&request) else {
+                continue;
+            };
+            let detail = format!("not started in time; the deadline was {}", entry.work.deadline);
+            let refusal = refuse(&entry, Code::DeadlineUnmet, detail);
+            let kind = self.kinds.get(&entry.work.kind);
+            let wait = kind.map_or(bounded(0.0), |kind| kind.retry_after(now));
+            ended.push((request, refusal.retry_after(wait)));
+        }
+        ended
+    }
+
+    fn is_late(&self, now: Timestamp, work: &Work) -> bool {
+        let needed = self.kinds.get(&work.kind).map_or(0.0, Kind::time_needed);
+        now >= work.deadline || needed > work.deadline.since(now).0 as f64
+    }
+
+    /// Returns batch requests without a first token that should be cancelled because urgent work
+    /// has waited for more than half its target. Cancel each, then call [`Scheduler::requeue`].
+    ///
+    /// A queue slot is kept for each, so that putting it back breaks no limit. Batch work is not
+    /// taken below its minimum share of what runs.
+    pub fn preempt(&mut self, now: Timestamp) -> Vec<RequestId> {
+        let mut chosen = Vec::new();
+        for plain in [false, true] {
+            let waiting = self.urgent_waiting(now, plain);
+            let pending = self.running(Rank::Batch).filter(|e| is_preempted(e));
+            let pending = pending.filter(|e| e.work.model.is_none() == plain).count();
+            for request in self.preemptable(plain, waiting.saturating_sub(pending)) {
+                self.mark_preempted(now, &request);
+                chosen.push(request);
+            }
+        }
+        chosen
+    }
+
+    /// Counts urgent requests that wait too long for a server. Requests that wait for their own
+    /// kind's concurrency limit do not count, since preemption would not help them.
+    fn urgent_waiting(&self, now: Timestamp, plain: bool) -> usize {
+        let patience = self.policy.rank(Rank::Urgent).target.0 / 2;
+        let mut by_kind: FastMap<&KindId, usize> = FastMap::default();
+        for request in self.lanes[Rank::Urgent.index()].requests() {
+            let Some(Entry { work, state: State::Queued { since }, .. }) =
+                self.entries.get(request)
+            else {
+                continue;
+            };
+            if work.model.is_none() == plain && now.since(*since).0 > patience {
+                *by_kind.entry(&work.kind).or_default() += 1;
+            }
+        }
+        let free = |kind: &KindId| {
+            let kind = self.kinds.get(kind);
+            kind.map_or(0, |k| k.limits.concurrency.saturating_sub(k.running))
+        };
+        by_kind.into_iter().map(|(kind, waiting)| waiting.min(free(kind))).sum()
+    }
+
+    fn preemptable(&self, plain: bool, most: usize) -> Vec<RequestId> {
+        if most == 0 {
+            return Vec::new();
+        }
+        let tokens = |rank| self.running(rank).map(|e| e.work.cost.0 as f64).sum::<f64>();
+        let all: f64 = Rank::ALL.into_iter().map(tokens).sum();
+        let mut spare = tokens(Rank::Batch) - all * self.shares.floor(Rank::Batch);
+        let mut streams: Vec<_> = self
+            .running(Rank::Batch)
+            .filter(|e| e.work.model.is_none() == plain && e.requeues < MOST_PREEMPTIONS)
+            .filter_map(|e| match e.state {
+                State::Running { since, answered: false, preempted: false, .. } => Some((since, e)),
+                _ => None,
+            })
+            .collect();
+        // The newest have the least work to lose.
+        streams.sort_by_key(|(since, e)| (Reverse(*since), e.work.request.clone()));
+        let mut slots: FastMap<&KindId, (usize, u64)> = FastMap::default();
+        let mut chosen = Vec::new();
+        for (_, Entry { work, .. }) in streams {
+            let Some(kind) = self.kinds.get(&work.kind) else {
+                continue;
+            };
+            let (taken, bytes) = slots.entry(&work.kind).or_default();
+            let room = kind.queued + *taken < kind.limits.queue
+                && kind.bytes + *bytes + work.size.0 <= kind.limits.queue_bytes.0;
+            if chosen.len() < most && room && work.cost.0 as f64 <= spare {
+                spare -= work.cost.0 as f64;
+                *taken += 1;
+                *bytes += work.size.0;
+                chosen.push(work.request.clone());
+            }
+        }
+        chosen
+    }
+
+    fn mark_preempted(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(Entry { work, state: State::Running { preempted, .. }, .. }) =
+            self.entries.get_mut(request)
+        else {
+            return;
+        };
+        *preempted = true;
+        if let Some(kind) = self.kinds.get_mut(&work.kind) {
+            kind.enqueue(now, work);
+        }
+    }
+
+    /// Puts a running request back in front of its queue, after a preemption or before a retry at
+    /// another server. If the queue of its kind is full, the request ends through
+    /// [`Scheduler::expired`] instead.
+    ///
+    /// The caller must have had no part of the answer.
+    pub fn requeue(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return;
+        };
+        let State::Running { charge, preempted, .. } = entry.state else {
+            return;
+        };
+        let Some(kind) = self.kinds.get_mut(&entry.work.kind) else {
+            return;
+        };
+        entry.requeues += 1;
+        kind.tick(now);
+        kind.stop(&entry.work);
+        let lane = &mut self.lanes[entry.work.rank.index()];
+        lane.correct(&entry.work.workspace, -charge);
+        self.shares.refund(entry.work.rank, charge);
+        if !preempted && !kind.has_room(entry.work.size.0) {
+            let kind = entry.work.kind.clone();
+            let full = self.queue_full(now, &kind);
+            self.entries.remove(request);
+            self.evicted.push((request.clone(), Refusal { ran: Ran::Unknown, ..full }));
+            return;
+        }
+        if !preempted {
+            kind.enqueue(now, &entry.work);
+        }
+        entry.state = State::Queued { since: now };
+        lane.push_front(&entry.work);
+    }
+}
+
+fn is_preempted(entry: &Entry) -> bool {
+    matches!(entry.state, State::Running { preempted: true, .. })
+}
