--- /dev/null
+++ b/crates/berylwheel-route/src/choice.rs
@@ -0,0 +1,82 @@
+//! Choice among servers that may take a request.
+
+use std::cmp::Reverse;
+
+use berylwheel_types::stable_hash;
+
+use crate::RoutePolicy;
+use crate::state::State;
+
+/// A server that may take the request, with its estimated load.
+#[derive(Debug)]
+pub(crate) struct Candidate<'a> {
+    pub state: &'a State,
+    /// Requests at the server from all routers.
+    pub load: f64,
+    /// Concurrency limit, lowered during slow start.
+    pub capacity: f64,
+    /// Whether one more request fits.
+    pub room: bool,
+}
+
+impl Candidate<'_> {
+    /// Returns the relative load with one more request.
+    fn cost(&self) -> f64 {
+        (self.load + 1.0) / self.capacity
+    }
+}
+
+/// Chooses a candidate with room: one that holds the prefix or is its home, if its load is within
+/// bounds, else the less loaded of two random ones, which `draws` decide.
+pub(crate) fn choose<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    prefix: u64,
+    policy: &RoutePolicy,
+    draws: [u64; 2],
+) -> Option<&'b Candidate<'a>> {
+    if prefix != 0
+        && let Some(chosen) = by_prefix(candidates, prefix, policy)
+    {
+        return Some(chosen);
+    }
+    let open: Vec<&Candidate> = candidates.iter().filter(|c| c.room).collect();
+    two_choices(&open, draws)
+}
+
+fn two_choices<'a, 'b>(open: &[&'b Candidate<'a>], draws: [u64; 2]) -> Option<&'b Candidate<'a>> {
+    if open.len() < 2 {
+        return open.first().copied();
+    }
+    let below = |draw: u64, count: usize| (draw % count as u64) as usize;
+    let first = below(draws[0], open.len());
+    let other = (first + 1 + below(draws[1], open.len() - 1)) % open.len();
+    let (first, other) = (open[first], open[other]);
+    Some(if other.cost() < first.cost() { other } else { first })
+}
+
+fn by_prefix<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    prefix: u64,
+    policy: &RoutePolicy,
+) -> Option<&'b Candidate<'a>> {
+    let load: f64 = candidates.iter().map(|c| c.load).sum();
+    let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
+    // Rounded up, so that a server without work may always take one request.
+    let bound =
+        |c: &Candidate| (policy.affinity_bound * (load + 1.0) * c.capacity / capacity).ceil();
+    let fits = |c: &&Candidate| c.room && c.load + 1.0 <= bound(c);
+
+    let holder = candidates
+        .iter()
+        .filter(|c| c.state.held.holds(prefix))
+        .filter(fits)
+        .min_by(|a, b| a.cost().total_cmp(&b.cost()));
+    if holder.is_some() {
+        return holder;
+    }
+    let text = format!("{prefix:x}");
+    let mut homes: Vec<(u64, &Candidate)> =
+        candidates.iter().map(|c| (stable_hash(&[&text, c.state.server.id.as_str()]), c)).collect();
+    homes.sort_unstable_by_key(|(score, _)| Reverse(*score));
+    homes.into_iter().take(policy.affinity_homes).map(|(_, c)| c).find(fits)
+}
--- /dev/null
+++ b/crates/berylwheel-route/src/routes.rs
@@ -0,0 +1,386 @@
+//! The routes of one router.
+
+use berylwheel_types::BackendId;
+use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
+use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::Ask;
+use crate::CacheEvent;
+use crate::LoadReport;
+use crate::Outcome;
+use crate::RouteDump;
+use crate::RoutePolicy;
+use crate::Server;
+use crate::ServerDump;
+use crate::choice::Candidate;
+use crate::choice::choose;
+use crate::state::State;
+use crate::subset::Pool;
+use crate::subset::Subset;
+use crate::subset::pools_of;
+
+/// Leaving servers remembered, known or not. The bound keeps false news from filling the memory.
+const LEAVING_LIMIT: usize = 4_096;
+
+/// Chooses backend servers for one router.
+///
+/// ```
+/// use berylwheel_route::{Ask, Outcome, RoutePolicy, Routes, Server};
+/// use berylwheel_types::Timestamp;
+///
+/// let now = Timestamp::from_millis(0);
+/// let mut routes = Routes::new("r1".parse().unwrap(), RoutePolicy::default(), 7);
+/// routes.set_servers(now, vec![Server {
+///     id: "e1".parse().unwrap(),
+///     address: "127.0.0.1:9000".parse().unwrap(),
+///     kinds: vec![],
+///     models: vec!["m1".parse().unwrap()],
+///     concurrency: 1,
+///     domain: "d1".parse().unwrap(),
+/// }]);
+/// let ask = Ask {
+///     kind: "chat".parse().unwrap(),
+///     model: Some("m1".parse().unwrap()),
+///     prefix: 0,
+///     exclude: vec![],
+/// };
+/// let server = routes.pick(now, &ask).unwrap();
+/// routes.started(now, &server.id);
+/// assert!(!routes.can_start(now, &ask));
+/// routes.ended(now, &server.id, Outcome::Ok);
+/// assert!(routes.can_start(now, &ask));
+/// routes.set_leaving(now, &server.id);
+/// assert_eq!(routes.pick(now, &ask), None);
+/// ```
+#[derive(Debug)]
+pub struct Routes {
+    me: RouterId,
+    policy: RoutePolicy,
+    random: SmallRng,
+    routers: usize,
+    started: bool,
+    states: FastMap<BackendId, State>,
+    pools: FastMap<Pool, Subset>,
+    /// Servers that the VM list or a peer says leave, with the time of the last such news.
+    leaving: FastMap<BackendId, Timestamp>,
+    /// Load reports that may be asked for now, up to one second's worth.
+    probe_credit: f64,
+    probed: Timestamp,
+    /// The last time that a method was given, for the dump.
+    latest: Timestamp,
+}
+
+impl Routes {
+    /// Returns routes without servers. The same seed and calls give the same choices.
+    pub fn new(me: RouterId, policy: RoutePolicy, seed: u64) -> Self {
+        Self {
+            me,
+            policy,
+            random: SmallRng::seed_from_u64(seed),
+            routers: 1,
+            started: false,
+            states: FastMap::default(),
+            pools: FastMap::default(),
+            leaving: FastMap::default(),
+            probe_credit: 0.0,
+            probed: Timestamp::default(),
+            latest: Timestamp::default(),
+        }
+    }
+
+    /// Replaces the configured servers.
+    ///
+    /// Requests at a server that is dropped stay counted until they end. A server whose address
+    /// changes counts as a new one: it has a slow start and no longer leaves. The servers of the
+    /// first call have no slow start, since they were there before this router.
+    pub fn set_servers(&mut self, now: Timestamp, servers: Vec<Server>) {
+        self.latest = now;
+        let since = self.started.then_some(now);
+        self.started = true;
+        let mut before: FastSet<BackendId> = FastSet::default();
+        for (id, state) in &mut self.states {
+            if std::mem::replace(&mut state.present, false) {
+                before.insert(id.clone());
+            }
+        }
+        for server in servers {
+            let Some(state) = self.states.get_mut(&server.id) else {
+                self.states.insert(server.id.clone(), State::new(server, since));
+                continue;
+            };
+            if state.server.address != server.address {
+                self.leaving.remove(&server.id);
+                state.restart(now);
+            } else if !before.contains(&server.id) {
+                state.restart(now);
+            }
+            state.present = true;
+            state.server = server;
+        }
+        self.states.retain(|_, state| state.present || state.load.own() > 0);
+        self.pools = pools_of(&self.me, &self.states, self.policy.subset);
+        for state in self.states.values_mut() {
+            state.used = false;
+        }
+        for id in self.pools.values().flat_map(|subset| &subset.members) {
+            if let Some(state) = self.states.get_mut(id) {
+                state.used = true;
+            }
+        }
+        self.limit_ejections(now);
+    }
+
+    /// Sets the number of live routers, this one included, that share the servers.
+    pub fn set_routers(&mut self, live: usize) {
+        self.routers = live.max(1);
+    }
+
+    /// Takes in what a server reports. A report that is older than the last one is ignored.
+    pub fn report(&mut self, now: Timestamp, server: &BackendId, report: LoadReport) {
+        let Some(state) = self.states.get_mut(server) else { return };
+        self.latest = now;
+        if !state.load.report(now, &report) {
+            return;
+        }
+        if state.draining && !report.draining {
+            // A server that drains does not change its mind; this is a new process.
+            state.since = Some(now);
+        }
+        state.draining = report.draining;
+        state.loaded = report.loaded;
+        self.limit_ejections(now);
+    }
+
+    /// Takes in a change of a server's prefix cache.
+    pub fn cache_event(&mut self, _now: Timestamp, server: &BackendId, event: CacheEvent) {
+        if let Some(state) = self.states.get_mut(server) {
+            state.held.event(event);
+        }
+    }
+
+    /// Notes that the VM list or a peer says that a server leaves. It gets no new work.
+    ///
+    /// The news may come before the server is configured.
+    pub fn set_leaving(&mut self, now: Timestamp, server: &BackendId) {
+        if self.leaving.len() >= LEAVING_LIMIT && !self.leaving.contains_key(server) {
+            let oldest = self.leaving.iter().filter(|(id, _)| !self.states.contains_key(*id));
+            let oldest = oldest.min_by_key(|(_, at)| **at).map(|(id, _)| id.clone());
+            if let Some(id) = oldest {
+                self.leaving.remove(&id);
+            }
+        }
+        self.leaving.insert(server.clone(), now);
+        self.limit_ejections(now);
+    }
+
+    /// Notes that a server itself said that it drains, as in a 503 answer. A later load report that
+    /// does not say so brings it back.
+    pub fn set_draining(&mut self, now: Timestamp, server: &BackendId) {
+        if let Some(state) = self.states.get_mut(server) {
+            state.draining = true;
+        }
+        self.limit_ejections(now);
+    }
+
+    /// Notes that the VM list, read now, shows a server as live.
+    ///
+    /// It gets work again once there has been no news of its leaving for
+    /// [`RoutePolicy::leaving_hold`], with a slow start.
+    pub fn set_live(&mut self, now: Timestamp, server: &BackendId) {
+        let Some(at) = self.leaving.get(server) else { return };
+        if now.since(*at) < self.policy.leaving_hold {
+            return;
+        }
+        self.leaving.remove(server);
+        if let Some(state) = self.states.get_mut(server) {
+            state.since = Some(now);
+        }
+    }
+
+    /// Returns whether a server gets no new work because it leaves.
+    pub fn is_leaving(&self, server: &BackendId) -> bool {
+        self.leaving.contains_key(server)
+            || self.states.get(server).is_some_and(|state| state.draining)
+    }
+
+    /// Returns whether [`Routes::pick`] would find a server.
+    pub fn can_start(&self, now: Timestamp, ask: &Ask) -> bool {
+        self.candidates(now, ask).iter().any(|c| c.room)
+    }
+
+    /// Chooses a server for a request, or returns `None` if no eligible one has room.
+    ///
+    /// The choice counts nothing; call [`Routes::started`] when the request is sent.
+    pub fn pick(&mut self, now: Timestamp, ask: &Ask) -> Option<Server> {
+        self.latest = now;
+        let draws = [self.random.random(), self.random.random()];
+        let candidates = self.candidates(now, ask);
+        let chosen = choose(&candidates, ask.prefix, &self.policy, draws);
+        chosen.map(|candidate| candidate.state.server.clone())
+    }
+
+    /// Returns the requests that this router may run at a time for such work: of each eligible
+    /// server its share, or what other routers leave of it if that is more.
+    pub fn capacity(&self, now: Timestamp, ask: &Ask) -> u32 {
+        let share = self.share(ask);
+        let free = |c: &Candidate| {
+            let limit = f64::from(c.state.server.concurrency);
+            let others = c.load - f64::from(c.state.load.own());
+            (limit - others).max((limit * share).floor()) as u32
+        };
+        self.candidates(now, ask).iter().map(free).sum()
+    }
+
+    fn share(&self, ask: &Ask) -> f64 {
+        let subset = self.pools.get(&Pool::of(ask));
+        let used = subset.map_or(1.0, |s| s.members.len() as f64 / s.total.max(1) as f64);
+        1.0 / (self.routers as f64 * used).max(1.0)
+    }
+
+    fn candidates(&self, now: Timestamp, ask: &Ask) -> Vec<Candidate<'_>> {
+        let Some(subset) = self.pools.get(&Pool::of(ask)) else { return Vec::new() };
+        let eligible = subset.members.iter().filter_map(|id| self.states.get(id)).filter(|state| {
+            let id = &state.server.id;
+            state.serves(ask)
+                && !ask.exclude.contains(id)
+                && !self.is_leaving(id)
+                && !state.health.is_ejected(now)
+        });
+        let eligible: Vec<&State> = eligible.collect();
+        let limit = self.policy.report_limit;
+        let known: Vec<u32> = eligible.iter().filter_map(|s| s.load.others(now, limit)).collect();
+        // A server whose report is missing counts as loaded as the mean, not as idle: a server that
+        // has stopped reporting would otherwise draw the work.
+        let mean = known.iter().sum::<u32>() as f64 / known.len().max(1) as f64;
+        let share = self.share(ask);
+        let mut candidates = Vec::with_capacity(eligible.len());
+        for state in eligible {
+            let own = state.load.own();
+            let others = state.load.others(now, limit).map_or(mean, f64::from);
+            let load = f64::from(own) + others;
+            let concurrency = f64::from(state.server.concurrency);
+            // Within its own share a router does not wait for what the others have taken.
+            let fits = load < concurrency || f64::from(own) < (concurrency * share).floor();
+            let room = own < state.server.concurrency && fits;
+            let capacity = concurrency * state.weight(now, &self.policy);
+            candidates.push(Candidate { state, load, capacity, room });
+        }
+        candidates
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn started(&mut self, now: Timestamp, server: &BackendId) {
+        if let Some(state) = self.states.get_mut(server) {
+            self.latest = now;
+            state.load.started(now);
+        }
+    }
+
+    /// Counts a request that has ended at a server.
+    pub fn ended(&mut self, now: Timestamp, server: &BackendId, outcome: Outcome) {
+        let Some(state) = self.states.get_mut(server) else { return };
+        self.latest = now;
+        state.load.ended(now);
+        let failing = state.health.ended(now, outcome, &self.policy);
+        if !state.present && state.load.own() == 0 {
+            self.states.remove(server);
+            return;
+        }
+        if failing && self.may_eject(now, server) {
+            let Some(state) = self.states.get_mut(server) else { return };
+            state.health.eject(now, &self.policy);
+        }
+    }
+
+    /// Returns the servers whose load should be asked for now, those that waited longest first.
+    pub fn probes(&mut self, now: Timestamp) -> Vec<BackendId> {
+        let rate = f64::from(self.policy.probe_rate);
+        self.latest = now;
+        let earned = now.since(self.probed).0 as f64 * rate / 1_000.0;
+        self.probe_credit = (self.probe_credit + earned).min(rate);
+        self.probed = now;
+        let used = self.states.values().filter(|s| s.present && s.used && s.probe_due <= now);
+        let mut due: Vec<(Timestamp, BackendId)> =
+            used.map(|s| (s.probe_due, s.server.id.clone())).collect();
+        due.sort_unstable();
+        due.truncate(self.probe_credit as usize);
+        self.probe_credit -= due.len() as f64;
+        let interval = self.policy.probe_interval.0;
+        for (_, id) in &due {
+            // Spread, so that the routers of a fleet do not ask one server at the same time.
+            let wait = interval - self.random.random_range(0..=interval / 10);
+            if let Some(state) = self.states.get_mut(id) {
+                state.probe_due = now + Millis(wait);
+            }
+        }
+        due.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns the state for operators, as of the last time that a method was given.
+    pub fn dump(&self) -> RouteDump {
+        let now = self.latest;
+        let mut servers: Vec<ServerDump> = self
+            .states
+            .values()
+            .map(|state| ServerDump {
+                id: state.server.id.clone(),
+                address: state.server.address,
+                present: state.present,
+                used: state.used,
+                in_flight: state.load.own(),
+                others: state.load.others(now, self.policy.report_limit),
+                concurrency: state.server.concurrency,
+                report_age: state.load.report_age(now),
+                failures: state.health.failures(),
+                ejected_until: state.health.until().filter(|until| *until > now),
+                leaving: self.is_leaving(&state.server.id),
+                weight: state.weight(now, &self.policy),
+                prefixes: state.held.len(),
+            })
+            .collect();
+        servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        RouteDump { routers: self.routers, servers }
+    }
+
+    /// Returns the groups of servers of which at most a third may be out: each subset, and all
+    /// servers that this router uses.
+    fn ejection_groups(&self) -> Vec<Vec<&State>> {
+        let stays = |s: &&State| s.present && s.used && !self.is_leaving(&s.server.id);
+        let all = self.states.values().filter(stays).collect();
+        let subset = |subset: &Subset| {
+            subset.members.iter().filter_map(|id| self.states.get(id)).filter(stays).collect()
+        };
+        std::iter::once(all).chain(self.pools.values().map(subset)).collect()
+    }
+
+    fn may_eject(&self, now: Timestamp, server: &BackendId) -> bool {
+        let mut groups = self.ejection_groups();
+        groups.retain(|group| group.iter().any(|s| s.server.id == *server));
+        let out = |group: &[&State]| group.iter().filter(|s| s.health.is_ejected(now)).count();
+        !groups.is_empty() && groups.iter().all(|group| out(group) < group.len() / 3)
+    }
+
+    /// Readmits servers, those that are due first, while more than a third of a group is out. A
+    /// group shrinks when servers leave or are dropped.
+    fn limit_ejections(&mut self, now: Timestamp) {
+        loop {
+            let mut surplus = None;
+            for group in self.ejection_groups() {
+                let out = group.iter().filter(|s| s.health.is_ejected(now));
+                if out.clone().count() > group.len() / 3 {
+                    let first = out.min_by_key(|s| (s.health.until(), &s.server.id));
+                    surplus = first.map(|s| s.server.id.clone());
+                    break;
+                }
+            }
+            let Some(state) = surplus.and_then(|id| self.states.get_mut(&id)) else { return };
+            state.health.readmit(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-route/src/subset.rs
@@ -0,0 +1,79 @@
+//! Which servers a router sends work to.
+
+use berylwheel_types::BackendId;
+use berylwheel_types::FastMap;
+use berylwheel_types::KindId;
+use berylwheel_types::ModelId;
+use berylwheel_types::RouterId;
+use berylwheel_types::stable_hash;
+
+use crate::Ask;
+use crate::state::State;
+
+/// Servers that can stand in for each other: those of one model, or of one plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Pool {
+    Model(ModelId),
+    Kind(KindId),
+}
+
+impl Pool {
+    /// Returns the pool that can serve `ask`.
+    pub fn of(ask: &Ask) -> Self {
+        match &ask.model {
+            Some(model) => Self::Model(model.clone()),
+            None => Self::Kind(ask.kind.clone()),
+        }
+    }
+}
+
+/// The part of a pool that one router uses.
+#[derive(Debug)]
+pub(crate) struct Subset {
+    pub members: Vec<BackendId>,
+    /// Servers of the whole pool.
+    pub total: usize,
+}
+
+/// Returns the subset of `router` in each pool of the configured servers.
+pub(crate) fn pools_of(
+    router: &RouterId,
+    states: &FastMap<BackendId, State>,
+    limit: usize,
+) -> FastMap<Pool, Subset> {
+    let mut pools: FastMap<Pool, Vec<BackendId>> = FastMap::default();
+    for state in states.values().filter(|state| state.present) {
+        let server = &state.server;
+        let models = server.models.iter().cloned().map(Pool::Model);
+        // A plain service has no models, so its kinds make its pools.
+        let kinds = server.kinds.iter().filter(|_| server.models.is_empty());
+        for pool in models.chain(kinds.cloned().map(Pool::Kind)) {
+            pools.entry(pool).or_default().push(server.id.clone());
+        }
+    }
+    let subset =
+        |all: Vec<BackendId>| Subset { members: subset_of(router, &all, limit), total: all.len() };
+    pools.into_iter().map(|(pool, all)| (pool, subset(all))).collect()
+}
+
+/// Returns the `limit` servers that `router` uses, by rendezvous hash, in the order of their names.
+///
+/// Each router and server has a fixed score, so a server that comes or goes moves at most one place
+/// of each subset.
+///
+/// ```
+/// use berylwheel_route::subset_of;
+/// use berylwheel_types::BackendId;
+/// let servers: Vec<BackendId> = ["a", "b", "c"].iter().map(|s| s.parse().unwrap()).collect();
+/// assert_eq!(subset_of(&"r1".parse().unwrap(), &servers, 2).len(), 2);
+/// assert_eq!(subset_of(&"r1".parse().unwrap(), &servers, 9), servers);
+/// ```
+pub fn subset_of(router: &RouterId, servers: &[BackendId], limit: usize) -> Vec<BackendId> {
+    let score = |server: &BackendId| stable_hash(&[router.as_str(), server.as_str()]);
+    let mut scored: Vec<(u64, &BackendId)> = servers.iter().map(|s| (score(s), s)).collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.truncate(limit);
+    let mut chosen: Vec<BackendId> = scored.into_iter().map(|(_, s)| s.clone()).collect();
+    chosen.sort_unstable();
+    chosen
+}
