Add the tree of settings with its schema and typed getters

Change: parsing by rust-ini, a table of keys with levels, types and defaults, inheritance from [workspace W kind K] to [fleet], errors with file, line, section and key, near misses by strsim. Ruled out: reading line numbers from rust-ini, which keeps none; a scan of the text finds them.

--- /dev/null
+++ b/crates/berylwheel-settings/src/check.rs
@@ -0,0 +1,73 @@
+//! The check of a tree against the schema.
+
+use crate::Level;
+use crate::Required;
+use crate::SectionName;
+use crate::SettingError;
+use crate::raw::Tree;
+use crate::schema;
+
+/// Returns everything that is wrong with the keys and values of `tree`.
+pub(crate) fn check(tree: &Tree) -> Vec<SettingError> {
+    let mut errors = Vec::new();
+    for (name, section) in &tree.sections {
+        for (key, entry) in &section.entries {
+            errors.extend(check_entry(tree, name, key, &entry.value));
+        }
+        for spec in schema::at(name.level()) {
+            if spec.required == Required::Yes && !section.entries.contains_key(spec.key) {
+                errors.push(tree.error(name, spec.key, "missing", spec.value.to_string()));
+            }
+        }
+    }
+    errors
+}
+
+fn check_entry(tree: &Tree, name: &SectionName, key: &str, value: &str) -> Option<SettingError> {
+    let level = name.level();
+    let Some(spec) = schema::find(level, key) else {
+        return Some(unknown_key(tree, name, key));
+    };
+    if key == schema::CALLER_KEY {
+        return Some(tree.error(name, key, "key without a name", "key.NAME = SHA256HEX [BUDGET]"));
+    }
+    let expected = spec.value.check(value).err()?;
+    Some(tree.error(name, key, format!("found `{value}`"), expected))
+}
+
+fn unknown_key(tree: &Tree, name: &SectionName, key: &str) -> SettingError {
+    let level = name.level();
+    let elsewhere: Vec<String> = schema::levels(key).iter().map(Level::to_string).collect();
+    if !elsewhere.is_empty() {
+        let expected = format!("it in {}", elsewhere.join(" or "));
+        return tree.error(name, key, format!("key not valid in {level}"), expected);
+    }
+    let known: Vec<&str> = schema::at(level).map(|spec| spec.key).collect();
+    let error = tree.error(name, key, "unknown key", format!("a key of {level}"));
+    SettingError { suggestion: suggest(key, known.into_iter()), ..error }
+}
+
+/// Returns the candidate that `word` is most likely a misspelling of.
+pub(crate) fn suggest<'a>(word: &str, candidates: impl Iterator<Item = &'a str>) -> Option<String> {
+    // A third of the letters may be wrong: two in a word of six, such as `worksapce`.
+    let limit = (word.chars().count() / 3).max(1);
+    candidates
+        .map(|candidate| (strsim::damerau_levenshtein(word, candidate), candidate))
+        .filter(|(distance, _)| *distance <= limit)
+        .min()
+        .map(|(_, candidate)| candidate.to_owned())
+}
+
+/// Returns the section name that `text` is most likely a misspelling of.
+pub(crate) fn suggest_section(text: &str) -> Option<String> {
+    let words: Vec<&str> = text.split_whitespace().collect();
+    let first = words.first()?;
+    let known = ["router", "fleet", "rank", "kind", "workspace", "server", "operator"];
+    let mut words: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
+    words[0] = suggest(first, known.into_iter())?;
+    if words.len() == 2 && words[0] == "rank" {
+        words[1] = suggest(&words[1], ["urgent", "normal", "batch"].into_iter())?;
+    }
+    let name = words.join(" ");
+    (name != text && name.parse::<SectionName>().is_ok()).then_some(name)
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/error.rs
@@ -0,0 +1,62 @@
+//! What is wrong with a file of settings.
+
+use std::fmt;
+
+/// One thing that is wrong, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingError {
+    /// The file.
+    pub file: String,
+    /// The line, counted from 1; 0 if what is wrong is missing from the file.
+    pub line: usize,
+    /// The section, without brackets.
+    pub section: String,
+    /// The key, empty if the section itself is wrong.
+    pub key: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+    /// A known name that resembles the wrong one.
+    pub suggestion: Option<String>,
+}
+
+impl fmt::Display for SettingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.section.is_empty() {
+            write!(f, ": [{}]", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key)?;
+        }
+        write!(f, ": {}, expected {}", self.found, self.expected)?;
+        if let Some(suggestion) = &self.suggestion {
+            write!(f, "; did you mean `{suggestion}`?")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingError {}
+
+/// Everything that is wrong with a file, in the order of its lines; never empty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingErrors(pub Vec<SettingError>);
+
+impl fmt::Display for SettingErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, error) in self.0.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingErrors {}
--- /dev/null
+++ b/crates/berylwheel-settings/src/model.rs
@@ -0,0 +1,261 @@
+//! The typed settings that the other crates read.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use berylwheel_types::BackendId;
+use berylwheel_types::BudgetId;
+use berylwheel_types::ByteSize;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::KindId;
+use berylwheel_types::Millis;
+use berylwheel_types::ModelId;
+use berylwheel_types::ParseIdError;
+use berylwheel_types::Rank;
+use berylwheel_types::RouterId;
+use berylwheel_types::Share;
+use berylwheel_types::Tokens;
+use berylwheel_types::WorkspaceId;
+
+use crate::SectionName;
+
+macro_rules! choice {
+    ($(#[$doc:meta])* $name:ident, $expected:literal, $($(#[$variant_doc:meta])* $variant:ident = $text:literal,)*) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum $name {
+            $($(#[$variant_doc])* $variant,)*
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(match self { $(Self::$variant => $text,)* })
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                match text {
+                    $($text => Ok(Self::$variant),)*
+                    _ => Err(ParseIdError { expected: $expected }),
+                }
+            }
+        }
+    };
+}
+
+choice!(
+    /// What serves a kind of work.
+    Service, "engine or plain",
+    /// A model engine that is asked for chat completions.
+    Engine = "engine",
+    /// Any other HTTP service.
+    Plain = "plain",
+);
+
+choice!(
+    /// Whether a call may be sent again.
+    Repeat, "idempotent, never or by-key",
+    /// The call may be repeated.
+    Idempotent = "idempotent",
+    /// The call must run at most once and needs an idempotency key.
+    Never = "never",
+    /// The service itself deduplicates by idempotency key.
+    ByKey = "by-key",
+);
+
+choice!(
+    /// What an engine does with an order that carries an old fencing number.
+    Fencing, "checked or ignored",
+    /// It refuses the order.
+    Checked = "checked",
+    /// It ignores the number.
+    Ignored = "ignored",
+);
+
+/// One router's own settings, section `[router]`.
+///
+/// A tree without that section has an empty one; see [`crate::Settings::has_router`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// The router's name, the same over restarts.
+    pub name: RouterId,
+    /// The failure domain that it runs in.
+    pub domain: FailureDomain,
+    /// The region that it runs in.
+    pub region: String,
+    /// The address that callers connect to.
+    pub listen: SocketAddr,
+    /// The address of the admin interface.
+    pub admin: SocketAddr,
+    /// The UDP address of the link between routers.
+    pub peer: SocketAddr,
+    /// The addresses of the store.
+    pub store: Vec<SocketAddr>,
+    /// The other routers and their peer addresses.
+    pub peers: Vec<(RouterId, SocketAddr)>,
+    /// The address of the platform's VM list.
+    pub vms: Option<SocketAddr>,
+    /// The address that metrics are sent to.
+    pub metrics: Option<SocketAddr>,
+    /// The path of the certificate authority that peers must be signed by.
+    pub ca: PathBuf,
+    /// The path of this router's certificate.
+    pub cert: PathBuf,
+    /// The path of this router's private key.
+    pub key: PathBuf,
+    /// The number of traffic threads.
+    pub threads: u32,
+}
+
+/// Limits of the whole fleet, section `[fleet]`. Each holds per router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// The largest request body.
+    pub body_limit: ByteSize,
+    /// How long a caller may take to send a request.
+    pub receive_time: Millis,
+    /// How long a request may take.
+    pub request_limit: Millis,
+    /// How long a planned stop waits for requests in progress.
+    pub drain_limit: Millis,
+    /// The number of ledger pages. Fixed once the first configuration is accepted.
+    pub ledger_pages: u32,
+    /// How many caller connections one router accepts.
+    pub connections: u32,
+}
+
+/// The service that one rank gets, section `[rank NAME]`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RankSettings {
+    /// The guaranteed minimum share of capacity.
+    pub floor: Share,
+    /// The longest time to the first token that the rank aims at.
+    pub target: Millis,
+}
+
+/// A kind of work, section `[kind NAME]` with what it inherits. Limits hold per router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KindSettings {
+    /// The kind.
+    pub id: KindId,
+    /// What serves it.
+    pub service: Service,
+    /// The models that callers may name; empty for a plain service.
+    pub models: Vec<ModelId>,
+    /// Its rank.
+    pub rank: Rank,
+    /// Whether its calls may be repeated.
+    pub repeat: Repeat,
+    /// Whether the service answers `GET /calls/KEY`.
+    pub lookup: bool,
+    /// What one request to a plain service costs.
+    pub price: Tokens,
+    /// The deadline of a request that states none.
+    pub deadline: Millis,
+    /// How many requests may wait.
+    pub queue: u32,
+    /// How many bytes of requests may wait.
+    pub queue_bytes: ByteSize,
+    /// How many requests may run at a time.
+    pub concurrency: u32,
+    /// How many connections to its backend servers are kept.
+    pub connections: u32,
+    /// The default and upper bound of `max_tokens` of an engine request.
+    pub max_tokens: Tokens,
+}
+
+/// One key of a caller: `key.NAME = SHA256HEX [BUDGET]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeySettings {
+    /// The name that operators gave the key.
+    pub name: String,
+    /// The SHA-256 digest of the key, 64 lower-case hexadecimal digits.
+    pub sha256: String,
+    /// The budget that requests with this key are billed to.
+    pub budget: BudgetId,
+}
+
+/// A workspace, section `[workspace NAME]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkspaceSettings {
+    /// The workspace.
+    pub id: WorkspaceId,
+    /// The keys of its callers.
+    pub keys: Vec<KeySettings>,
+    /// Whether its requests are refused.
+    pub closed: bool,
+    /// How many requests it may have in flight at one router.
+    pub in_flight: u32,
+    /// The budget of keys that name none.
+    pub budget: BudgetId,
+}
+
+/// A backend server, section `[server NAME]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerSettings {
+    /// The server.
+    pub id: BackendId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The kinds of work that it serves.
+    pub kinds: Vec<KindId>,
+    /// The models that it holds.
+    pub models: Vec<ModelId>,
+    /// How many requests it runs at a time.
+    pub concurrency: u32,
+    /// The failure domain that it runs in.
+    pub domain: FailureDomain,
+    /// What it does with an order that carries an old fencing number.
+    pub fencing: Fencing,
+}
+
+/// An operator, section `[operator NAME]`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// The operator's name.
+    pub name: String,
+    /// The SHA-256 digest of the operator's key, 64 lower-case hexadecimal digits.
+    pub sha256: String,
+}
+
+/// Where an effective value comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// The built-in default.
+    Default,
+    /// A section of the tree.
+    Section(SectionName),
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Default => f.write_str("default"),
+            Self::Section(name) => write!(f, "[{name}]"),
+        }
+    }
+}
+
+/// One value that is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Effective {
+    /// The section that the value holds for.
+    pub path: SectionName,
+    /// The key.
+    pub key: String,
+    /// The value, as it was written.
+    pub value: String,
+    /// Where the value comes from.
+    pub origin: Origin,
+}
+
+impl fmt::Display for Effective {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[{}] {} = {} ({})", self.path, self.key, self.value, self.origin)
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/raw.rs
@@ -0,0 +1,190 @@
+//! The text of a file, before its keys and values are checked.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use berylwheel_types::FastMap;
+use ini::Ini;
+use ini::ParseOption;
+
+use crate::SectionName;
+use crate::SettingError;
+
+/// One `KEY = VALUE`.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub value: String,
+    pub line: usize,
+}
+
+/// One section. Maps are sorted, so that a tree has one printed form whatever order it was in.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Section {
+    pub line: usize,
+    pub entries: BTreeMap<String, Entry>,
+}
+
+/// The sections of a file.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tree {
+    pub file: String,
+    pub sections: BTreeMap<SectionName, Section>,
+}
+
+impl Tree {
+    /// Returns an error at `key` of `section`, or at the section itself if the key is empty.
+    pub fn error(
+        &self,
+        section: &SectionName,
+        key: &str,
+        found: impl Into<String>,
+        expected: impl Into<String>,
+    ) -> SettingError {
+        let place = self.sections.get(section);
+        let entry = place.and_then(|s| s.entries.get(key)).map(|entry| entry.line);
+        SettingError {
+            file: self.file.clone(),
+            line: entry.or(place.map(|s| s.line)).unwrap_or(0),
+            section: section.to_string(),
+            key: key.to_owned(),
+            found: found.into(),
+            expected: expected.into(),
+            suggestion: None,
+        }
+    }
+
+    /// Returns the value of `key` in `section`.
+    pub fn get(&self, section: &SectionName, key: &str) -> Option<&str> {
+        Some(self.sections.get(section)?.entries.get(key)?.value.as_str())
+    }
+}
+
+/// The lines on which each section and key stands, in the order of the file.
+#[derive(Default)]
+struct Lines(FastMap<(String, String), VecDeque<usize>>);
+
+impl Lines {
+    fn add(&mut self, section: &str, key: &str, line: usize) {
+        self.0.entry((section.to_owned(), key.to_owned())).or_default().push_back(line);
+    }
+
+    fn take(&mut self, section: &str, key: &str) -> usize {
+        let lines = self.0.get_mut(&(section.to_owned(), key.to_owned()));
+        lines.and_then(VecDeque::pop_front).unwrap_or(0)
+    }
+}
+
+/// Reads the sections of `text`, and everything that is wrong with its form.
+pub(crate) fn read(file: &str, text: &str) -> (Tree, Vec<SettingError>) {
+    let mut tree = Tree { file: file.to_owned(), ..Tree::default() };
+    let mut errors = Vec::new();
+    let error = |line, section: &str, key: &str, found: String, expected: &str| SettingError {
+        file: file.to_owned(),
+        line,
+        section: section.to_owned(),
+        key: key.to_owned(),
+        found,
+        expected: expected.to_owned(),
+        suggestion: None,
+    };
+    let (clean, mut lines, bad) = scan(text);
+    for (line, content) in bad {
+        let expected = "[SECTION], KEY = VALUE or a comment line, without control characters";
+        errors.push(error(line, "", "", format!("line `{content}`"), expected));
+    }
+    let option = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        enabled_indented_mutiline_value: false,
+        enabled_preserve_key_leading_whitespace: false,
+    };
+    let ini = match Ini::load_from_str_opt(&clean, option) {
+        Ok(ini) => ini,
+        Err(e) => {
+            errors.push(error(e.line, "", "", e.msg.to_string(), "an INI file"));
+            return (tree, errors);
+        }
+    };
+    for (section, properties) in &ini {
+        let Some(text) = section else {
+            for (key, _) in properties.iter() {
+                let line = lines.take("", key);
+                errors.push(error(line, "", key, "key outside a section".into(), "a [SECTION]"));
+            }
+            continue;
+        };
+        let line = lines.take(text, "");
+        let name = match text.parse::<SectionName>() {
+            Ok(name) => name,
+            Err(e) => {
+                let found = "unknown section".to_owned();
+                let suggestion = crate::check::suggest_section(text);
+                errors
+                    .push(SettingError { suggestion, ..error(line, text, "", found, e.expected) });
+                // Uses up the lines of the section, in case a section of that name follows.
+                for (key, _) in properties.iter() {
+                    lines.take(text, key);
+                }
+                continue;
+            }
+        };
+        if let Some(first) = tree.sections.get(&name) {
+            let found = format!("second section of this name, the first is on line {}", first.line);
+            errors.push(error(line, text, "", found, "one section of a name"));
+        }
+        let place = tree.sections.entry(name).or_insert(Section { line, ..Section::default() });
+        for (key, value) in properties.iter() {
+            let line = lines.take(text, key);
+            if let Some(first) = place.entries.get(key) {
+                let found = format!("second value, the first is on line {}", first.line);
+                errors.push(error(line, text, key, found, "one value of a key"));
+                continue;
+            }
+            place.entries.insert(key.to_owned(), Entry { value: value.to_owned(), line });
+        }
+    }
+    (tree, errors)
+}
+
+/// Returns `text` without comments and malformed lines, the lines of its sections and keys, and the
+/// malformed lines.
+///
+/// The parser stops at the first malformed line, gives no line numbers, and lets a key or a value
+/// run over the end of its line.
+fn scan(text: &str) -> (String, Lines, Vec<(usize, String)>) {
+    let mut clean = String::new();
+    let mut lines = Lines::default();
+    let mut bad = Vec::new();
+    let mut section = "";
+    for (line, content) in text.lines().enumerate().map(|(i, l)| (i + 1, l.trim())) {
+        if !content.is_empty() && !content.starts_with([';', '#']) {
+            if is_malformed(content) {
+                bad.push((line, content.chars().filter(|c| !c.is_control()).take(60).collect()));
+            } else if let Some(name) = section_of(content) {
+                section = name;
+                lines.add(section, "", line);
+                clean.push_str(content);
+            } else if let Some((key, _)) = content.split_once('=') {
+                lines.add(section, key.trim(), line);
+                clean.push_str(content);
+            }
+        }
+        clean.push('\n');
+    }
+    (clean, lines, bad)
+}
+
+fn section_of(content: &str) -> Option<&str> {
+    content.strip_prefix('[')?.strip_suffix(']').map(str::trim)
+}
+
+fn is_malformed(content: &str) -> bool {
+    if content.contains(|c: char| c == '\\' || (c.is_control() && c != '\t')) {
+        return true;
+    }
+    if content.starts_with('[') {
+        return section_of(content).is_none_or(|name| name.contains(['[', ']']));
+    }
+    // The parser also takes a colon for an equals sign.
+    content.split_once('=').is_none_or(|(key, _)| key.trim().is_empty() || key.contains(':'))
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/read.rs
@@ -0,0 +1,256 @@
+//! Typed settings read from a checked tree.
+
+use std::fmt::Display;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use berylwheel_types::BackendId;
+use berylwheel_types::BudgetId;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::KindId;
+use berylwheel_types::Rank;
+use berylwheel_types::RouterId;
+use berylwheel_types::WorkspaceId;
+
+use crate::FleetSettings;
+use crate::KeySettings;
+use crate::KindSettings;
+use crate::OperatorSettings;
+use crate::Origin;
+use crate::RankSettings;
+use crate::Required;
+use crate::RouterSettings;
+use crate::SectionName;
+use crate::ServerSettings;
+use crate::SettingError;
+use crate::WorkspaceSettings;
+use crate::raw::Tree;
+use crate::schema;
+use crate::value;
+
+pub(crate) type Read<T> = Result<T, Box<SettingError>>;
+
+/// The sections that a value is looked up in, the most specific first.
+pub(crate) type Chain = Vec<SectionName>;
+
+/// Returns the sections that `kind` of `workspace` inherits from.
+pub(crate) fn kind_chain(workspace: Option<&WorkspaceId>, kind: &KindId) -> Chain {
+    let own = workspace.map(|id| {
+        [SectionName::WorkspaceKind(id.clone(), kind.clone()), SectionName::Workspace(id.clone())]
+    });
+    let shared = [SectionName::Kind(kind.clone()), SectionName::Fleet];
+    own.into_iter().flatten().chain(shared).collect()
+}
+
+/// Returns the value of `key` and where it comes from.
+pub(crate) fn lookup<'a>(tree: &'a Tree, chain: &Chain, key: &str) -> Option<(&'a str, Origin)> {
+    let specs = || chain.iter().filter_map(|name| Some((name, schema::find(name.level(), key)?)));
+    // A key may mean something else at a level further up, such as `connections` of `[fleet]`.
+    let home = specs().next()?.1;
+    for (name, _) in specs().filter(|(_, spec)| std::ptr::eq(*spec, home)) {
+        if let Some(text) = tree.get(name, key) {
+            return Some((text, Origin::Section(name.clone())));
+        }
+    }
+    match home.required {
+        Required::Default(text) => Some((text, Origin::Default)),
+        Required::Yes | Required::No => None,
+    }
+}
+
+struct Reader<'a> {
+    tree: &'a Tree,
+    chain: Chain,
+}
+
+impl<'a> Reader<'a> {
+    fn new(tree: &'a Tree, name: &SectionName) -> Self {
+        Self { tree, chain: vec![name.clone()] }
+    }
+
+    fn error(&self, key: &str, found: &str, expected: &dyn Display) -> Box<SettingError> {
+        Box::new(self.tree.error(&self.chain[0], key, found, expected.to_string()))
+    }
+
+    fn text(&self, key: &str) -> Read<&'a str> {
+        let found = lookup(self.tree, &self.chain, key).map(|(text, _)| text);
+        found.ok_or_else(|| self.error(key, "missing", &"a value"))
+    }
+
+    fn get<T: FromStr<Err: Display>>(&self, key: &str) -> Read<T> {
+        let text = self.text(key)?;
+        text.parse().map_err(|e: T::Err| self.error(key, text, &e))
+    }
+
+    fn optional<T: FromStr<Err: Display>>(&self, key: &str) -> Read<Option<T>> {
+        match lookup(self.tree, &self.chain, key) {
+            Some(_) => self.get(key).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn list<T: FromStr<Err: Display>>(&self, key: &str) -> Read<Vec<T>> {
+        let item = |text: &str| text.parse().map_err(|e: T::Err| self.error(key, text, &e));
+        value::list(self.text(key)?).map(item).collect()
+    }
+
+    fn yes_no(&self, key: &str) -> Read<bool> {
+        let text = self.text(key)?;
+        value::yes_no(text).ok_or_else(|| self.error(key, text, &"yes or no"))
+    }
+}
+
+/// Reads `[router]`; an empty one if the tree has none.
+pub(crate) fn router(tree: &Tree) -> Read<RouterSettings> {
+    if !tree.sections.contains_key(&SectionName::Router) {
+        return no_router(tree);
+    }
+    let reader = Reader::new(tree, &SectionName::Router);
+    let peer = |text| value::peer(text).ok_or_else(|| reader.error("peers", text, &"NAME=IP:port"));
+    Ok(RouterSettings {
+        name: reader.get("name")?,
+        domain: reader.get("domain")?,
+        region: reader.get("region")?,
+        listen: reader.get("listen")?,
+        admin: reader.get("admin")?,
+        peer: reader.get("peer")?,
+        store: reader.list("store")?,
+        peers: value::list(reader.text("peers")?).map(peer).collect::<Read<_>>()?,
+        vms: reader.optional("vms")?,
+        metrics: reader.optional("metrics")?,
+        ca: reader.get("ca")?,
+        cert: reader.get("cert")?,
+        key: reader.get("key")?,
+        threads: reader.get("threads")?,
+    })
+}
+
+fn no_router(tree: &Tree) -> Read<RouterSettings> {
+    let name =
+        |e: &dyn Display| Box::new(tree.error(&SectionName::Router, "name", "none", e.to_string()));
+    let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+    Ok(RouterSettings {
+        name: "none".parse::<RouterId>().map_err(|e| name(&e))?,
+        domain: "none".parse::<FailureDomain>().map_err(|e| name(&e))?,
+        region: "main".to_owned(),
+        listen: address,
+        admin: address,
+        peer: address,
+        store: Vec::new(),
+        peers: Vec::new(),
+        vms: None,
+        metrics: None,
+        ca: PathBuf::new(),
+        cert: PathBuf::new(),
+        key: PathBuf::new(),
+        threads: 2,
+    })
+}
+
+/// Reads `[fleet]`.
+pub(crate) fn fleet(tree: &Tree) -> Read<FleetSettings> {
+    let reader = Reader::new(tree, &SectionName::Fleet);
+    Ok(FleetSettings {
+        body_limit: reader.get("body_limit")?,
+        receive_time: reader.get("receive_time")?,
+        request_limit: reader.get("request_limit")?,
+        drain_limit: reader.get("drain_limit")?,
+        ledger_pages: reader.get("ledger_pages")?,
+        connections: reader.get("connections")?,
+    })
+}
+
+/// Reads `[rank NAME]`, which has defaults of its own for each rank.
+pub(crate) fn rank(tree: &Tree, rank: Rank) -> Read<RankSettings> {
+    let name = SectionName::Rank(rank);
+    let value = |key| tree.get(&name, key).unwrap_or_else(|| schema::rank_default(rank, key));
+    let error = |key, e: &dyn Display| Box::new(tree.error(&name, key, value(key), e.to_string()));
+    Ok(RankSettings {
+        floor: value("floor").parse().map_err(|e| error("floor", &e))?,
+        target: value("target").parse().map_err(|e| error("target", &e))?,
+    })
+}
+
+/// Reads `kind`, as it holds for `workspace` if one is given.
+pub(crate) fn kind(
+    tree: &Tree,
+    workspace: Option<&WorkspaceId>,
+    kind: &KindId,
+) -> Read<KindSettings> {
+    let reader = Reader { tree, chain: kind_chain(workspace, kind) };
+    Ok(KindSettings {
+        id: kind.clone(),
+        service: reader.get("service")?,
+        models: reader.list("models")?,
+        rank: reader.get("rank")?,
+        repeat: reader.get("repeat")?,
+        lookup: reader.yes_no("lookup")?,
+        price: reader.get("price")?,
+        deadline: reader.get("deadline")?,
+        queue: reader.get("queue")?,
+        queue_bytes: reader.get("queue_bytes")?,
+        concurrency: reader.get("concurrency")?,
+        connections: reader.get("connections")?,
+        max_tokens: reader.get("max_tokens")?,
+    })
+}
+
+/// Returns the id of a workspace's budget.
+fn budget_id(tree: &Tree, workspace: &WorkspaceId, key: &str, budget: &str) -> Read<BudgetId> {
+    let id = format!("{workspace}/{budget}");
+    let name = SectionName::Workspace(workspace.clone());
+    id.parse().map_err(|_| {
+        let expected = "at most 128 letters, digits or - _ . :";
+        Box::new(tree.error(&name, key, format!("budget id `{id}`"), expected))
+    })
+}
+
+/// Reads `[workspace NAME]`.
+pub(crate) fn workspace(tree: &Tree, id: &WorkspaceId) -> Read<WorkspaceSettings> {
+    let name = SectionName::Workspace(id.clone());
+    let reader = Reader::new(tree, &name);
+    let budget = reader.text("budget")?;
+    let mut keys = Vec::new();
+    for (key, entry) in tree.sections.get(&name).into_iter().flat_map(|s| &s.entries) {
+        let Some(caller) = key.strip_prefix(schema::CALLER_KEY) else {
+            continue;
+        };
+        let (sha256, own) = value::caller_key(&entry.value)
+            .ok_or_else(|| reader.error(key, &entry.value, &"SHA256HEX [BUDGET]"))?;
+        keys.push(KeySettings {
+            name: caller.to_owned(),
+            sha256: sha256.to_owned(),
+            budget: budget_id(tree, id, key, own.unwrap_or(budget))?,
+        });
+    }
+    Ok(WorkspaceSettings {
+        id: id.clone(),
+        keys,
+        closed: reader.yes_no("closed")?,
+        in_flight: reader.get("in_flight")?,
+        budget: budget_id(tree, id, "budget", budget)?,
+    })
+}
+
+/// Reads `[server NAME]`.
+pub(crate) fn server(tree: &Tree, id: &BackendId) -> Read<ServerSettings> {
+    let reader = Reader::new(tree, &SectionName::Server(id.clone()));
+    Ok(ServerSettings {
+        id: id.clone(),
+        address: reader.get("address")?,
+        kinds: reader.list("kinds")?,
+        models: reader.list("models")?,
+        concurrency: reader.get("concurrency")?,
+        domain: reader.get("domain")?,
+        fencing: reader.get("fencing")?,
+    })
+}
+
+/// Reads `[operator NAME]`.
+pub(crate) fn operator(tree: &Tree, name: &str) -> Read<OperatorSettings> {
+    let reader = Reader::new(tree, &SectionName::Operator(name.to_owned()));
+    Ok(OperatorSettings { name: name.to_owned(), sha256: reader.get("key")? })
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -0,0 +1,151 @@
+//! The table of keys.
+
+use berylwheel_types::Rank as RankName;
+
+use crate::Level;
+use crate::ValueType;
+
+use Level::Fleet;
+use Level::Kind;
+use Level::Operator;
+use Level::Rank;
+use Level::Router;
+use Level::Server;
+use Level::Workspace;
+use Level::WorkspaceKind;
+use Required::Default;
+use Required::No;
+use Required::Yes;
+
+/// Whether a key must be given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Required {
+    /// Each section must have it.
+    Yes,
+    /// It may be left out and then has no value.
+    No,
+    /// It may be left out and then has this value.
+    Default(&'static str),
+}
+
+/// One row of the table.
+#[derive(Debug, Clone, Copy)]
+pub struct KeySpec {
+    /// The key; `key.NAME` stands for all keys with that prefix.
+    pub key: &'static str,
+    /// The levels at which it may be given.
+    pub levels: &'static [Level],
+    /// The type of its value.
+    pub value: ValueType,
+    /// Whether it must be given.
+    pub required: Required,
+}
+
+const ROUTER: &[Level] = &[Router];
+const FLEET: &[Level] = &[Fleet];
+const KIND: &[Level] = &[Kind];
+const WORKSPACE: &[Level] = &[Workspace];
+const SERVER: &[Level] = &[Server];
+/// Keys whose bound is shared by all workspaces, so that a workspace cannot override them.
+const SHARED: &[Level] = &[Fleet, Kind];
+const EVERY: &[Level] = &[Fleet, Kind, Workspace, WorkspaceKind];
+
+const MAX_TOKENS: u64 = 1_000_000_000;
+const HOUR: u64 = 3_600_000;
+const MB: u64 = 1 << 20;
+const GB: u64 = 1 << 30;
+
+const fn row(
+    key: &'static str,
+    levels: &'static [Level],
+    value: ValueType,
+    required: Required,
+) -> KeySpec {
+    KeySpec { key, levels, value, required }
+}
+
+/// All keys. One key may have a row for each of several levels.
+pub const KEYS: &[KeySpec] = &[
+    row("name", ROUTER, ValueType::Name, Yes),
+    row("domain", ROUTER, ValueType::Name, Yes),
+    row("region", ROUTER, ValueType::Name, Default("main")),
+    row("listen", ROUTER, ValueType::Listen, Yes),
+    row("admin", ROUTER, ValueType::Listen, Yes),
+    row("peer", ROUTER, ValueType::Listen, Yes),
+    row("store", ROUTER, ValueType::Addresses, Yes),
+    row("peers", ROUTER, ValueType::Peers, Default("")),
+    row("vms", ROUTER, ValueType::Address, No),
+    row("metrics", ROUTER, ValueType::Address, No),
+    row("ca", ROUTER, ValueType::Path, Yes),
+    row("cert", ROUTER, ValueType::Path, Yes),
+    row("key", ROUTER, ValueType::Path, Yes),
+    row("threads", ROUTER, ValueType::Count(1, 64), Default("2")),
+    row("body_limit", FLEET, ValueType::Size(1_024, 64 * MB), Default("1MB")),
+    row("receive_time", FLEET, ValueType::Span(100, 600_000), Default("10s")),
+    row("request_limit", FLEET, ValueType::Span(100, 24 * HOUR), Default("300s")),
+    row("drain_limit", FLEET, ValueType::Span(100, 24 * HOUR), Default("600s")),
+    row("ledger_pages", FLEET, ValueType::Count(1, 65_536), Default("64")),
+    row("connections", FLEET, ValueType::Count(1, 100_000), Default("4096")),
+    row("floor", &[Rank], ValueType::Share, No),
+    row("target", &[Rank], ValueType::Span(1, HOUR), No),
+    row("service", KIND, ValueType::Service, Yes),
+    row("models", KIND, ValueType::Names, Default("")),
+    row("repeat", KIND, ValueType::Repeat, Default("never")),
+    row("lookup", KIND, ValueType::YesNo, Default("no")),
+    row("connections", KIND, ValueType::Count(1, 100_000), Default("256")),
+    row("price", &[Kind, WorkspaceKind], ValueType::Tokens(0, MAX_TOKENS), Default("0")),
+    row("rank", EVERY, ValueType::Rank, Default("normal")),
+    row("deadline", EVERY, ValueType::Span(1, 24 * HOUR), Default("60s")),
+    row("queue", SHARED, ValueType::Count(0, 1_000_000), Default("256")),
+    row("queue_bytes", SHARED, ValueType::Size(0, 4 * GB), Default("16MB")),
+    row("concurrency", SHARED, ValueType::Count(1, 100_000), Default("256")),
+    row("max_tokens", EVERY, ValueType::Tokens(1, MAX_TOKENS), Default("4096")),
+    row("closed", WORKSPACE, ValueType::YesNo, Default("no")),
+    row("in_flight", WORKSPACE, ValueType::Count(1, 1_000_000), Default("1024")),
+    row("budget", WORKSPACE, ValueType::Budget, Default("main")),
+    row("budgets", WORKSPACE, ValueType::Budgets, Default("")),
+    row("key.NAME", WORKSPACE, ValueType::CallerKey, No),
+    row("address", SERVER, ValueType::Address, Yes),
+    row("kinds", SERVER, ValueType::Names, Yes),
+    row("models", SERVER, ValueType::Names, Default("")),
+    row("concurrency", SERVER, ValueType::Count(1, 100_000), Default("32")),
+    row("domain", SERVER, ValueType::Name, Yes),
+    row("fencing", SERVER, ValueType::Fencing, Default("ignored")),
+    row("key", &[Operator], ValueType::Digest, Yes),
+];
+
+/// The prefix of the keys of callers.
+pub(crate) const CALLER_KEY: &str = "key.";
+
+/// Returns the row of `key` at `level`.
+pub(crate) fn find(level: Level, key: &str) -> Option<&'static KeySpec> {
+    let key = if level == Workspace && key.starts_with(CALLER_KEY) { "key.NAME" } else { key };
+    at(level).find(|spec| spec.key == key)
+}
+
+/// Returns the rows of `level`.
+pub(crate) fn at(level: Level) -> impl Iterator<Item = &'static KeySpec> {
+    KEYS.iter().filter(move |spec| spec.levels.contains(&level))
+}
+
+/// Returns the levels at which `key` is valid.
+pub(crate) fn levels(key: &str) -> Vec<Level> {
+    Level::ALL.into_iter().filter(|level| find(*level, key).is_some()).collect()
+}
+
+/// Returns whether `key` at `level` is not an override of a key of a kind.
+pub(crate) fn is_own(level: Level, key: &str) -> bool {
+    find(level, key).is_some_and(|spec| !spec.levels.contains(&Kind))
+}
+
+/// Returns the default of `key` of a rank. Floors leave a tenth of the capacity to strict order.
+pub(crate) const fn rank_default(rank: RankName, key: &str) -> &'static str {
+    match (rank, key.as_bytes()) {
+        (RankName::Urgent, b"floor") => "50%",
+        (RankName::Normal, b"floor") => "30%",
+        (RankName::Batch, b"floor") => "10%",
+        (RankName::Urgent, _) => "500ms",
+        (RankName::Normal, _) => "2s",
+        (RankName::Batch, _) => "60s",
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/settings.rs
@@ -0,0 +1,266 @@
+//! A parsed and checked tree.
+
+use std::sync::Arc;
+
+use berylwheel_types::FastMap;
+use berylwheel_types::KindId;
+use berylwheel_types::Rank;
+use berylwheel_types::WorkspaceId;
+
+use crate::Edit;
+use crate::Effective;
+use crate::FleetSettings;
+use crate::KindSettings;
+use crate::Level;
+use crate::OperatorSettings;
+use crate::Origin;
+use crate::RankSettings;
+use crate::RouterSettings;
+use crate::SectionName;
+use crate::ServerSettings;
+use crate::SettingError;
+use crate::SettingErrors;
+use crate::WorkspaceSettings;
+use crate::check;
+use crate::raw;
+use crate::raw::Entry;
+use crate::raw::Section;
+use crate::raw::Tree;
+use crate::read;
+use crate::read::Read;
+use crate::schema;
+
+/// A tree of settings that has been checked as a whole. Cheap to clone.
+///
+/// ```
+/// use berylwheel_settings::Settings;
+/// let text = "[kind chat]\nservice = engine\nmodels = m1\n[workspace w]\nmax_tokens = 100\n";
+/// let settings = Settings::parse("fleet.ini", text).unwrap();
+/// let kind = &settings.kinds()[0];
+/// assert_eq!(kind.max_tokens.0, 4_096);
+/// let own = settings.kind_of(&"w".parse().unwrap(), &kind.id).unwrap();
+/// assert_eq!(own.max_tokens.0, 100);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Settings(Arc<Model>);
+
+#[derive(Debug)]
+struct Model {
+    tree: Tree,
+    router: RouterSettings,
+    fleet: FleetSettings,
+    ranks: [RankSettings; 3],
+    kinds: Vec<KindSettings>,
+    workspaces: Vec<WorkspaceSettings>,
+    servers: Vec<ServerSettings>,
+    operators: Vec<OperatorSettings>,
+    /// The kinds as each workspace sees them; none if it overrides nothing.
+    overrides: FastMap<WorkspaceId, Option<Vec<KindSettings>>>,
+}
+
+impl Settings {
+    /// Parses and checks `text`. `file` is its name in messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with the text; it is accepted as a whole or not at all.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingErrors> {
+        let (tree, errors) = raw::read(file, text);
+        Self::build(tree, errors)
+    }
+
+    fn build(tree: Tree, mut errors: Vec<SettingError>) -> Result<Self, SettingErrors> {
+        errors.extend(check::check(&tree));
+        if !errors.is_empty() {
+            errors.sort_by_key(|error| error.line);
+            return Err(SettingErrors(errors));
+        }
+        match model(tree) {
+            Ok(model) => Ok(Self(Arc::new(model))),
+            Err(error) => Err(SettingErrors(vec![*error])),
+        }
+    }
+
+    /// Returns the tree with `edits` made to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with the result.
+    pub fn edit(&self, edits: &[Edit]) -> Result<Self, SettingErrors> {
+        let mut tree = self.0.tree.clone();
+        for Edit { section, key, value } in edits {
+            let place = tree.sections.entry(section.clone());
+            match value {
+                Some(value) if !key.is_empty() => {
+                    let entry = Entry { value: value.trim().to_owned(), line: 0 };
+                    place.or_default().entries.insert(key.clone(), entry);
+                }
+                Some(_) => drop(place.or_default()),
+                None if key.is_empty() => drop(tree.sections.remove(section)),
+                None => drop(place.or_default().entries.remove(key)),
+            }
+        }
+        let text = print(&tree);
+        Self::parse(&self.0.tree.file, &text)
+    }
+
+    /// Returns the tree as text: sections by level and name, keys by name, no comments.
+    pub fn to_ini(&self) -> String {
+        print(&self.0.tree)
+    }
+
+    /// Returns every value in force, section by section, and the section that it comes from.
+    ///
+    /// A workspace's view of a kind is listed if the tree has a section for it.
+    pub fn effective(&self) -> Vec<Effective> {
+        let tree = &self.0.tree;
+        let fixed = [SectionName::Fleet].into_iter().chain(Rank::ALL.map(SectionName::Rank));
+        let mut paths: Vec<SectionName> = fixed.chain(tree.sections.keys().cloned()).collect();
+        paths.sort();
+        paths.dedup();
+        paths.into_iter().flat_map(|path| effective(tree, &path)).collect()
+    }
+
+    /// Returns whether the tree has a section `[router]`.
+    pub fn has_router(&self) -> bool {
+        self.0.tree.sections.contains_key(&SectionName::Router)
+    }
+
+    /// Returns the router's own settings.
+    pub fn router(&self) -> &RouterSettings {
+        &self.0.router
+    }
+
+    /// Returns the limits of the fleet.
+    pub fn fleet(&self) -> &FleetSettings {
+        &self.0.fleet
+    }
+
+    /// Returns the service that `rank` gets.
+    pub fn rank(&self, rank: Rank) -> &RankSettings {
+        &self.0.ranks[rank.index()]
+    }
+
+    /// Returns the kinds of work, by name.
+    pub fn kinds(&self) -> &[KindSettings] {
+        &self.0.kinds
+    }
+
+    /// Returns `kind` as it holds for `workspace`; `None` if either is unknown.
+    pub fn kind_of(&self, workspace: &WorkspaceId, kind: &KindId) -> Option<KindSettings> {
+        let own = self.0.overrides.get(workspace)?;
+        let kinds = own.as_ref().unwrap_or(&self.0.kinds);
+        let index = kinds.binary_search_by(|k| k.id.cmp(kind)).ok()?;
+        Some(kinds[index].clone())
+    }
+
+    /// Returns the workspaces, by name.
+    pub fn workspaces(&self) -> &[WorkspaceSettings] {
+        &self.0.workspaces
+    }
+
+    /// Returns the backend servers, by name.
+    pub fn servers(&self) -> &[ServerSettings] {
+        &self.0.servers
+    }
+
+    /// Returns the operators, by name.
+    pub fn operators(&self) -> &[OperatorSettings] {
+        &self.0.operators
+    }
+}
+
+fn print(tree: &Tree) -> String {
+    let mut text = String::new();
+    for (name, Section { entries, .. }) in &tree.sections {
+        if !text.is_empty() {
+            text.push('\n');
+        }
+        text.push_str(&format!("[{name}]\n"));
+        for (key, entry) in entries {
+            text.push_str(&format!("{key} = {}\n", entry.value));
+        }
+    }
+    text
+}
+
+fn model(tree: Tree) -> Read<Model> {
+    let mut kinds = Vec::new();
+    let mut workspaces = Vec::new();
+    let mut servers = Vec::new();
+    let mut operators = Vec::new();
+    for name in tree.sections.keys() {
+        match name {
+            SectionName::Kind(id) => kinds.push(read::kind(&tree, None, id)?),
+            SectionName::Workspace(id) => workspaces.push(read::workspace(&tree, id)?),
+            SectionName::Server(id) => servers.push(read::server(&tree, id)?),
+            SectionName::Operator(id) => operators.push(read::operator(&tree, id)?),
+            SectionName::Router | SectionName::Fleet | SectionName::Rank(_) => {}
+            SectionName::WorkspaceKind(..) => {}
+        }
+    }
+    let mut overrides = FastMap::default();
+    for workspace in &workspaces {
+        overrides.insert(workspace.id.clone(), own_kinds(&tree, &workspace.id, &kinds)?);
+    }
+    let [urgent, normal, batch] = Rank::ALL;
+    Ok(Model {
+        router: read::router(&tree)?,
+        fleet: read::fleet(&tree)?,
+        ranks: [read::rank(&tree, urgent)?, read::rank(&tree, normal)?, read::rank(&tree, batch)?],
+        kinds,
+        workspaces,
+        servers,
+        operators,
+        overrides,
+        tree,
+    })
+}
+
+fn own_kinds(
+    tree: &Tree,
+    workspace: &WorkspaceId,
+    kinds: &[KindSettings],
+) -> Read<Option<Vec<KindSettings>>> {
+    let name = SectionName::Workspace(workspace.clone());
+    let inherits = |key: &String| {
+        schema::find(Level::Workspace, key).is_some_and(|spec| spec.levels.contains(&Level::Kind))
+    };
+    let whole = tree.sections.get(&name).is_some_and(|s| s.entries.keys().any(inherits));
+    let own = |kind: &KindSettings| {
+        let name = SectionName::WorkspaceKind(workspace.clone(), kind.id.clone());
+        tree.sections.contains_key(&name)
+    };
+    if !whole && !kinds.iter().any(own) {
+        return Ok(None);
+    }
+    let view = kinds.iter().map(|kind| read::kind(tree, Some(workspace), &kind.id));
+    view.collect::<Read<Vec<_>>>().map(Some)
+}
+
+/// Returns the values in force for the section `path`.
+fn effective(tree: &Tree, path: &SectionName) -> Vec<Effective> {
+    let chain = match path {
+        SectionName::Kind(kind) => read::kind_chain(None, kind),
+        SectionName::WorkspaceKind(workspace, kind) => read::kind_chain(Some(workspace), kind),
+        _ => vec![path.clone()],
+    };
+    let value = |key: &str| match path {
+        SectionName::Rank(rank) if tree.get(path, key).is_none() => {
+            Some((schema::rank_default(*rank, key), Origin::Default))
+        }
+        _ => read::lookup(tree, &chain, key),
+    };
+    let mut keys: Vec<&str> = schema::at(path.level()).map(|spec| spec.key).collect();
+    if matches!(path, SectionName::Workspace(_)) {
+        // What a workspace does not override differs by kind.
+        keys.retain(|key| tree.get(path, key).is_some() || schema::is_own(Level::Workspace, key));
+        let entries = tree.sections.get(path).into_iter().flat_map(|s| s.entries.keys());
+        keys.extend(entries.map(String::as_str).filter(|k| k.starts_with(schema::CALLER_KEY)));
+    }
+    let line = |key: &str| {
+        let (value, origin) = value(key)?;
+        Some(Effective { path: path.clone(), key: key.to_owned(), value: value.to_owned(), origin })
+    };
+    keys.into_iter().filter_map(line).collect()
+}
--- /dev/null
+++ b/crates/berylwheel-settings/src/value.rs
@@ -0,0 +1,208 @@
+//! The types of values and the check of one value.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use berylwheel_types::BackendId;
+use berylwheel_types::BudgetId;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Millis;
+use berylwheel_types::Rank;
+use berylwheel_types::RouterId;
+use berylwheel_types::Share;
+use berylwheel_types::Tokens;
+
+use crate::Fencing;
+use crate::Repeat;
+use crate::Service;
+
+/// The type of a value, with its bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ValueType {
+    /// A whole number within bounds.
+    Count(u32, u32),
+    /// A number of tokens within bounds.
+    Tokens(u64, u64),
+    /// A span of time within bounds, in milliseconds.
+    Span(u64, u64),
+    /// A size within bounds, in bytes.
+    Size(u64, u64),
+    /// A share of a whole.
+    Share,
+    /// `yes` or `no`.
+    YesNo,
+    /// A rank.
+    Rank,
+    /// `engine` or `plain`.
+    Service,
+    /// `idempotent`, `never` or `by-key`.
+    Repeat,
+    /// `checked` or `ignored`.
+    Fencing,
+    /// A name.
+    Name,
+    /// The name of a budget within its workspace.
+    Budget,
+    /// A list of names, separated by commas.
+    Names,
+    /// A list of budget names, separated by commas.
+    Budgets,
+    /// An address to listen at; port 0 lets the system choose.
+    Listen,
+    /// The address of another process.
+    Address,
+    /// A list of addresses, separated by commas.
+    Addresses,
+    /// A list of `NAME=IP:port`, separated by commas.
+    Peers,
+    /// The path of a file.
+    Path,
+    /// A SHA-256 digest.
+    Digest,
+    /// A SHA-256 digest, and the name of a budget if it is not the default one.
+    CallerKey,
+}
+
+impl ValueType {
+    /// Checks `text`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was expected instead.
+    ///
+    /// ```
+    /// use berylwheel_settings::ValueType;
+    /// assert!(ValueType::Count(1, 64).check("2").is_ok());
+    /// assert_eq!(
+    ///     ValueType::Count(1, 64).check("65"),
+    ///     Err("a whole number from 1 to 64".to_owned())
+    /// );
+    /// ```
+    pub fn check(self, text: &str) -> Result<(), String> {
+        let ok = match self {
+            Self::Count(low, high) => within(text.parse(), low, high),
+            Self::Tokens(low, high) => within(text.parse(), Tokens(low), Tokens(high)),
+            Self::Span(low, high) => within(text.parse(), Millis(low), Millis(high)),
+            Self::Size(low, high) => within(text.parse(), ByteSize(low), ByteSize(high)),
+            Self::Share => parses::<Share>(text),
+            Self::YesNo => yes_no(text).is_some(),
+            Self::Rank => parses::<Rank>(text),
+            Self::Service => parses::<Service>(text),
+            Self::Repeat => parses::<Repeat>(text),
+            Self::Fencing => parses::<Fencing>(text),
+            Self::Name => parses::<BackendId>(text),
+            Self::Budget => is_budget(text),
+            Self::Names => list(text).all(parses::<BackendId>),
+            Self::Budgets => list(text).all(is_budget),
+            Self::Listen => parses::<SocketAddr>(text),
+            Self::Address => is_address(text),
+            Self::Addresses => list(text).all(is_address),
+            Self::Peers => list(text).all(|item| peer(item).is_some()),
+            Self::Path => !text.is_empty(),
+            Self::Digest => is_digest(text),
+            Self::CallerKey => caller_key(text).is_some(),
+        };
+        if ok { Ok(()) } else { Err(self.to_string()) }
+    }
+}
+
+impl fmt::Display for ValueType {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Self::Count(low, high) => write!(f, "a whole number from {low} to {high}"),
+            Self::Tokens(low, high) => {
+                write!(f, "a number of tokens from {low} to {high}, such as 500, 20k or 3M")
+            }
+            Self::Span(low, high) => write!(
+                f,
+                "a span of time from {} to {}, such as 250ms, 5s or 10m",
+                Millis(low),
+                Millis(high)
+            ),
+            Self::Size(low, high) => write!(
+                f,
+                "a size from {} to {}, such as 512, 64KB or 1MB",
+                ByteSize(low),
+                ByteSize(high)
+            ),
+            Self::Share => f.write_str("a share from 0% to 100%, such as 50% or 12.5%"),
+            Self::YesNo => f.write_str("yes or no"),
+            Self::Rank => f.write_str("urgent, normal or batch"),
+            Self::Service => f.write_str("engine or plain"),
+            Self::Repeat => f.write_str("idempotent, never or by-key"),
+            Self::Fencing => f.write_str("checked or ignored"),
+            Self::Name => f.write_str("a name of letters, digits or any of - _ . : /"),
+            Self::Budget => f.write_str("a budget name of letters, digits or any of - _ . :"),
+            Self::Names => f.write_str("a list of names, such as a, b"),
+            Self::Budgets => f.write_str("a list of budget names, such as main, trial"),
+            Self::Listen => f.write_str("an address IP:port, such as 127.0.0.1:8080"),
+            Self::Address => {
+                f.write_str("an address IP:port with a port above 0, such as 127.0.0.1:8080")
+            }
+            Self::Addresses => {
+                f.write_str("a list of addresses IP:port, such as 10.0.0.1:2379, 10.0.0.2:2379")
+            }
+            Self::Peers => {
+                f.write_str("a list of NAME=IP:port, such as r2=10.0.0.2:7000, r3=10.0.0.3:7000")
+            }
+            Self::Path => f.write_str("the path of a file"),
+            Self::Digest => f.write_str("a SHA-256 digest of 64 lower-case hexadecimal digits"),
+            Self::CallerKey => f.write_str(
+                "a SHA-256 digest of 64 lower-case hexadecimal digits, then a budget name \
+                 if it is not the default one",
+            ),
+        }
+    }
+}
+
+fn within<T: PartialOrd, E>(value: Result<T, E>, low: T, high: T) -> bool {
+    value.is_ok_and(|value| low <= value && value <= high)
+}
+
+fn parses<T: FromStr>(text: &str) -> bool {
+    text.parse::<T>().is_ok()
+}
+
+fn is_address(text: &str) -> bool {
+    text.parse::<SocketAddr>().is_ok_and(|address| address.port() > 0)
+}
+
+fn is_budget(text: &str) -> bool {
+    parses::<BudgetId>(text) && !text.contains('/')
+}
+
+fn is_digest(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
+/// Returns the items of a list; none if `text` is empty.
+pub(crate) fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',').map(str::trim).filter(move |_| !text.is_empty())
+}
+
+/// Reads `yes` or `no`.
+pub(crate) fn yes_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+/// Reads `NAME=IP:port`.
+pub(crate) fn peer(text: &str) -> Option<(RouterId, SocketAddr)> {
+    let (name, address) = text.split_once('=')?;
+    Some((name.trim().parse().ok()?, Some(address.trim()).filter(|a| is_address(a))?.parse().ok()?))
+}
+
+/// Reads `SHA256HEX [BUDGET]`.
+pub(crate) fn caller_key(text: &str) -> Option<(&str, Option<&str>)> {
+    let mut words = text.split_whitespace();
+    let digest = words.next().filter(|digest| is_digest(digest))?;
+    let budget = words.next();
+    if words.next().is_some() || !budget.is_none_or(is_budget) {
+        return None;
+    }
+    Some((digest, budget))
+}
