Add ledger pages, grant holder, reclaim and booking records

Ruled out: caching a page between writes; with several routers on a page the cached revision is nearly always old, and the swap would be lost and repeated. Change: LedgerPage with operations and conservation check, Holder, UsageTag (serial number and bill key that an engine records with a request), OnceRecord.

--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -0,0 +1,262 @@
+//! The holder's entry points.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Code;
+use berylwheel_types::FastMap;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use super::action::HolderAction;
+use super::action::Reserve;
+use super::action::WriteResult;
+use super::grant::Admitted;
+use super::grant::Grant;
+use super::grant::Waiter;
+use super::pages::PageState;
+use super::pages::Step;
+use crate::HolderPolicy;
+use crate::LedgerPage;
+use crate::PageId;
+use crate::UsageTag;
+use crate::page_of;
+
+/// The grants of one router incarnation.
+///
+/// Events go in through the methods, and all that follows from them comes out of [`Holder::poll`].
+///
+/// ```
+/// use berylwheel_budget::{Holder, HolderAction, HolderPolicy, Reserve};
+/// use berylwheel_types::{Timestamp, Tokens};
+/// let now = Timestamp::from_millis(0);
+/// let mut holder = Holder::new("r1@1".parse().unwrap(), HolderPolicy::default());
+/// holder.reserve(now, Reserve {
+///     request: "q1".parse().unwrap(),
+///     budget: "w1/main".parse().unwrap(),
+///     key: None,
+///     amount: Tokens(100),
+///     deadline: Timestamp::from_millis(60_000),
+/// });
+/// assert!(matches!(holder.poll(now)[..], [HolderAction::Read(_)]));
+/// ```
+#[derive(Debug)]
+pub struct Holder {
+    pub(super) me: Incarnation,
+    pub(super) policy: HolderPolicy,
+    pub(super) live: usize,
+    pub(super) pages: BTreeMap<PageId, PageState>,
+    pub(super) requests: FastMap<RequestId, (PageId, BudgetId)>,
+    pub(super) serial: u64,
+    pub(super) draining: bool,
+    pub(super) ready: Vec<HolderAction>,
+    pub(super) timers: BTreeSet<(Timestamp, PageId)>,
+}
+
+impl Holder {
+    /// Returns a holder without grants.
+    pub fn new(me: Incarnation, policy: HolderPolicy) -> Self {
+        Self {
+            me,
+            policy,
+            live: 1,
+            pages: BTreeMap::new(),
+            requests: FastMap::default(),
+            serial: 0,
+            draining: false,
+            ready: Vec::new(),
+            timers: BTreeSet::new(),
+        }
+    }
+
+    /// Sets the number of routers that share the budgets, this one included.
+    pub fn set_routers(&mut self, live: usize) {
+        self.live = live.max(1);
+    }
+
+    /// Asks for tokens. [`Holder::poll`] answers, at once if the grant in hand covers the amount.
+    pub fn reserve(&mut self, now: Timestamp, ask: Reserve) {
+        if self.draining {
+            let refusal = Refusal::not_run(Code::Draining, "grants are being returned");
+            self.ready.push(HolderAction::Refused(ask.request, refusal));
+            return;
+        }
+        if self.requests.contains_key(&ask.request) {
+            let refusal = Refusal::not_run(Code::Internal, "request id is in use");
+            self.ready.push(HolderAction::Refused(ask.request, refusal));
+            return;
+        }
+        let id = page_of(&ask.budget, self.policy.pages);
+        self.requests.insert(ask.request.clone(), (id, ask.budget.clone()));
+        let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
+        let grant = page.grants.entry(ask.budget).or_insert_with(|| Grant::new(now));
+        grant.note_amount(now, ask.amount);
+        if ask.amount <= grant.free() {
+            self.serial += 1;
+            let admitted = Admitted { serial: self.serial, version: page.version, at: now };
+            grant.admit(ask.request.clone(), ask.amount, ask.key, admitted);
+            self.ready.push(HolderAction::Reserved(ask.request));
+            return;
+        }
+        grant.waiters.push_back(Waiter {
+            request: ask.request,
+            amount: ask.amount,
+            key: ask.key,
+            arrived: now,
+            until: ask.deadline.min(now + self.policy.wait_limit),
+        });
+        self.reschedule(now, id);
+    }
+
+    /// Ends a request that used `used` tokens and releases the rest of its reservation.
+    ///
+    /// Usage above the reservation is not billed.
+    pub fn settle(&mut self, now: Timestamp, request: &RequestId, used: Tokens) {
+        let Some((id, budget)) = self.requests.get(request).cloned() else {
+            return;
+        };
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let Some(grant) = page.grants.get_mut(&budget) else {
+            return;
+        };
+        if !grant.reservations.contains_key(request) {
+            return;
+        }
+        self.requests.remove(request);
+        grant.finish(now, request, used);
+        page.mark_dirty(now);
+        self.admit_waiters(now, id);
+        self.reschedule(now, id);
+    }
+
+    /// Ends a request that used nothing, or withdraws one that waits.
+    pub fn release(&mut self, now: Timestamp, request: &RequestId) {
+        let Some((id, budget)) = self.requests.get(request).cloned() else {
+            return;
+        };
+        let grant = self.pages.get_mut(&id).and_then(|page| page.grants.get_mut(&budget));
+        if let Some(grant) = grant
+            && let Some(at) = grant.waiters.iter().position(|waiter| waiter.request == *request)
+        {
+            grant.waiters.remove(at);
+            self.requests.remove(request);
+            self.reschedule(now, id);
+            return;
+        }
+        self.settle(now, request, Tokens::ZERO);
+    }
+
+    /// Returns what an engine should record with the usage of a reserved request.
+    pub fn tag(&self, request: &RequestId) -> Option<UsageTag> {
+        let (id, budget) = self.requests.get(request)?;
+        let reservation = self.pages.get(id)?.grants.get(budget)?.reservations.get(request)?;
+        Some(UsageTag::new(budget, reservation.admitted.serial, reservation.key))
+    }
+
+    /// Another holder needs what is not reserved of `budget`.
+    pub fn recall(&mut self, now: Timestamp, budget: &BudgetId) {
+        let id = page_of(budget, self.policy.pages);
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        if let Some(grant) = page.grants.get_mut(budget) {
+            grant.recalled = true;
+            self.reschedule(now, id);
+        }
+    }
+
+    /// Starts to return everything. Requests in progress keep their reservations until they end.
+    pub fn drain(&mut self, now: Timestamp) {
+        self.draining = true;
+        let ids: Vec<_> = self.pages.keys().copied().collect();
+        for id in ids {
+            self.refuse_all(id, Code::Draining, "grants are being returned");
+            if let Some(page) = self.pages.get_mut(&id) {
+                page.mark_dirty(now);
+            }
+            self.reschedule(now, id);
+        }
+    }
+
+    /// Returns whether nothing is held, open or under way.
+    pub fn is_empty(&self) -> bool {
+        self.pages
+            .values()
+            .all(|page| page.pending.is_none() && page.grants.values().all(Grant::is_empty))
+    }
+
+    /// The store has answered a read. Revision 0 and an empty page stand for an absent page.
+    pub fn page_read(&mut self, now: Timestamp, id: PageId, revision: u64, content: LedgerPage) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        if revision < page.revision {
+            // A late answer to an earlier read.
+            return;
+        }
+        if let Some(pending) = &page.pending {
+            if content.sequence_of(&self.me) == pending.sequence {
+                page.confirm(now);
+            } else if revision == pending.expected {
+                if matches!(page.step, Step::Writing(_)) {
+                    // A repeated answer to the read that the write under way is based on.
+                    return;
+                }
+                self.resend(now, id);
+                return;
+            } else {
+                page.discard(now);
+            }
+        }
+        page.step = Step::Idle;
+        page.failures = 0;
+        page.revision = revision;
+        page.version = content.version();
+        self.use_page(now, id, content);
+        self.reschedule(now, id);
+    }
+
+    /// The store has answered a write, or failed to.
+    pub fn page_written(&mut self, now: Timestamp, id: PageId, result: WriteResult) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let Some(pending) = &page.pending else {
+            return;
+        };
+        match result {
+            // A revision that is not past the expected one belongs to an earlier write.
+            WriteResult::Won(revision) if revision > pending.expected => {
+                page.revision = revision;
+                page.confirm(now);
+                page.step = Step::Idle;
+                page.failures = 0;
+                self.admit_waiters(now, id);
+            }
+            WriteResult::Won(_) => {}
+            // A write whose answer was lost on the way may report `Lost` for its repetition, so
+            // both are resolved by reading.
+            WriteResult::Lost | WriteResult::Unknown => page.step = Step::Idle,
+        }
+        self.reschedule(now, id);
+    }
+
+    /// The store has not answered a read.
+    pub fn read_failed(&mut self, now: Timestamp, id: PageId) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        page.step = Step::Idle;
+        let pause = self.policy.retry_first.0 << page.failures.min(8);
+        page.failures += 1;
+        page.retry_at = now + Millis(pause.min(self.policy.retry_limit.0));
+        self.reschedule(now, id);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/dump.rs
@@ -0,0 +1,65 @@
+//! The state of a holder for operators.
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use serde::Serialize;
+
+use super::core::Holder;
+use crate::PageId;
+
+/// What one holder has.
+#[derive(Debug, Serialize)]
+pub struct HolderDump {
+    /// The holder.
+    pub holder: Incarnation,
+    /// Whether it returns everything.
+    pub draining: bool,
+    /// One entry for each budget in use.
+    pub budgets: Vec<BudgetDump>,
+}
+
+/// What one holder has of one budget.
+#[derive(Debug, Serialize)]
+pub struct BudgetDump {
+    /// The budget.
+    pub budget: BudgetId,
+    /// The page that holds it.
+    pub page: PageId,
+    /// Granted and neither returned nor settled.
+    pub held: Tokens,
+    /// Reserved by requests in progress.
+    pub reserved: Tokens,
+    /// Used and not settled.
+    pub unsettled: Tokens,
+    /// Free for new requests.
+    pub free: Tokens,
+    /// Requests that wait for a grant.
+    pub waiting: usize,
+    /// Estimated spend in an hour, as of the latest request.
+    pub hourly: Tokens,
+    /// When the latest request arrived or ended.
+    pub used_at: Timestamp,
+}
+
+impl Holder {
+    /// Returns the state for operators.
+    pub fn dump(&self) -> HolderDump {
+        let budgets = self.pages.iter().flat_map(|(id, page)| {
+            page.grants.iter().map(|(budget, grant)| BudgetDump {
+                budget: budget.clone(),
+                page: *id,
+                held: grant.held,
+                reserved: grant.reserved,
+                unsettled: grant.unsettled,
+                free: grant.free(),
+                waiting: grant.waiters.len(),
+                hourly: grant.rate.over(grant.used_at, Millis(3_600_000)),
+                used_at: grant.used_at,
+            })
+        });
+        HolderDump { holder: self.me.clone(), draining: self.draining, budgets: budgets.collect() }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/mod.rs
@@ -0,0 +1,17 @@
+//! What one router holds of the budgets, and the requests that draw on it.
+
+mod action;
+mod core;
+mod dump;
+mod grant;
+mod pages;
+mod timing;
+mod wait;
+mod write;
+
+pub use action::HolderAction;
+pub use action::Reserve;
+pub use action::WriteResult;
+pub use core::Holder;
+pub use dump::BudgetDump;
+pub use dump::HolderDump;
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -0,0 +1,116 @@
+//! A holder's view of one ledger page and the write that is under way.
+
+use std::collections::BTreeMap;
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use super::grant::Grant;
+use crate::LedgerPage;
+
+/// The operation in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Step {
+    Idle,
+    Reading(Timestamp),
+    Writing(Timestamp),
+}
+
+/// What a write changes for one budget.
+#[derive(Debug)]
+pub(crate) struct Effect {
+    pub(crate) budget: BudgetId,
+    /// Number of bills, from the first of `Grant::spent`.
+    pub(crate) covered: usize,
+    pub(crate) billed: Tokens,
+    pub(crate) granted: Tokens,
+    pub(crate) returned: Tokens,
+}
+
+/// A write whose outcome is not known yet.
+///
+/// Until it is, the same content goes out again under the same sequence number, so the page can
+/// take it at most once.
+#[derive(Debug)]
+pub(crate) struct PendingWrite {
+    pub(crate) sequence: u64,
+    pub(crate) expected: u64,
+    pub(crate) content: LedgerPage,
+    pub(crate) effects: Vec<Effect>,
+}
+
+#[derive(Debug)]
+pub(crate) struct PageState {
+    pub(crate) grants: BTreeMap<BudgetId, Grant>,
+    pub(crate) step: Step,
+    pub(crate) pending: Option<PendingWrite>,
+    /// The last sequence number used, whether its write took effect or not.
+    pub(crate) sequence: u64,
+    pub(crate) revision: u64,
+    pub(crate) version: u64,
+    /// When the latest read was asked for.
+    pub(crate) read_at: Option<Timestamp>,
+    pub(crate) written_at: Timestamp,
+    /// When the first unsettled change arose.
+    pub(crate) dirty: Option<Timestamp>,
+    pub(crate) retry_at: Timestamp,
+    pub(crate) failures: u32,
+    /// When the page is looked at next.
+    pub(crate) wake: Option<Timestamp>,
+}
+
+impl PageState {
+    pub(crate) fn new(now: Timestamp) -> Self {
+        Self {
+            grants: BTreeMap::new(),
+            step: Step::Idle,
+            pending: None,
+            sequence: 0,
+            revision: 0,
+            version: 0,
+            read_at: None,
+            written_at: now,
+            dirty: None,
+            retry_at: Timestamp::default(),
+            failures: 0,
+            wake: None,
+        }
+    }
+
+    pub(crate) fn mark_dirty(&mut self, now: Timestamp) {
+        self.dirty.get_or_insert(now);
+    }
+
+    /// Applies the pending write, which has taken effect.
+    pub(crate) fn confirm(&mut self, now: Timestamp) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        self.version = pending.content.version();
+        self.written_at = now;
+        for effect in pending.effects {
+            let Some(grant) = self.grants.get_mut(&effect.budget) else {
+                continue;
+            };
+            let gone = effect.returned + effect.billed;
+            grant.held = (grant.held + effect.granted).saturating_sub(gone);
+            grant.leaving = Tokens::ZERO;
+            let settled: Tokens = grant.spent.drain(..effect.covered).map(|s| s.bill.used).sum();
+            grant.unsettled -= settled;
+        }
+    }
+
+    /// Drops the pending write, which can no longer take effect.
+    pub(crate) fn discard(&mut self, now: Timestamp) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        for effect in pending.effects {
+            if let Some(grant) = self.grants.get_mut(&effect.budget) {
+                grant.leaving = Tokens::ZERO;
+            }
+        }
+        self.mark_dirty(now);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -0,0 +1,152 @@
+//! When a page is read next, and what is due now.
+
+use std::collections::VecDeque;
+
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use super::action::HolderAction;
+use super::core::Holder;
+use super::grant::Grant;
+use super::grant::Waiter;
+use super::pages::PageState;
+use super::pages::Step;
+use crate::HolderPolicy;
+use crate::PageId;
+
+/// A page with grants is written at least this often, so that old bill keys can be dropped.
+pub(super) const REFRESH: Millis = Millis(600_000);
+
+/// Returns when `page` should be read next, if no operation is in flight.
+fn next_read(
+    page: &PageState,
+    policy: &HolderPolicy,
+    interval: Millis,
+    draining: bool,
+) -> Option<Timestamp> {
+    let since_read = |gap| page.read_at.map(|at| at + gap).unwrap_or_default();
+    let urgent = since_read(policy.urgent_gap);
+    let grant_need = |grant: &Grant| {
+        let waiting = (!grant.waiters.is_empty()).then(|| match &grant.round {
+            Some(round) => round.until.min(since_read(policy.recall_read)).max(urgent),
+            None => urgent.max(grant.next_round),
+        });
+        let returning = grant.free() > Tokens::ZERO || !grant.spent.is_empty();
+        let asked = ((grant.recalled || draining) && returning).then_some(urgent);
+        let idle = (grant.held > Tokens::ZERO && grant.is_quiet())
+            .then(|| urgent.max(grant.used_at + policy.idle_after));
+        [waiting, asked, idle].into_iter().flatten().min()
+    };
+    let needed = page.grants.values().filter_map(grant_need).min();
+    let pending = page.pending.is_some().then_some(page.retry_at);
+    let settle = page.dirty.map(|dirty| urgent.max(dirty + interval));
+    let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
+    let refresh = holds.then(|| urgent.max(page.written_at + REFRESH));
+    let due = [needed, pending, settle, refresh].into_iter().flatten().min()?;
+    Some(due.max(page.retry_at))
+}
+
+impl Holder {
+    /// Returns the time between settlements of a page.
+    ///
+    /// It grows with routers and pages so that all settlements keep within the fleet's allowance.
+    fn settle_interval(&self) -> Millis {
+        let writers = self.live as u64 * self.pages.len() as u64;
+        let spread = writers * 1_000 / u64::from(self.policy.write_rate.max(1));
+        Millis(spread.min(self.policy.settle_limit.0).max(self.policy.settle_every.0))
+    }
+
+    /// Sets the time at which the page is looked at next.
+    pub(super) fn reschedule(&mut self, now: Timestamp, id: PageId) {
+        let interval = self.settle_interval();
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let step = match page.step {
+            Step::Idle => next_read(page, &self.policy, interval, self.draining),
+            Step::Reading(since) | Step::Writing(since) => Some(since + self.policy.answer_limit),
+        };
+        let waiters = page.grants.values().flat_map(|grant| grant.waiters.iter());
+        let expiry = waiters.map(|waiter| waiter.until).min();
+        let wake = [step, expiry].into_iter().flatten().min().map(|at| at.max(now));
+        if wake == page.wake {
+            return;
+        }
+        if let Some(before) = page.wake {
+            self.timers.remove(&(before, id));
+        }
+        if let Some(at) = wake {
+            self.timers.insert((at, id));
+        }
+        page.wake = wake;
+    }
+
+    /// Returns when [`Holder::poll`] has something to do, if no event comes before.
+    pub fn next_poll(&self) -> Option<Timestamp> {
+        if !self.ready.is_empty() {
+            return Some(Timestamp::default());
+        }
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Returns what has to be done now.
+    pub fn poll(&mut self, now: Timestamp) -> Vec<HolderAction> {
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop_first();
+            if let Some(page) = self.pages.get_mut(&id) {
+                page.wake = None;
+            }
+            self.wake_page(now, id);
+            self.reschedule(now + Millis(1), id);
+        }
+        std::mem::take(&mut self.ready)
+    }
+
+    fn wake_page(&mut self, now: Timestamp, id: PageId) {
+        self.expire_waiters(now, id);
+        let interval = self.settle_interval();
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        match page.step {
+            Step::Reading(since) | Step::Writing(since) => {
+                if now >= since + self.policy.answer_limit {
+                    self.read_failed(now, id);
+                }
+            }
+            Step::Idle => {
+                let due = next_read(page, &self.policy, interval, self.draining);
+                if due.is_some_and(|due| due <= now) {
+                    page.step = Step::Reading(now);
+                    page.read_at = Some(now);
+                    self.ready.push(HolderAction::Read(id));
+                }
+            }
+        }
+    }
+
+    fn expire_waiters(&mut self, now: Timestamp, id: PageId) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let mut expired = Vec::new();
+        for grant in page.grants.values_mut() {
+            if grant.waiters.iter().any(|waiter| waiter.until <= now) {
+                let waiters = std::mem::take(&mut grant.waiters);
+                let (late, waiting): (VecDeque<Waiter>, _) =
+                    waiters.into_iter().partition(|waiter| waiter.until <= now);
+                grant.waiters = waiting;
+                expired.extend(late);
+            }
+        }
+        for waiter in expired {
+            let detail = format!("no grant for {} tokens in time", waiter.amount);
+            self.refuse(waiter.request, Code::BudgetUnreachable, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -0,0 +1,171 @@
+//! Requests that wait for a grant, and recalls on their behalf.
+
+use std::collections::VecDeque;
+
+use berylwheel_types::Code;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use super::action::HolderAction;
+use super::core::Holder;
+use super::grant::Admitted;
+use super::grant::Grant;
+use super::grant::RecallRound;
+use super::grant::Waiter;
+use crate::Account;
+use crate::HolderPolicy;
+use crate::LedgerPage;
+use crate::PageId;
+
+/// The pause between recalls without success grows up to this multiple of the first.
+const GAP_GROWTH: u64 = 4;
+
+/// What the page says about requests that it cannot cover.
+#[derive(Debug, Default)]
+pub(crate) struct Verdict {
+    pub(crate) refused: Vec<Waiter>,
+    pub(crate) recalled: Vec<Incarnation>,
+}
+
+/// Judges the waiters that neither the grant in hand nor the balance covers.
+///
+/// A waiter is refused only after a recall that started after it arrived has been answered or has
+/// timed out, or when no other holder has anything to return.
+pub(crate) fn judge(
+    now: Timestamp,
+    policy: &HolderPolicy,
+    me: &Incarnation,
+    read_at: Option<Timestamp>,
+    writers: &[(Incarnation, u64)],
+    account: &Account,
+    grant: &mut Grant,
+) -> Verdict {
+    let held = account.held_by(me).saturating_sub(grant.reserved);
+    let mut left = held + if account.closed { Tokens::ZERO } else { account.balance };
+    let mut verdict = Verdict::default();
+    let others: Vec<&(Incarnation, u64)> = writers
+        .iter()
+        .filter(|(holder, _)| holder != me && account.held_by(holder) > Tokens::ZERO)
+        .collect();
+    let mut reachable: Tokens =
+        left + others.iter().map(|(holder, _)| account.held_by(holder)).sum();
+    if account.closed {
+        reachable = left;
+    }
+    let round_done = grant.round.as_ref().is_some_and(|round| {
+        let answered = |(holder, sequence): &(Incarnation, u64)| {
+            // One write may have been under way when the recall arrived, so two are an answer.
+            let wrote = writers.iter().any(|(other, now)| other == holder && *now > sequence + 1);
+            wrote || account.held_by(holder) == Tokens::ZERO
+        };
+        now >= round.until || round.asked.iter().all(answered)
+    });
+    let round_started = grant.round.as_ref().map(|round| round.started);
+    let mut short = false;
+    let mut waiting = VecDeque::new();
+    for waiter in std::mem::take(&mut grant.waiters) {
+        if waiter.amount <= left {
+            left -= waiter.amount;
+            waiting.push_back(waiter);
+            continue;
+        }
+        // A read that was asked for before the request arrived may miss a later top-up.
+        let fresh = read_at.is_some_and(|at| waiter.arrived <= at);
+        let out_of_reach = waiter.amount > reachable && fresh;
+        let asked_all = round_done && round_started.is_some_and(|at| waiter.arrived <= at);
+        if out_of_reach || asked_all {
+            verdict.refused.push(waiter);
+        } else {
+            short = true;
+            waiting.push_back(waiter);
+        }
+    }
+    grant.waiters = waiting;
+    if round_done {
+        let longest = policy.recall_gap.0 * GAP_GROWTH;
+        let gap = (grant.round_gap.0 * 2).clamp(policy.recall_gap.0, longest);
+        grant.round_gap = Millis(gap);
+        grant.next_round = now + grant.round_gap;
+        grant.round = None;
+    }
+    if !short {
+        grant.round = None;
+        if verdict.refused.is_empty() {
+            grant.round_gap = Millis(0);
+            grant.next_round = Timestamp::default();
+        }
+    } else if grant.round.is_none() && now >= grant.next_round && !others.is_empty() {
+        verdict.recalled = others.iter().map(|(holder, _)| holder.clone()).collect();
+        let asked = others.into_iter().cloned().collect();
+        grant.round = Some(RecallRound { started: now, until: now + policy.recall_wait, asked });
+    }
+    verdict
+}
+
+impl Holder {
+    pub(super) fn refuse(&mut self, request: RequestId, code: Code, detail: impl Into<String>) {
+        self.requests.remove(&request);
+        let refusal = Refusal::not_run(code, detail);
+        let refusal = match code {
+            Code::BudgetUnreachable => refusal.retry_after(self.policy.wait_limit),
+            _ => refusal,
+        };
+        self.ready.push(HolderAction::Refused(request, refusal));
+    }
+
+    /// Refuses every request that waits for a budget of the page.
+    pub(super) fn refuse_all(&mut self, id: PageId, code: Code, detail: &str) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let waiters = page.grants.values_mut().flat_map(|grant| std::mem::take(&mut grant.waiters));
+        for waiter in waiters.collect::<Vec<_>>() {
+            self.refuse(waiter.request, code, detail);
+        }
+    }
+
+    /// Refuses requests for budgets that the page does not have, and forgets these budgets.
+    pub(super) fn refuse_unknown(&mut self, id: PageId, content: &LedgerPage) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let mut refused = Vec::new();
+        page.grants.retain(|budget, grant| {
+            if content.account(budget).is_some() {
+                return true;
+            }
+            for waiter in std::mem::take(&mut grant.waiters) {
+                refused.push((waiter.request, format!("no budget {budget}")));
+            }
+            !grant.is_empty()
+        });
+        for (request, detail) in refused {
+            self.refuse(request, Code::UnknownBudget, detail);
+        }
+    }
+
+    /// Admits the waiting requests that the grants in hand cover, in order of arrival.
+    pub(super) fn admit_waiters(&mut self, now: Timestamp, id: PageId) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        for grant in page.grants.values_mut().filter(|grant| !grant.waiters.is_empty()) {
+            let mut waiting = VecDeque::new();
+            for waiter in std::mem::take(&mut grant.waiters) {
+                if waiter.amount > grant.free() {
+                    waiting.push_back(waiter);
+                    continue;
+                }
+                self.serial += 1;
+                let admitted = Admitted { serial: self.serial, version: page.version, at: now };
+                grant.admit(waiter.request.clone(), waiter.amount, waiter.key, admitted);
+                self.ready.push(HolderAction::Reserved(waiter.request));
+            }
+            grant.waiters = waiting;
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -0,0 +1,203 @@
+//! Writes of a page: settlements, grants and returns.
+
+use berylwheel_types::Code;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use super::action::HolderAction;
+use super::core::Holder;
+use super::grant::Grant;
+use super::pages::Effect;
+use super::pages::PendingWrite;
+use super::pages::Step;
+use super::timing::REFRESH;
+use super::wait::judge;
+use crate::Account;
+use crate::HolderPolicy;
+use crate::LedgerPage;
+use crate::PageId;
+
+/// After a recall a holder keeps no spare tokens for this long; it would take back at once what
+/// others asked for.
+const SPARE_PAUSE: Millis = Millis(5_000);
+
+/// Reservations held beyond the expected spend.
+const MARGIN: u64 = 3;
+
+/// The holding that a grant should have.
+struct Target {
+    tokens: Tokens,
+    /// Whether `tokens` is only what requests need.
+    bare: bool,
+}
+
+struct Sizing<'a> {
+    now: Timestamp,
+    policy: &'a HolderPolicy,
+    live: u64,
+    draining: bool,
+    me: &'a Incarnation,
+}
+
+impl Sizing<'_> {
+    fn target(&self, grant: &Grant, account: &Account) -> Target {
+        let in_hand = account.held_by(self.me).saturating_sub(grant.reserved);
+        let reach = in_hand + if account.closed { Tokens::ZERO } else { account.balance };
+        let mut need = Tokens::ZERO;
+        for waiter in &grant.waiters {
+            if need + waiter.amount <= reach {
+                need += waiter.amount;
+            }
+        }
+        let needed = grant.reserved + need;
+        let bare = Target { tokens: needed, bare: true };
+        let idle = grant.is_quiet()
+            && grant.waiters.is_empty()
+            && self.now >= grant.used_at + self.policy.idle_after;
+        let pausing = grant.recalled || self.now < grant.spare_after;
+        if self.draining || account.closed || pausing || idle {
+            return bare;
+        }
+        let unspent = (account.balance + account.outstanding()).saturating_sub(account.owed);
+        let bound = (unspent.0 as f64 * self.policy.share.fraction()) as u64 / self.live;
+        let largest = grant.largest().0;
+        if bound < 2 * largest {
+            return bare;
+        }
+        let spend = grant.rate.over(self.now, self.policy.horizon).0;
+        // Requests arrive at random, so the spend of a small budget varies by the square root of
+        // their number; two deviations are added.
+        let spread = 2.0 * (spend as f64 * largest as f64).sqrt();
+        let wanted = spend + MARGIN * largest + spread as u64;
+        Target { tokens: needed.max(Tokens(wanted.min(bound))), bare: false }
+    }
+
+    /// Bills what is settled and moves the grant towards its target.
+    fn apply(&self, version: u64, grant: &mut Grant, account: &mut Account) -> Change {
+        let covered = grant.spent.len();
+        let bill = |billed, spent: &super::grant::Spent| {
+            billed + account.bill(self.me, &spent.bill, version, self.now)
+        };
+        let billed = grant.spent.iter().fold(Tokens::ZERO, bill);
+        let target = self.target(grant, account);
+        let held = account.held_by(self.me);
+        let mut change = Change { covered, billed, ..Change::default() };
+        let goal = target.tokens;
+        let low = target.bare || covered > 0 || !grant.waiters.is_empty() || held.0 < goal.0 / 2;
+        let high = target.bare || held.0 > goal.0 + goal.0 / 4 + grant.largest().0;
+        if held < goal && low {
+            change.granted = account.grant(self.me, goal - held);
+        } else if held > goal && high {
+            change.returned = account.give_back(self.me, held - goal);
+        }
+        if grant.recalled {
+            grant.recalled = false;
+            grant.spare_after = self.now + SPARE_PAUSE;
+        }
+        change
+    }
+}
+
+#[derive(Debug, Default)]
+struct Change {
+    covered: usize,
+    billed: Tokens,
+    granted: Tokens,
+    returned: Tokens,
+}
+
+impl Change {
+    fn is_some(&self) -> bool {
+        self.covered > 0 || self.granted > Tokens::ZERO || self.returned > Tokens::ZERO
+    }
+}
+
+impl Holder {
+    /// Sends the pending write again, unchanged.
+    pub(super) fn resend(&mut self, now: Timestamp, id: PageId) {
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let Some(pending) = &page.pending else {
+            return;
+        };
+        let (expected, content) = (pending.expected, pending.content.clone());
+        page.step = Step::Writing(now);
+        self.ready.push(HolderAction::Write { page: id, expected, content });
+        self.reschedule(now, id);
+    }
+
+    /// Acts on a page that was just read and has no write pending.
+    pub(super) fn use_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
+        self.refuse_unknown(id, &content);
+        if let Some(page) = self.pages.get_mut(&id) {
+            for (budget, grant) in &mut page.grants {
+                // The page is the authority: an operator may have released the row.
+                let account = content.account(budget);
+                grant.held = account.map(|a| a.held_by(&self.me)).unwrap_or_default();
+            }
+        }
+        self.admit_waiters(now, id);
+        let Some(page) = self.pages.get_mut(&id) else {
+            return;
+        };
+        let writers: Vec<_> = content.writers.iter().map(|(h, s)| (h.clone(), *s)).collect();
+        let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
+        let mut changed = holds && now >= page.written_at + REFRESH;
+        // A number is never used for two contents, so a page can tell which one it took.
+        let sequence = page.sequence + 1;
+        let version = content.begin_write(&self.me, sequence);
+        let sizing = Sizing {
+            now,
+            policy: &self.policy,
+            live: self.live as u64,
+            draining: self.draining,
+            me: &self.me,
+        };
+        let mut effects = Vec::new();
+        let mut refused = Vec::new();
+        for (budget, grant) in &mut page.grants {
+            let Some(account) = content.accounts.get_mut(budget) else {
+                continue;
+            };
+            let change = sizing.apply(version, grant, account);
+            let verdict =
+                judge(now, &self.policy, &self.me, page.read_at, &writers, account, grant);
+            refused.extend(verdict.refused.into_iter().map(|waiter| (waiter, account.closed)));
+            let recall = |holder| HolderAction::Recall { holder, budget: budget.clone() };
+            self.ready.extend(verdict.recalled.into_iter().map(recall));
+            let open: Vec<_> = grant.unsettled_after(change.covered).collect();
+            if let Some(row) = account.rows.get_mut(&self.me) {
+                row.floor = open.iter().map(|a| a.version).min().unwrap_or(version);
+                row.since = open.iter().map(|a| a.at).min().unwrap_or(now);
+                row.serial = open.iter().map(|a| a.serial).min().unwrap_or(self.serial + 1);
+            }
+            account.prune(now);
+            if change.is_some() {
+                changed = true;
+                grant.leaving = change.returned;
+                let Change { covered, billed, granted, returned } = change;
+                effects.push(Effect { budget: budget.clone(), covered, billed, granted, returned });
+            }
+        }
+        let idle_after = self.policy.idle_after;
+        page.grants.retain(|_, grant| !grant.is_empty() || now < grant.used_at + idle_after);
+        page.dirty = None;
+        if changed {
+            page.sequence = sequence;
+            page.step = Step::Writing(now);
+            let write =
+                HolderAction::Write { page: id, expected: page.revision, content: content.clone() };
+            page.pending =
+                Some(PendingWrite { sequence, expected: page.revision, content, effects });
+            self.ready.push(write);
+        }
+        for (waiter, closed) in refused {
+            let detail = if closed { "budget is closed" } else { "balance and grants fall short" };
+            let detail = format!("{detail} for {} tokens", waiter.amount);
+            self.refuse(waiter.request, Code::BudgetSpent, detail);
+        }
+    }
+}
--- a/crates/berylwheel-budget/src/lib.rs
+++ b/crates/berylwheel-budget/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder.
+//! Prepaid budgets: ledger pages, the holder of grants, billing, reclaim and booking records.
+//!
+//! All code here is pure: time comes in as an argument, and I/O goes out as actions.
+
+mod account;
+mod audit;
+mod holder;
+mod keys;
+mod once;
+mod operate;
+mod page;
+mod policy;
+mod rate;
+mod reclaim;
+mod tag;
+
+pub use account::Account;
+pub use account::KeyMark;
+pub use account::Row;
+pub use audit::AuditEntry;
+pub use audit::Change;
+pub use holder::BudgetDump;
+pub use holder::Holder;
+pub use holder::HolderAction;
+pub use holder::HolderDump;
+pub use holder::Reserve;
+pub use holder::WriteResult;
+pub use once::OnceAnswer;
+pub use once::OnceDecision;
+pub use once::OnceRecord;
+pub use once::OnceState;
+pub use once::decide_once;
+pub use operate::Applied;
+pub use page::ConservationError;
+pub use page::DecodePageError;
+pub use page::LedgerPage;
+pub use page::PageId;
+pub use page::page_of;
+pub use policy::HolderPolicy;
+pub use reclaim::Reclaimed;
+pub use reclaim::UsageRecord;
+pub use tag::UsageTag;
--- /dev/null
+++ b/crates/berylwheel-budget/src/operate.rs
@@ -0,0 +1,196 @@
+//! Changes that operators make to budgets.
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Code;
+use berylwheel_types::CreditId;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Refusal;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use crate::Account;
+use crate::AuditEntry;
+use crate::Change;
+use crate::LedgerPage;
+use crate::account::CREDIT_LIMIT;
+
+/// Whether a change with an id took effect now or earlier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The change took effect.
+    Now,
+    /// The id was applied before; nothing changed.
+    Before,
+}
+
+impl LedgerPage {
+    fn account_mut(&mut self, budget: &BudgetId) -> Result<&mut Account, Refusal> {
+        self.accounts
+            .get_mut(budget)
+            .ok_or_else(|| Refusal::not_run(Code::UnknownBudget, format!("no budget {budget}")))
+    }
+
+    /// Creates an empty budget.
+    ///
+    /// # Errors
+    ///
+    /// `ChangeConflict` if the budget exists.
+    pub fn create(
+        &mut self,
+        budget: &BudgetId,
+        author: &str,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        if self.accounts.contains_key(budget) {
+            let detail = format!("budget {budget} exists");
+            return Err(Refusal::not_run(Code::ChangeConflict, detail));
+        }
+        let mut account = Account::default();
+        account.record(AuditEntry { at: now, author: author.into(), change: Change::Create });
+        self.accounts.insert(budget.clone(), account);
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Adds `amount` tokens to a budget, once for each `id`. What is owed is taken from it first.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBudget`; `ChangeConflict` if the id was used with another amount; `InvalidField`
+    /// if the budget would exceed the range of a token count.
+    pub fn credit(
+        &mut self,
+        budget: &BudgetId,
+        id: CreditId,
+        amount: Tokens,
+        author: &str,
+        now: Timestamp,
+    ) -> Result<Applied, Refusal> {
+        let account = self.account_mut(budget)?;
+        if check_id(account, &id, amount)? == Applied::Before {
+            return Ok(Applied::Before);
+        }
+        if account.credited.0.checked_add(amount.0).is_none() {
+            return Err(Refusal::not_run(Code::InvalidField, "the budget would be too large"));
+        }
+        account.credited += amount;
+        account.balance += amount;
+        account.collect_owed();
+        remember_id(account, &id, amount, now);
+        let change = Change::Credit { id, amount };
+        account.record(AuditEntry { at: now, author: author.into(), change });
+        self.version += 1;
+        Ok(Applied::Now)
+    }
+
+    /// Takes `amount` tokens from a budget, once for each `id`.
+    ///
+    /// The balance is lowered at once as far as it reaches. The rest is owed and taken from
+    /// returns and top-ups; at most what grants hold can be owed.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBudget`; `ChangeConflict` if the id was used with another amount; `InvalidField`
+    /// if the budget has less than `amount` unspent.
+    pub fn cut(
+        &mut self,
+        budget: &BudgetId,
+        id: CreditId,
+        amount: Tokens,
+        author: &str,
+        now: Timestamp,
+    ) -> Result<Applied, Refusal> {
+        let account = self.account_mut(budget)?;
+        if check_id(account, &id, amount)? == Applied::Before {
+            return Ok(Applied::Before);
+        }
+        let unspent = (account.balance + account.outstanding()).saturating_sub(account.owed);
+        if amount > unspent {
+            let detail = format!("cut of {amount} tokens, {unspent} unspent");
+            return Err(Refusal::not_run(Code::InvalidField, detail));
+        }
+        account.owed += amount;
+        account.collect_owed();
+        remember_id(account, &id, amount, now);
+        let change = Change::Cut { id, amount, owed: account.owed };
+        account.record(AuditEntry { at: now, author: author.into(), change });
+        self.version += 1;
+        Ok(Applied::Now)
+    }
+
+    /// Stops new grants of a budget. Grants that are out stay valid.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBudget`.
+    pub fn close(
+        &mut self,
+        budget: &BudgetId,
+        author: &str,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let account = self.account_mut(budget)?;
+        if !account.closed {
+            account.closed = true;
+            account.record(AuditEntry { at: now, author: author.into(), change: Change::Close });
+            self.version += 1;
+        }
+        Ok(())
+    }
+
+    /// Returns the row of `holder` to the balance without billing and says how much it was.
+    ///
+    /// Only for a holder that is known to be gone and whose usage records cannot be had: usage
+    /// that it has not settled is never billed, and a holder that still runs would overspend.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBudget`; `InvalidField` if the holder has no row.
+    pub fn release(
+        &mut self,
+        budget: &BudgetId,
+        holder: &Incarnation,
+        author: &str,
+        now: Timestamp,
+    ) -> Result<Tokens, Refusal> {
+        let account = self.account_mut(budget)?;
+        let held = account.held_by(holder);
+        if held == Tokens::ZERO {
+            let detail = format!("{holder} holds nothing of {budget}");
+            return Err(Refusal::not_run(Code::InvalidField, detail));
+        }
+        let returned = account.give_back(holder, held);
+        account.prune(now);
+        let change = Change::Release { holder: holder.clone(), returned };
+        account.record(AuditEntry { at: now, author: author.into(), change });
+        self.version += 1;
+        Ok(returned)
+    }
+
+    /// Returns the latest changes to a budget, oldest first.
+    pub fn audit(&self, budget: &BudgetId) -> &[AuditEntry] {
+        self.accounts.get(budget).map(|account| account.audit.as_slice()).unwrap_or_default()
+    }
+}
+
+fn check_id(account: &Account, id: &CreditId, amount: Tokens) -> Result<Applied, Refusal> {
+    match account.credits.get(id) {
+        None => Ok(Applied::Now),
+        Some((before, _)) if *before == amount => Ok(Applied::Before),
+        Some((before, _)) => {
+            let detail = format!("id {id} was used for {before} tokens");
+            Err(Refusal::not_run(Code::ChangeConflict, detail))
+        }
+    }
+}
+
+fn remember_id(account: &mut Account, id: &CreditId, amount: Tokens, now: Timestamp) {
+    account.credits.insert(id.clone(), (amount, now));
+    if account.credits.len() <= CREDIT_LIMIT {
+        return;
+    }
+    let oldest = account.credits.iter().min_by_key(|(_, (_, at))| *at).map(|(id, _)| id.clone());
+    if let Some(oldest) = oldest {
+        account.credits.remove(&oldest);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-budget/src/page.rs
@@ -0,0 +1,182 @@
+//! A ledger page: the unit of compare-and-swap for a set of budgets.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Incarnation;
+use berylwheel_types::stable_hash;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Account;
+
+/// The format of an encoded page, its first byte.
+const FORMAT: u8 = 1;
+
+/// The number of a ledger page.
+///
+/// ```
+/// use berylwheel_budget::PageId;
+/// assert_eq!(PageId(7).key(), "/berylwheel/ledger/7");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PageId(pub u32);
+
+impl PageId {
+    /// Returns the key of the page in the store.
+    pub fn key(self) -> String {
+        format!("/berylwheel/ledger/{self}")
+    }
+}
+
+impl fmt::Display for PageId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// Returns the page that holds `budget` when the ledger has `pages` pages.
+///
+/// ```
+/// use berylwheel_budget::page_of;
+/// let budget = "w1/main".parse().unwrap();
+/// assert_eq!(page_of(&budget, 64), page_of(&budget, 64));
+/// assert!(page_of(&budget, 64).0 < 64);
+/// ```
+pub fn page_of(budget: &BudgetId, pages: u32) -> PageId {
+    let pages = u64::from(pages.max(1));
+    PageId((stable_hash(&[budget.as_str()]) % pages) as u32)
+}
+
+/// A page that could not be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DecodePageError(String);
+
+impl fmt::Display for DecodePageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ledger page cannot be decoded: {}", self.0)
+    }
+}
+
+impl std::error::Error for DecodePageError {}
+
+/// A budget whose tokens do not add up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConservationError {
+    /// The budget.
+    pub budget: BudgetId,
+}
+
+impl fmt::Display for ConservationError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "budget {}: credited differs from balance + billed + grants", self.budget)
+    }
+}
+
+impl std::error::Error for ConservationError {}
+
+/// A set of budgets that is written as a whole.
+///
+/// ```
+/// use berylwheel_budget::LedgerPage;
+/// use berylwheel_types::{Timestamp, Tokens};
+/// let now = Timestamp::from_millis(0);
+/// let budget = "w1/main".parse().unwrap();
+/// let mut page = LedgerPage::default();
+/// page.create(&budget, "anna", now).unwrap();
+/// page.credit(&budget, "order-1".parse().unwrap(), Tokens(100), "anna", now).unwrap();
+/// assert_eq!(page.account(&budget).unwrap().balance, Tokens(100));
+/// assert_eq!(LedgerPage::decode(&page.encode()).unwrap(), page);
+/// page.check().unwrap();
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerPage {
+    pub(crate) version: u64,
+    pub(crate) accounts: BTreeMap<BudgetId, Account>,
+    /// The sequence number of the last write of each holder.
+    pub(crate) writers: BTreeMap<Incarnation, u64>,
+}
+
+impl LedgerPage {
+    /// Returns the page as bytes for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        // Encoding into a vector fails only for types without a known length, which the page has not.
+        postcard::to_extend(self, vec![FORMAT]).expect("page encodes")
+    }
+
+    /// Reads a page back. No bytes are an empty page.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are of another format, cut short, or not a page.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodePageError> {
+        match bytes.split_first() {
+            None => Ok(Self::default()),
+            Some((&FORMAT, rest)) => {
+                postcard::from_bytes(rest).map_err(|e| DecodePageError(e.to_string()))
+            }
+            Some((format, _)) => Err(DecodePageError(format!("unknown format {format}"))),
+        }
+    }
+
+    /// Returns how often the page has been changed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the budgets on the page.
+    pub fn accounts(&self) -> impl Iterator<Item = (&BudgetId, &Account)> {
+        self.accounts.iter()
+    }
+
+    /// Returns one budget.
+    pub fn account(&self, budget: &BudgetId) -> Option<&Account> {
+        self.accounts.get(budget)
+    }
+
+    /// Returns the sequence number of the last write of `holder`, zero if it has not written.
+    pub fn sequence_of(&self, holder: &Incarnation) -> u64 {
+        self.writers.get(holder).copied().unwrap_or_default()
+    }
+
+    /// Returns the incarnations with tokens of any budget on this page.
+    pub fn holders(&self) -> Vec<Incarnation> {
+        let mut holders: Vec<_> =
+            self.accounts.values().flat_map(|account| account.rows.keys().cloned()).collect();
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    /// Checks that the tokens of every budget add up.
+    ///
+    /// # Errors
+    ///
+    /// Names the first budget whose `credited` differs from `balance + billed + outstanding`.
+    pub fn check(&self) -> Result<(), ConservationError> {
+        match self.accounts.iter().find(|(_, account)| !account.is_conserved()) {
+            Some((budget, _)) => Err(ConservationError { budget: budget.clone() }),
+            None => Ok(()),
+        }
+    }
+
+    /// Starts a write of `holder` and returns the new version of the page.
+    pub(crate) fn begin_write(&mut self, holder: &Incarnation, sequence: u64) -> u64 {
+        self.version += 1;
+        // A higher incarnation of the same router replaces a lower one; only entries without a row
+        // may go, since a row is evidence that its holder's writes still matter.
+        let superseded: Vec<_> = self
+            .writers
+            .keys()
+            .filter(|old| old.router == holder.router && old.number < holder.number)
+            .filter(|old| self.accounts.values().all(|account| !account.rows.contains_key(*old)))
+            .cloned()
+            .collect();
+        for old in superseded {
+            self.writers.remove(&old);
+        }
+        self.writers.insert(holder.clone(), sequence);
+        self.version
+    }
+}
