Test the end of requests, limits and order over random calls

Cause: the scheduler had no test of its invariants. Ruled out: unit tests of single calls; counts drift only over sequences of offers, starts, preemptions and retries.

--- /dev/null
+++ b/crates/berylwheel-schedule/tests/common/mod.rs
@@ -0,0 +1,227 @@
+//! A scheduler under a manual clock, with an independent record of every request.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+
+use berylwheel_schedule::KindLimits;
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_schedule::Work;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Rank;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+pub const QUEUE: usize = 6;
+pub const BYTES: u64 = 1_500;
+pub const CONCURRENCY: usize = 3;
+pub const WORKSPACE_LIMIT: usize = 5;
+
+/// Returns a configuration with a fixed seed, so that a failure repeats.
+pub fn seeded(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Place {
+    Queued,
+    Running,
+    Ended(&'static str),
+}
+
+#[derive(Debug, Clone)]
+pub enum Op {
+    Offer { workspace: usize, kind: usize, model: usize, rank: usize, cost: u64, size: u64 },
+    Start { models: [bool; 2] },
+    Finish { pick: usize, part: u64 },
+    Token { pick: usize },
+    Withdraw { pick: usize },
+    Requeue { pick: usize },
+    Preempt,
+    Expire,
+    Advance { span: u64 },
+}
+
+pub fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let offer = (0..3usize, 0..2usize, 0..2usize, 0..3usize, 1..1_000u64, 1..400u64).prop_map(
+        |(workspace, kind, model, rank, cost, size)| Op::Offer {
+            workspace,
+            kind,
+            model,
+            rank,
+            cost,
+            size,
+        },
+    );
+    let op = prop_oneof![
+        8 => offer,
+        5 => any::<[bool; 2]>().prop_map(|models| Op::Start { models }),
+        2 => (0..50usize, 0..=4u64).prop_map(|(pick, part)| Op::Finish { pick, part }),
+        1 => (0..50usize).prop_map(|pick| Op::Token { pick }),
+        1 => (0..50usize).prop_map(|pick| Op::Withdraw { pick }),
+        1 => (0..50usize).prop_map(|pick| Op::Requeue { pick }),
+        1 => Just(Op::Preempt),
+        1 => Just(Op::Expire),
+        2 => (1..600u64).prop_map(|span| Op::Advance { span }),
+    ];
+    prop::collection::vec(op, 1..120)
+}
+
+pub fn work(name: &str, workspace: &str, kind: &str, rank: Rank, cost: u64) -> Work {
+    Work {
+        request: name.parse().unwrap(),
+        workspace: workspace.parse().unwrap(),
+        kind: kind.parse().unwrap(),
+        model: Some("m0".parse().unwrap()),
+        rank,
+        cost: Tokens(cost),
+        size: ByteSize(100),
+        deadline: Timestamp::from_millis(u64::MAX),
+    }
+}
+
+pub fn limits(queue: usize, concurrency: usize) -> KindLimits {
+    KindLimits { queue, queue_bytes: ByteSize(1 << 30), concurrency }
+}
+
+pub struct Driver {
+    pub scheduler: Scheduler,
+    pub now: Timestamp,
+    pub requests: BTreeMap<RequestId, (Work, Place)>,
+    pub started: usize,
+    pending: Vec<RequestId>,
+    next_id: usize,
+}
+
+impl Driver {
+    pub fn new() -> Self {
+        let policy =
+            SchedulePolicy { workspace_limit: WORKSPACE_LIMIT, ..SchedulePolicy::default() };
+        let mut scheduler = Scheduler::new(policy);
+        let limits = KindLimits { queue_bytes: ByteSize(BYTES), ..limits(QUEUE, CONCURRENCY) };
+        scheduler.set_kind("k0".parse().unwrap(), limits);
+        scheduler.set_kind("k1".parse().unwrap(), limits);
+        let now = Timestamp::from_millis(1_000);
+        let (requests, pending) = (BTreeMap::new(), Vec::new());
+        Self { scheduler, now, requests, started: 0, pending, next_id: 0 }
+    }
+
+    pub fn at(&self, place: &Place) -> Vec<&Work> {
+        self.requests.values().filter(|(_, p)| p == place).map(|(work, _)| work).collect()
+    }
+
+    fn pick(&self, place: &Place, index: usize) -> Option<RequestId> {
+        let all = self.at(place);
+        (!all.is_empty()).then(|| all[index % all.len()].request.clone())
+    }
+
+    fn set(&mut self, request: &RequestId, from: &Place, to: Place) {
+        let (_, place) = self.requests.get_mut(request).expect("a request that was offered");
+        assert_eq!(place, from, "{request} ended twice or out of order");
+        *place = to;
+    }
+
+    fn report_ended(&mut self) {
+        for (request, refusal) in self.scheduler.expired(self.now) {
+            assert!(matches!(refusal.code, Code::DeadlineUnmet | Code::QueueFull));
+            self.set(&request, &Place::Queued, Place::Ended("expired"));
+        }
+    }
+
+    pub fn start(&mut self, models: [bool; 2]) -> Option<Work> {
+        let mut can_start = |work: &Work| match &work.model {
+            Some(model) => models[usize::from(model.as_str() == "m1")],
+            None => false,
+        };
+        let work = self.scheduler.next(self.now, &mut can_start)?;
+        // An evicted request is reported late; none may start after it has made room.
+        self.set(&work.request, &Place::Queued, Place::Running);
+        self.started += 1;
+        Some(work)
+    }
+
+    pub fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Offer { workspace, kind, model, rank, cost, size } => {
+                self.next_id += 1;
+                let (name, by) = (format!("q{:04}", self.next_id), format!("w{workspace}"));
+                let mut work = work(&name, &by, &format!("k{kind}"), Rank::ALL[rank], cost);
+                work.model = Some(format!("m{model}").parse().unwrap());
+                work.size = ByteSize(size);
+                work.deadline = self.now + Millis(cost * 3);
+                let place = match self.scheduler.offer(self.now, work.clone()) {
+                    Ok(()) => Place::Queued,
+                    Err(_) => Place::Ended("refused"),
+                };
+                self.requests.insert(work.request.clone(), (work, place));
+                // Evictions are reported at once, so that the record has them before the next step.
+                self.report_ended();
+            }
+            Op::Start { models } => drop(self.start(models)),
+            Op::Finish { pick, part } => {
+                if let Some(request) = self.pick(&Place::Running, pick) {
+                    let served = Tokens(self.requests[&request].0.cost.0 * part / 4);
+                    self.scheduler.finished(self.now, &request, served);
+                    self.pending.retain(|r| *r != request);
+                    self.set(&request, &Place::Running, Place::Ended("started"));
+                }
+            }
+            Op::Token { pick } => {
+                if let Some(request) = self.pick(&Place::Running, pick) {
+                    self.scheduler.first_token(self.now, &request);
+                }
+            }
+            Op::Withdraw { pick } => {
+                if let Some(request) = self.pick(&Place::Queued, pick) {
+                    self.scheduler.withdraw(&request);
+                    self.set(&request, &Place::Queued, Place::Ended("withdrawn"));
+                }
+            }
+            Op::Requeue { pick } => {
+                // Mostly what was preempted, sometimes a retry of any running request.
+                let preempted = if pick % 3 > 0 { self.pending.pop() } else { None };
+                if let Some(request) = preempted.or_else(|| self.pick(&Place::Running, pick)) {
+                    self.pending.retain(|r| *r != request);
+                    self.scheduler.requeue(self.now, &request);
+                    self.set(&request, &Place::Running, Place::Queued);
+                    self.report_ended();
+                }
+            }
+            Op::Preempt => self.pending.extend(self.scheduler.preempt(self.now)),
+            Op::Expire => self.report_ended(),
+            Op::Advance { span } => self.now += Millis(span),
+        }
+    }
+
+    /// Counts what `workspace` has in progress in `kind`.
+    pub fn in_progress(&self, workspace: &str, kind: &str) -> usize {
+        let of = |work: &&Work| work.workspace.as_str() == workspace && work.kind.as_str() == kind;
+        let [queued, running] = [Place::Queued, Place::Running].map(|p| self.at(&p));
+        queued.into_iter().chain(running).filter(of).count()
+    }
+
+    pub fn pending(&self, kind: &str) -> usize {
+        let of = |r: &&RequestId| self.requests[*r].0.kind.as_str() == kind;
+        self.pending.iter().filter(of).count()
+    }
+
+    /// Finishes what runs and lets what is queued expire.
+    pub fn close(&mut self) {
+        self.now += Millis(1_000_000);
+        while self.pick(&Place::Running, 0).is_some() {
+            self.apply(&Op::Finish { pick: 0, part: 4 });
+        }
+        self.report_ended();
+    }
+}
