Test minimum shares and fairness between workspaces

Cause: the bounds on starvation and unfairness were not tested. Ruled out: comparing totals at the end, which hides a long wait in between; the tests take the largest sum over every interval. Conclusion: a rank is at most six largest requests short of its minimum over any interval, two workspaces at most one largest request each apart.

--- /dev/null
+++ b/crates/berylwheel-schedule/tests/shares.rs
@@ -0,0 +1,163 @@
+//! Minimum shares of the ranks and fairness between workspaces.
+
+mod common;
+
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_schedule::Served;
+use berylwheel_types::Millis;
+use berylwheel_types::Rank;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use common::limits;
+use common::seeded;
+use common::work;
+use proptest::prelude::*;
+
+const MOST_COST: u64 = 1_000;
+
+/// Starts one request after another while two of each caller wait, and returns caller and cost.
+/// Work left from an earlier call starts too and is not returned.
+fn serve(scheduler: &mut Scheduler, callers: &[(&str, Rank)], costs: &[u64]) -> Vec<(usize, f64)> {
+    scheduler.set_kind("k0".parse().unwrap(), limits(100, 1));
+    let mut now = Timestamp::from_millis(1_000);
+    let mut costs_left = costs.iter().copied();
+    let mut number = 0;
+    let mut queued = vec![0; callers.len()];
+    let mut log = Vec::new();
+    loop {
+        for (i, (workspace, rank)) in callers.iter().enumerate() {
+            while queued[i] < 2 {
+                let Some(cost) = costs_left.next() else {
+                    return log;
+                };
+                number += 1;
+                let name = format!("{workspace}-{rank}-{number}-{cost}");
+                scheduler.offer(now, work(&name, workspace, "k0", *rank, cost)).unwrap();
+                queued[i] += 1;
+            }
+        }
+        let next = scheduler.next(now, &mut |_| true).expect("work waits");
+        let of = |(w, r): &(&str, Rank)| *w == next.workspace.as_str() && *r == next.rank;
+        let caller = callers.iter().position(of);
+        if let Some(caller) = caller {
+            queued[caller] -= 1;
+            log.push((caller, next.cost.0 as f64));
+        }
+        now += Millis(next.cost.0);
+        scheduler.finished(now, &next.request, next.cost);
+    }
+}
+
+/// Returns the largest sum that `steps` reaches over any interval.
+fn largest_sum(steps: impl Iterator<Item = f64>) -> f64 {
+    let (mut sum, mut largest) = (0.0f64, 0.0f64);
+    for step in steps {
+        sum = (sum + step).max(0.0);
+        largest = largest.max(sum);
+    }
+    largest
+}
+
+fn costs() -> impl Strategy<Value = Vec<u64>> {
+    prop::collection::vec(1..=MOST_COST, 50..400)
+}
+
+proptest! {
+    #![proptest_config(seeded(21))]
+
+    /// Guards against starvation: over every interval a rank with work waiting gets its minimum
+    /// share, less a few requests. What it borrowed while it was alone is not held against it.
+    #[test]
+    fn minimum_shares_kept(borrowed in costs(), costs in costs(), alone in 0..3usize) {
+        let policy = SchedulePolicy { share_window: Millis(1), ..SchedulePolicy::default() };
+        let mut scheduler = Scheduler::new(policy);
+        serve(&mut scheduler, &[("w9", Rank::ALL[alone])], &borrowed);
+        let callers = Rank::ALL.map(|rank| ("w0", rank));
+        let log = serve(&mut scheduler, &callers, &costs);
+        for rank in Rank::ALL {
+            let floor = policy.rank(rank).floor.fraction();
+            let short = largest_sum(log.iter().map(|(caller, cost)| {
+                floor * cost - if *caller == rank.index() { *cost } else { 0.0 }
+            }));
+            // Credit and debt are each a few times the largest cost when the window is short.
+            prop_assert!(short <= 6.0 * MOST_COST as f64, "{rank} is {short} tokens short");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(22))]
+
+    /// Guards against one workspace that is served more than another while both have work
+    /// waiting. The bound of start-time fair queueing is the largest cost of each.
+    #[test]
+    fn workspaces_served_alike(costs in costs(), small in 1..=20u64) {
+        let mut scheduler = Scheduler::new(SchedulePolicy::default());
+        // The first workspace sends large requests and the second small ones, by turns of two.
+        let scaled: Vec<u64> = costs
+            .iter()
+            .enumerate()
+            .map(|(i, cost)| if i % 4 < 2 { *cost } else { cost.div_ceil(small) })
+            .collect();
+        let callers = [("w0", Rank::Normal), ("w1", Rank::Normal)];
+        let log = serve(&mut scheduler, &callers, &scaled);
+        for ahead in [0, 1] {
+            let lead = largest_sum(
+                log.iter().map(|(caller, cost)| if *caller == ahead { *cost } else { -cost }),
+            );
+            prop_assert!(lead <= 2.0 * MOST_COST as f64, "w{ahead} leads by {lead} tokens");
+        }
+    }
+}
+
+/// Guards against a burst for a workspace whose work could not start for a while: what the other
+/// was served in that time is not made up for.
+#[test]
+fn blocked_workspace_gets_no_burst() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(200, 1));
+    let now = Timestamp::from_millis(1_000);
+    for number in 0..60 {
+        let mut blocked = work(&format!("b{number}"), "w0", "k0", Rank::Normal, 100);
+        blocked.model = Some("m1".parse().unwrap());
+        scheduler.offer(now, blocked).unwrap();
+        let name = format!("f{number}");
+        scheduler.offer(now, work(&name, "w1", "k0", Rank::Normal, 100)).unwrap();
+    }
+    let mut start = |blocked: bool| {
+        let next = scheduler.next(now, &mut |w| !blocked || w.workspace.as_str() == "w1").unwrap();
+        scheduler.finished(now, &next.request, next.cost);
+        next.workspace
+    };
+    (0..40).for_each(|_| drop(start(true)));
+    let served = (0..20).filter(|_| start(false).as_str() == "w0").count();
+    assert!((9..=11).contains(&served), "{served} of 20");
+}
+
+/// Serves two workspaces after a peer reports `tokens` for the first, and returns how far the
+/// second is ahead.
+fn lead_after_heartbeat(tokens: u64) -> f64 {
+    let policy = SchedulePolicy { peer_lead: Tokens(5_000), ..SchedulePolicy::default() };
+    let mut scheduler = Scheduler::new(policy);
+    let callers = [("w0", Rank::Normal), ("w1", Rank::Normal)];
+    let peer = "r2".parse().unwrap();
+    serve(&mut scheduler, &callers, &[100; 40]);
+    let now = Timestamp::from_millis(50_000);
+    let heartbeat = |total| {
+        [Served { workspace: "w0".parse().unwrap(), rank: Rank::Normal, tokens: Tokens(total) }]
+    };
+    scheduler.peer_served(now, &peer, &heartbeat(1_000_000));
+    scheduler.peer_served(now, &peer, &heartbeat(1_000_000 + tokens));
+    let log = serve(&mut scheduler, &callers, &[101; 400]);
+    log.iter().map(|(caller, cost)| if *caller == 1 { *cost } else { -cost }).sum()
+}
+
+/// Guards against fairness per router only: what another router served counts, up to the bound
+/// that keeps a wrong heartbeat from starving a workspace.
+#[test]
+fn service_at_peers_counts() {
+    assert!((lead_after_heartbeat(0)).abs() <= 202.0);
+    assert!((lead_after_heartbeat(3_000) - 3_000.0).abs() <= 303.0);
+    assert!((lead_after_heartbeat(9_000_000) - 5_000.0).abs() <= 303.0);
+}
