Test the retry budget and admission by deadline

Cause: the bounds of the retry budget and the wait estimate were not tested. Ruled out: earning retries per offered request, which a surge multiplies. Change: a property with seed 31 and four tests without random input. Conclusion: retries stay under a tenth of starts plus the burst.

--- /dev/null
+++ b/crates/berylwheel-schedule/tests/kind.rs
@@ -0,0 +1,146 @@
+//! Retry budget, admission by deadline, and refusals of a full kind.
+
+mod common;
+
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Ran;
+use berylwheel_types::Rank;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use common::limits;
+use common::seeded;
+use common::work;
+use proptest::prelude::*;
+
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+proptest! {
+    #![proptest_config(seeded(31))]
+
+    /// Guards against retries that multiply a surge: whatever is offered, the retries granted stay
+    /// under a tenth of the requests started plus the saved burst.
+    #[test]
+    fn retries_bounded(steps in prop::collection::vec((0..30usize, 0..4usize, 0..9usize), 1..60)) {
+        let policy = SchedulePolicy::default();
+        let mut scheduler = Scheduler::new(policy);
+        let kind = "k0".parse().unwrap();
+        scheduler.set_kind("k0".parse().unwrap(), limits(5, 2));
+        let (mut now, mut started, mut granted, mut number) = (START, 0u32, 0u32, 0);
+        for (offers, starts, retries) in steps {
+            for _ in 0..offers {
+                number += 1;
+                let work = work(&format!("q{number}"), "w0", "k0", Rank::Normal, 10);
+                let _ = scheduler.offer(now, work);
+            }
+            now += Millis(10);
+            for _ in 0..starts {
+                let Some(work) = scheduler.next(now, &mut |_| true) else {
+                    break;
+                };
+                started += 1;
+                // A retry at another server starts again and must earn nothing.
+                scheduler.requeue(now, &work.request);
+                if let Some(work) = scheduler.next(now, &mut |_| true) {
+                    scheduler.finished(now, &work.request, Tokens(10));
+                }
+            }
+            granted += (0..retries).filter(|_| scheduler.try_retry(now, &kind)).count() as u32;
+            let most = f64::from(policy.retry_burst) + 0.1 * f64::from(started);
+            prop_assert!(f64::from(granted) <= most + 1e-6, "{granted} retries of {started}");
+        }
+    }
+}
+
+/// Guards against retries saved up without bound while a kind is healthy.
+#[test]
+fn saved_retries_bounded() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    let kind = "k0".parse().unwrap();
+    scheduler.set_kind("k0".parse().unwrap(), limits(5, 2));
+    for number in 0..1_000 {
+        let work = work(&format!("q{number}"), "w0", "k0", Rank::Normal, 10);
+        scheduler.offer(START, work).unwrap();
+        let work = scheduler.next(START, &mut |_| true).unwrap();
+        scheduler.finished(START, &work.request, Tokens(10));
+    }
+    assert_eq!((0..100).filter(|_| scheduler.try_retry(START, &kind)).count(), 10);
+}
+
+/// Serves one request of 100 tokens every 100 ms from a backlog, and returns the time.
+fn backlog(scheduler: &mut Scheduler, queued: usize) -> Timestamp {
+    scheduler.set_kind("k0".parse().unwrap(), limits(200, 1));
+    let mut now = START;
+    for number in 0..queued + 20 {
+        let work = work(&format!("b{number}"), "w0", "k0", Rank::Normal, 100);
+        scheduler.offer(now, work).unwrap();
+    }
+    for _ in 0..20 {
+        let work = scheduler.next(now, &mut |_| true).unwrap();
+        now += Millis(100);
+        scheduler.finished(now, &work.request, Tokens(100));
+    }
+    scheduler.next(now, &mut |_| true).unwrap();
+    now
+}
+
+/// Guards against work that is queued although it cannot be done in time, and against refusals of
+/// work that can.
+#[test]
+fn deadline_checked_at_admission() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    let now = backlog(&mut scheduler, 41);
+    // 40 requests in front take 4 s.
+    let mut late = work("late", "w0", "k0", Rank::Normal, 100);
+    late.deadline = now + Millis(3_000);
+    let refusal = scheduler.offer(now, late).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::DeadlineUnmet, Ran::NotRun));
+    let retry = refusal.retry_after.unwrap().0;
+    assert!((500..2_500).contains(&retry), "retry after {retry} ms");
+    let mut early = work("early", "w0", "k0", Rank::Normal, 100);
+    early.deadline = now + Millis(6_000);
+    assert_eq!(scheduler.offer(now, early), Ok(()));
+    // Fair queueing serves another workspace after one request of the first.
+    let mut other = work("other", "w1", "k0", Rank::Normal, 100);
+    other.deadline = now + Millis(1_000);
+    assert_eq!(scheduler.offer(now, other), Ok(()));
+}
+
+/// Guards against a kind that stays refused after its servers were slow: with nothing running, a
+/// request is let through and corrects the estimate.
+#[test]
+fn slow_service_recovers() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(10, 4));
+    scheduler.offer(START, work("slow", "w0", "k0", Rank::Normal, 10)).unwrap();
+    scheduler.next(START, &mut |_| true).unwrap();
+    let now = START + Millis(60_000);
+    scheduler.finished(now, &"slow".parse().unwrap(), Tokens(10));
+    let mut probe = work("probe", "w0", "k0", Rank::Normal, 10);
+    probe.deadline = now + Millis(1_000);
+    assert_eq!(scheduler.offer(now, probe), Ok(()));
+    assert_eq!(scheduler.expired(now), []);
+}
+
+/// Guards against refusals with the wrong code or without a time to come back.
+#[test]
+fn full_kind_refuses() {
+    let policy = SchedulePolicy { workspace_limit: 4, ..SchedulePolicy::default() };
+    let mut scheduler = Scheduler::new(policy);
+    scheduler.set_kind("k0".parse().unwrap(), limits(3, 1));
+    scheduler.set_workspace("w1".parse().unwrap(), Some(1));
+    let mut offer = |name, workspace| {
+        let refusal =
+            scheduler.offer(START, work(name, workspace, "k0", Rank::Normal, 10)).err()?;
+        assert_eq!(refusal.ran, Ran::NotRun);
+        assert!(refusal.retry_after.is_some_and(|t| t >= Millis(100)));
+        Some(refusal.code)
+    };
+    assert_eq!(offer("q1", "w1"), None);
+    assert_eq!(offer("q2", "w1"), Some(Code::WorkspaceLimit));
+    assert_eq!(offer("q3", "w0"), None);
+    assert_eq!(offer("q4", "w0"), None);
+    assert_eq!(offer("q5", "w0"), Some(Code::QueueFull));
+}
