Check the values of settings against each other

Cause: a tree with a server of an unknown kind, a model of two kinds or a key of two callers would be accepted and fail at the first request. Ruled out: checking only once the typed settings are built, since one wrong value would then hide all errors of this sort. Change: checks of references, digests, limits and floors on the raw tree. An edit with a line break is refused, since it could add keys that nobody asked for. A plain service must state repeat, a name of a workspace or kind has no slash, since both become parts of paths. Conclusion: a tree that parses has no dangling reference.

--- a/crates/berylwheel-settings/src/check.rs
+++ b/crates/berylwheel-settings/src/check.rs
@@ -31,7 +31,11 @@
     if key == schema::CALLER_KEY {
         return Some(tree.error(name, key, "key without a name", "key.NAME = SHA256HEX [BUDGET]"));
     }
-    let expected = spec.value.check(value).err()?;
+    let expected = match spec.value.check(value) {
+        Ok(()) if !value.is_empty() || spec.required != Required::Yes => return None,
+        Ok(()) => spec.value.to_string(),
+        Err(expected) => expected,
+    };
     Some(tree.error(name, key, format!("found `{value}`"), expected))
 }
 
--- a/crates/berylwheel-settings/src/lib.rs
+++ b/crates/berylwheel-settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod model;
 mod raw;
 mod read;
+mod reference;
 mod schema;
 mod section;
 mod settings;
--- a/crates/berylwheel-settings/src/raw.rs
+++ b/crates/berylwheel-settings/src/raw.rs
@@ -174,6 +174,13 @@
     (clean, lines, bad)
 }
 
+/// Returns whether `line` is a well-formed entry of `key`.
+pub(crate) fn is_entry(line: &str, key: &str) -> bool {
+    !line.starts_with([';', '#', '['])
+        && !is_malformed(line)
+        && line.split_once('=').is_some_and(|(found, _)| found.trim() == key)
+}
+
 fn section_of(content: &str) -> Option<&str> {
     content.strip_prefix('[')?.strip_suffix(']').map(str::trim)
 }
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -55,7 +55,11 @@
             return Some((text, Origin::Section(name.clone())));
         }
     }
+    let engine = |name| tree.get(name, "service") == Some("engine");
     match home.required {
+        _ if home.key == "repeat" && chain.iter().any(engine) => {
+            Some((schema::ENGINE_REPEAT, Origin::Default))
+        }
         Required::Default(text) => Some((text, Origin::Default)),
         Required::Yes | Required::No => None,
     }
--- a/crates/berylwheel-settings/src/schema.rs
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -90,7 +90,7 @@
     row("target", &[Rank], ValueType::Span(1, HOUR), No),
     row("service", KIND, ValueType::Service, Yes),
     row("models", KIND, ValueType::Names, Default("")),
-    row("repeat", KIND, ValueType::Repeat, Default("never")),
+    row("repeat", KIND, ValueType::Repeat, No),
     row("lookup", KIND, ValueType::YesNo, Default("no")),
     row("connections", KIND, ValueType::Count(1, 100_000), Default("256")),
     row("price", &[Kind, WorkspaceKind], ValueType::Tokens(0, MAX_TOKENS), Default("0")),
@@ -138,6 +138,10 @@
     find(level, key).is_some_and(|spec| !spec.levels.contains(&Kind))
 }
 
+/// The default of `repeat` of an engine. A plain service must state it, since a call that is repeated
+/// against its nature runs twice.
+pub(crate) const ENGINE_REPEAT: &str = "idempotent";
+
 /// Returns the default of `key` of a rank. Floors leave a tenth of the capacity to strict order.
 pub(crate) const fn rank_default(rank: RankName, key: &str) -> &'static str {
     match (rank, key.as_bytes()) {
--- a/crates/berylwheel-settings/src/section.rs
+++ b/crates/berylwheel-settings/src/section.rs
@@ -104,6 +104,15 @@
     }
 }
 
+/// Reads the name of a workspace or kind. They become parts of paths and store keys, where a slash
+/// would let one name reach into another's.
+fn plain<T: FromStr<Err = ParseIdError>>(name: &str) -> Result<T, ParseIdError> {
+    if name.contains('/') {
+        return Err(ParseIdError { expected: "a name without a slash" });
+    }
+    name.parse()
+}
+
 impl fmt::Display for SectionName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -128,10 +137,10 @@
             ["router"] => Ok(Self::Router),
             ["fleet"] => Ok(Self::Fleet),
             ["rank", name] => Ok(Self::Rank(name.parse()?)),
-            ["kind", name] => Ok(Self::Kind(name.parse()?)),
-            ["workspace", name] => Ok(Self::Workspace(name.parse()?)),
+            ["kind", name] => Ok(Self::Kind(plain(name)?)),
+            ["workspace", name] => Ok(Self::Workspace(plain(name)?)),
             ["workspace", name, "kind", kind] => {
-                Ok(Self::WorkspaceKind(name.parse()?, kind.parse()?))
+                Ok(Self::WorkspaceKind(plain(name)?, plain(kind)?))
             }
             ["server", name] => Ok(Self::Server(name.parse()?)),
             // An operator's name has the same form as an id.
--- a/crates/berylwheel-settings/src/settings.rs
+++ b/crates/berylwheel-settings/src/settings.rs
@@ -22,12 +22,13 @@
 use crate::SettingErrors;
 use crate::WorkspaceSettings;
 use crate::check;
+use crate::edit;
 use crate::raw;
-use crate::raw::Entry;
 use crate::raw::Section;
 use crate::raw::Tree;
 use crate::read;
 use crate::read::Read;
+use crate::reference;
 use crate::schema;
 
 /// A tree of settings that has been checked as a whole. Cheap to clone.
@@ -71,6 +72,7 @@
 
     fn build(tree: Tree, mut errors: Vec<SettingError>) -> Result<Self, SettingErrors> {
         errors.extend(check::check(&tree));
+        errors.extend(reference::check(&tree));
         if !errors.is_empty() {
             errors.sort_by_key(|error| error.line);
             return Err(SettingErrors(errors));
@@ -88,20 +90,8 @@
     /// Returns everything that is wrong with the result.
     pub fn edit(&self, edits: &[Edit]) -> Result<Self, SettingErrors> {
         let mut tree = self.0.tree.clone();
-        for Edit { section, key, value } in edits {
-            let place = tree.sections.entry(section.clone());
-            match value {
-                Some(value) if !key.is_empty() => {
-                    let entry = Entry { value: value.trim().to_owned(), line: 0 };
-                    place.or_default().entries.insert(key.clone(), entry);
-                }
-                Some(_) => drop(place.or_default()),
-                None if key.is_empty() => drop(tree.sections.remove(section)),
-                None => drop(place.or_default().entries.remove(key)),
-            }
-        }
-        let text = print(&tree);
-        Self::parse(&self.0.tree.file, &text)
+        let errors = edit::apply(&mut tree, edits);
+        Self::build(tree, errors)
     }
 
     /// Returns the tree as text: sections by level and name, keys by name, no comments.
@@ -121,6 +111,14 @@
         paths.into_iter().flat_map(|path| effective(tree, &path)).collect()
     }
 
+    /// Returns the sections with their keys and values, in the order of [`Settings::to_ini`].
+    pub fn sections(&self) -> impl Iterator<Item = (&SectionName, Vec<(&str, &str)>)> {
+        self.0.tree.sections.iter().map(|(name, section)| {
+            let entries = section.entries.iter();
+            (name, entries.map(|(key, entry)| (key.as_str(), entry.value.as_str())).collect())
+        })
+    }
+
     /// Returns whether the tree has a section `[router]`.
     pub fn has_router(&self) -> bool {
         self.0.tree.sections.contains_key(&SectionName::Router)
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -93,12 +93,12 @@
             Self::Fencing => parses::<Fencing>(text),
             Self::Name => parses::<BackendId>(text),
             Self::Budget => is_budget(text),
-            Self::Names => list(text).all(parses::<BackendId>),
-            Self::Budgets => list(text).all(is_budget),
+            Self::Names => is_list(text, parses::<BackendId>),
+            Self::Budgets => is_list(text, is_budget),
             Self::Listen => parses::<SocketAddr>(text),
             Self::Address => is_address(text),
-            Self::Addresses => list(text).all(is_address),
-            Self::Peers => list(text).all(|item| peer(item).is_some()),
+            Self::Addresses => is_list(text, is_address),
+            Self::Peers => is_list(text, |item| peer(item).is_some()),
             Self::Path => !text.is_empty(),
             Self::Digest => is_digest(text),
             Self::CallerKey => caller_key(text).is_some(),
@@ -176,6 +176,12 @@
     text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
 }
 
+/// Returns whether all items of the list `text` are of a type, and none stands there twice.
+fn is_list(text: &str, is_item: fn(&str) -> bool) -> bool {
+    let items: Vec<&str> = list(text).collect();
+    items.iter().enumerate().all(|(i, item)| is_item(item) && !items[..i].contains(item))
+}
+
 /// Returns the items of a list; none if `text` is empty.
 pub(crate) fn list(text: &str) -> impl Iterator<Item = &str> {
     text.split(',').map(str::trim).filter(move |_| !text.is_empty())
