Add versions, changes, spread, membership, fencing and access

Change: roots with a history of 64 changes, parts by section hash, checked changes, the state of one router, membership, fencing numbers with order leases, and the table of keys. Ruled out: a key of its own for each earlier version. The history in the root names the ids of accepted changes, so a change is recognised as its own even after others have followed.

--- /dev/null
+++ b/crates/berylwheel-config/src/change.rs
@@ -0,0 +1,242 @@
+//! Changes of the configuration.
+
+use berylwheel_settings::Edit;
+use berylwheel_settings::Settings;
+use berylwheel_types::ChangeId;
+use berylwheel_types::Code;
+use berylwheel_types::Refusal;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+
+use crate::Difference;
+use crate::Part;
+use crate::PartRef;
+use crate::Past;
+use crate::ROOT_KEY;
+use crate::Root;
+use crate::diff;
+use crate::split;
+
+/// How many differences a summary names; the history of 64 of them must stay small.
+const SUMMARY_LENGTH: usize = 4;
+
+/// The largest text of a part. The store takes values up to 1 MB.
+const PART_LIMIT: usize = 512 * 1024;
+
+/// What an operator wants to change.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// The id of the change, chosen by the operator's command. It stays the same when the change is
+    /// sent again, so that it takes effect once.
+    pub id: ChangeId,
+    /// The version that the operator saw; zero if there was none.
+    pub base: Version,
+    /// The operator.
+    pub author: String,
+    /// What to do.
+    pub action: ChangeAction,
+}
+
+/// What a change does.
+#[derive(Debug, Clone)]
+pub enum ChangeAction {
+    /// Sets and removes single keys.
+    Edit(Vec<Edit>),
+    /// Puts other settings in place: a whole file, or an earlier version for a rollback.
+    Replace(Settings),
+}
+
+/// What is to be done about a change.
+#[derive(Debug)]
+pub enum Proposal {
+    /// Nothing: the change made this version already.
+    Accepted(Version),
+    /// One transaction, on the condition that the root has not changed since it was read.
+    Write(Box<Transaction>),
+}
+
+/// The writes of a change.
+#[derive(Debug, Clone)]
+pub struct Transaction {
+    /// The new root.
+    pub root: Root,
+    /// The settings of the new version.
+    pub settings: Settings,
+    /// The parts that the change replaces.
+    pub parts: Vec<Part>,
+    /// Parts that no kept version needs any more.
+    pub dropped: Vec<PartRef>,
+}
+
+impl Transaction {
+    /// Returns the keys and values to put, the root first.
+    pub fn puts(&self) -> Vec<(String, Vec<u8>)> {
+        let root = (ROOT_KEY.to_owned(), self.root.to_json());
+        let parts = self.parts.iter().map(|p| (p.reference().key(), p.text.clone().into_bytes()));
+        [root].into_iter().chain(parts).collect()
+    }
+}
+
+/// What became of a change, as far as a root tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It made this version.
+    Accepted(Version),
+    /// The root is still the one that the change is based on. The same transaction may be sent
+    /// again: at most one of them takes effect.
+    Open,
+    /// Another change was accepted first.
+    Lost(Refusal),
+}
+
+/// Returns what became of `change`, after its answer was lost and `root` was read.
+pub fn outcome(root: Option<&Root>, change: &Change) -> Outcome {
+    if let Some(version) = root.and_then(|root| root.version_of(&change.id)) {
+        return Outcome::Accepted(version);
+    }
+    let version = root.map_or(Version(0), |root| root.version);
+    match root {
+        Some(root) if version != change.base => Outcome::Lost(conflict(root, change.base)),
+        None if version != change.base => Outcome::Lost(Refusal::not_run(
+            Code::ChangeConflict,
+            format!("the change is based on version {}, but there is none", change.base),
+        )),
+        Some(_) | None => Outcome::Open,
+    }
+}
+
+/// Tells the loser of a race what won.
+fn conflict(root: &Root, base: Version) -> Refusal {
+    let newer: Vec<String> = root
+        .history
+        .iter()
+        .rev()
+        .filter(|past| past.version > base)
+        .map(|past| format!("version {} by {}: {}", past.version, past.author, past.summary))
+        .collect();
+    Refusal::not_run(
+        Code::ChangeConflict,
+        format!(
+            "the change is based on version {base}, but version {} is in force; {}",
+            root.version,
+            newer.join("; ")
+        ),
+    )
+}
+
+fn invalid(detail: impl Into<String>) -> Refusal {
+    Refusal::not_run(Code::InvalidSetting, detail)
+}
+
+/// Checks `change` against the configuration in force and returns what to write.
+///
+/// # Errors
+///
+/// Returns [`Code::ChangeConflict`] if another change was accepted since the operator looked, and
+/// [`Code::InvalidSetting`] with everything that is wrong with the new settings.
+///
+/// ```
+/// use berylwheel_config::{Change, ChangeAction, Proposal, propose};
+/// use berylwheel_settings::Settings;
+/// use berylwheel_types::{Timestamp, Version};
+/// let settings = Settings::parse("a", "[fleet]\nqueue = 5\n").unwrap();
+/// let change = Change {
+///     id: "c1".parse().unwrap(),
+///     base: Version(0),
+///     author: "ana".to_owned(),
+///     action: ChangeAction::Replace(settings),
+/// };
+/// let now = Timestamp::from_millis(0);
+/// let Proposal::Write(first) = propose(None, &change, now).unwrap() else { panic!() };
+/// assert_eq!(first.root.version, Version(1));
+/// let again = propose(Some((&first.root, &first.settings)), &change, now).unwrap();
+/// assert!(matches!(again, Proposal::Accepted(Version(1))));
+/// ```
+pub fn propose(
+    current: Option<(&Root, &Settings)>,
+    change: &Change,
+    now: Timestamp,
+) -> Result<Proposal, Refusal> {
+    match outcome(current.map(|(root, _)| root), change) {
+        Outcome::Accepted(version) => return Ok(Proposal::Accepted(version)),
+        Outcome::Lost(refusal) => return Err(refusal),
+        Outcome::Open => {}
+    }
+    let empty = Settings::parse("configuration", "").map_err(|e| invalid(e.to_string()))?;
+    let old = current.map_or(&empty, |(_, settings)| settings);
+    let new = match &change.action {
+        ChangeAction::Edit(edits) => old.edit(edits).map_err(|e| invalid(e.to_string()))?,
+        ChangeAction::Replace(settings) => settings.clone(),
+    };
+    if new.has_router() {
+        return Err(invalid("[router] belongs in the router's own file, not in the configuration"));
+    }
+    let differences = diff(old, &new);
+    if current.is_some() && differences.is_empty() {
+        return Err(invalid("the change leaves everything as it is"));
+    }
+    let (pages, wanted) = (old.fleet().ledger_pages, new.fleet().ledger_pages);
+    if current.is_some() && pages != wanted {
+        // The page of a budget follows from the number of pages, so another number would lose it.
+        return Err(invalid(format!(
+            "[fleet] ledger_pages: found {wanted}, expected {pages}, which is fixed once budgets exist"
+        )));
+    }
+    let parts = split(&new);
+    if parts.iter().any(|part| part.text.len() > PART_LIMIT) {
+        return Err(invalid(format!("the settings are too large: a part is over {PART_LIMIT} B")));
+    }
+    Ok(Proposal::Write(Box::new(transaction(current, change, now, new, parts, &differences))))
+}
+
+fn transaction(
+    current: Option<(&Root, &Settings)>,
+    change: &Change,
+    now: Timestamp,
+    settings: Settings,
+    parts: Vec<Part>,
+    differences: &[Difference],
+) -> Transaction {
+    let digests: Vec<_> = parts.iter().map(Part::digest).collect();
+    let (version, replaced, mut history) = match current {
+        Some((root, _)) => {
+            let changed = root.references().into_iter().zip(&digests);
+            let replaced = changed.filter(|(old, new)| old.digest != **new).map(|(old, _)| old);
+            (root.version.next(), replaced.collect(), root.history.clone())
+        }
+        None => (Version(1), Vec::new(), Vec::new()),
+    };
+    let kept = |part: &Part| {
+        let old = current.and_then(|(root, _)| root.parts.get(part.index as usize));
+        old == digests.get(part.index as usize)
+    };
+    let parts = parts.iter().filter(|part| !kept(part)).cloned().collect();
+    let past = Past {
+        version,
+        change: change.id.clone(),
+        author: change.author.clone(),
+        at: now,
+        summary: summary(differences),
+        replaced,
+    };
+    history.insert(0, past);
+    let mut root = Root {
+        version,
+        change: change.id.clone(),
+        author: change.author.clone(),
+        at: now,
+        parts: digests,
+        history,
+    };
+    let dropped = root.trim();
+    Transaction { root, settings, parts, dropped }
+}
+
+fn summary(differences: &[Difference]) -> String {
+    let named = differences.iter().take(SUMMARY_LENGTH).map(Difference::to_string);
+    let mut words: Vec<String> = named.collect();
+    if differences.len() > SUMMARY_LENGTH {
+        words.push(format!("and {} more", differences.len() - SUMMARY_LENGTH));
+    }
+    words.join(", ")
+}
--- /dev/null
+++ b/crates/berylwheel-config/src/diff.rs
@@ -0,0 +1,58 @@
+//! The difference between two versions.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use berylwheel_settings::SectionName;
+use berylwheel_settings::Settings;
+
+/// One key that two versions have different values for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Difference {
+    /// The section.
+    pub section: SectionName,
+    /// The key; empty for the section itself.
+    pub key: String,
+    /// The value in the first version.
+    pub old: Option<String>,
+    /// The value in the second version.
+    pub new: Option<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { section, key, old, new } = self;
+        match (old, new) {
+            (Some(_), None) if key.is_empty() => write!(f, "[{section}] removed"),
+            (None, Some(_)) if key.is_empty() => write!(f, "[{section}] added"),
+            (Some(old), Some(new)) => write!(f, "[{section}] {key}: {old} -> {new}"),
+            (Some(old), None) => write!(f, "[{section}] {key}: {old} -> (unset)"),
+            (None, Some(new)) => write!(f, "[{section}] {key}: (unset) -> {new}"),
+            (None, None) => Ok(()),
+        }
+    }
+}
+
+/// Returns the sections and keys that differ, sorted by section and key.
+///
+/// ```
+/// use berylwheel_config::diff;
+/// use berylwheel_settings::Settings;
+/// let old = Settings::parse("a", "[fleet]\nqueue = 5\n").unwrap();
+/// let new = Settings::parse("b", "[fleet]\nqueue = 6\n").unwrap();
+/// assert_eq!(diff(&old, &new)[0].to_string(), "[fleet] queue: 5 -> 6");
+/// assert!(diff(&old, &old).is_empty());
+/// ```
+pub fn diff(old: &Settings, new: &Settings) -> Vec<Difference> {
+    let mut values: BTreeMap<(SectionName, String), [Option<String>; 2]> = BTreeMap::new();
+    for (side, settings) in [old, new].into_iter().enumerate() {
+        for (section, entries) in settings.sections() {
+            for (key, value) in [("", "")].into_iter().chain(entries) {
+                let place = values.entry((section.clone(), key.to_owned())).or_default();
+                place[side] = Some(value.to_owned());
+            }
+        }
+    }
+    let changed = values.into_iter().filter(|(_, [old, new])| old != new);
+    changed.map(|((section, key), [old, new])| Difference { section, key, old, new }).collect()
+}
--- a/crates/berylwheel-config/src/lib.rs
+++ b/crates/berylwheel-config/src/lib.rs
@@ -1,1 +1,51 @@
-//! Placeholder.
+//! Versions of the configuration and their spread between routers, membership, fencing and access.
+//!
+//! All code is pure: methods take the present time and return what the caller should do.
+
+mod access;
+mod action;
+mod change;
+mod diff;
+mod fence;
+mod heartbeat;
+mod member;
+mod part;
+mod root;
+mod spread;
+
+pub use access::AccessTable;
+pub use access::key_digest;
+pub use action::ConfigAction;
+pub use action::ConfigDump;
+pub use action::SpreadPolicy;
+pub use change::Change;
+pub use change::ChangeAction;
+pub use change::Outcome;
+pub use change::Proposal;
+pub use change::Transaction;
+pub use change::outcome;
+pub use change::propose;
+pub use diff::Difference;
+pub use diff::diff;
+pub use fence::Fence;
+pub use fence::FenceAction;
+pub use fence::FencePolicy;
+pub use fence::FenceRecord;
+pub use fence::FenceResult;
+pub use heartbeat::Heartbeat;
+pub use heartbeat::MemberEntry;
+pub use member::ListedState;
+pub use member::MemberPolicy;
+pub use member::MemberState;
+pub use member::Members;
+pub use part::PARTS;
+pub use part::Part;
+pub use part::PartDigest;
+pub use part::PartRef;
+pub use part::join;
+pub use part::split;
+pub use root::HISTORY;
+pub use root::Past;
+pub use root::ROOT_KEY;
+pub use root::Root;
+pub use spread::ConfigState;
