Accept responses with a body in Client::fetch

Cause: fetch compared the bytes read with the length of the response after its body had been taken out, which is always 0, so every response with a body failed as "response broke off". ResponseStream itself did not notice a body that ended before the announced length. Ruled out: comparing with the content-length header in fetch only, since callers of send would still take a part for the whole. Change: ResponseStream counts the bytes that the head announced and fails at an early end; such a connection does not go back to the pool. Conclusion: both fetch and send report an answer that broke off.

--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
@@ -150,9 +151,6 @@
             if bytes.len() as u64 > limit {
                 return Err(failed(false, format!("response over {limit} bytes")));
             }
-            if response.len().is_some_and(|n| n != bytes.len()) {
-                return Err(failed(false, "response broke off".to_owned()));
-            }
             Ok((response, bytes))
         };
         timeout(time, whole)
@@ -200,8 +198,10 @@
         };
         let close =
             response.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
+        let body = response.take_body();
         let stream = ResponseStream {
-            body: response.take_body(),
+            missing: body.len(),
+            body,
             reuse: (!close).then(|| (self.clone(), address, connection.clone())),
         };
         Ok((response, stream))
@@ -222,17 +222,30 @@
 }
 
 /// The body of a response. Its connection goes back to the pool once the body was read to its end.
+/// Reading fails if the body ends before the length that the head announced.
 #[derive(Debug)]
 pub struct ResponseStream {
     body: Body,
+    /// Bytes announced and not yet read, if the head announced a length.
+    missing: Option<usize>,
     reuse: Option<(Client, SocketAddr, Connection)>,
 }
 
 impl ResponseStream {
-    fn at_end(&mut self) {
+    fn at_end(&mut self) -> io::Result<()> {
+        if self.missing.is_some_and(|n| n > 0) {
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "response broke off"));
+        }
         if let Some((client, address, connection)) = self.reuse.take() {
             client.put_idle(address, connection);
         }
+        Ok(())
+    }
+
+    fn count(&mut self, n: usize) {
+        if let Some(missing) = &mut self.missing {
+            *missing = missing.saturating_sub(n);
+        }
     }
 }
 
@@ -242,30 +255,26 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.body).poll_read(cx, buf);
-        if let Poll::Ready(Ok(0)) = &result
-            && !buf.is_empty()
-        {
-            self.at_end();
+        let n = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        if n == 0 && !buf.is_empty() {
+            self.at_end()?;
         }
-        result
+        self.count(n);
+        Poll::Ready(Ok(n))
     }
 }
 
 impl AsyncBufRead for ResponseStream {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
-        let filled = std::task::ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?;
-        if filled.is_empty() {
-            if let Some((client, address, connection)) = this.reuse.take() {
-                client.put_idle(address, connection);
-            }
-            return Poll::Ready(Ok(&[]));
+        if ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?.is_empty() {
+            this.at_end()?;
         }
-        Poll::Ready(Ok(filled))
+        Pin::new(&mut this.body).poll_fill_buf(cx)
     }
 
     fn consume(mut self: Pin<&mut Self>, n: usize) {
+        self.count(n);
         Pin::new(&mut self.body).consume(n);
     }
 }
--- /dev/null
+++ b/crates/berylwheel-http/tests/client.rs
@@ -0,0 +1,68 @@
+//! The client: whole answers, answers that break off, and what counts as sent.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+
+use berylwheel_http::Client;
+use berylwheel_http::ClientError;
+use berylwheel_http::Outgoing;
+use berylwheel_types::Millis;
+use futures_lite::future::block_on;
+use http_types::Method;
+
+/// Long enough for any answer that is to come.
+const AMPLE: Millis = Millis(60_000);
+
+/// Starts a peer that reads the head of one request, sends `answer` and closes the connection.
+fn peer(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a whole head");
+            head.push(byte[0]);
+        }
+        stream.write_all(answer).expect("the caller reads");
+    });
+    address
+}
+
+fn fetch(answer: &'static [u8], limit: u64) -> Result<Vec<u8>, ClientError> {
+    let outgoing = Outgoing::new(Method::Get, "/");
+    let fetched = block_on(Client::default().fetch(peer(answer), &outgoing, limit, AMPLE));
+    fetched.map(|(_, bytes)| bytes)
+}
+
+/// Guards against whole answers that are refused.
+#[test]
+fn a_whole_answer_is_returned() {
+    let plain = fetch(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", 100);
+    assert_eq!(plain.unwrap(), b"whole");
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    assert_eq!(fetch(chunked, 100).unwrap(), b"whole");
+}
+
+/// Guards against a part of an answer that is taken for the whole.
+#[test]
+fn an_answer_that_breaks_off_is_an_error() {
+    let cases: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwho",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwho",
+        b"HTTP/1.1 200 OK\r\ncontent",
+        b"",
+    ];
+    for answer in cases {
+        let error = fetch(answer, 100).expect_err("broken off");
+        assert!(error.sent && !error.timed_out, "{error}");
+    }
+    let error = fetch(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", 4);
+    assert!(error.expect_err("over the limit").sent);
+}
