--- a/crates/berylwheel-store/src/lib.rs
+++ b/crates/berylwheel-store/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! The key-value service: the trait [`Store`], its HTTP/JSON client and an in-memory fake.
+
+mod client;
+mod fault;
+mod memory;
+mod store;
+pub mod wire;
+
+pub use client::HttpStore;
+pub use client::StoreOptions;
+pub use fault::Lost;
+pub use fault::StoreFaults;
+pub use memory::MemoryStore;
+pub use memory::StoreCounts;
+pub use store::Compare;
+pub use store::Entry;
+pub use store::LeaseId;
+pub use store::Put;
+pub use store::Store;
+pub use store::StoreError;
+pub use store::StoreFuture;
+pub use store::SwapResult;
--- /dev/null
+++ b/crates/berylwheel-store/src/memory.rs
@@ -0,0 +1,351 @@
+//! The in-memory store.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::task::Poll;
+use std::task::Waker;
+
+use async_io::Timer;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use serde::Serialize;
+
+use crate::Compare;
+use crate::Entry;
+use crate::LeaseId;
+use crate::Put;
+use crate::Store;
+use crate::StoreError;
+use crate::StoreFaults;
+use crate::StoreFuture;
+use crate::SwapResult;
+
+/// Changes kept for watches that start in the past.
+const HISTORY_LIMIT: usize = 10_000;
+
+/// Calls counted by a [`MemoryStore`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct StoreCounts {
+    /// Ranges.
+    pub reads: u64,
+    /// Swaps and lease calls.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+/// A store in memory that can be told to fail. Clones share the content.
+///
+/// ```
+/// use berylwheel_store::{Compare, MemoryStore, Put, Store, SwapResult};
+/// use berylwheel_types::Clock;
+/// use futures_lite::future::block_on;
+/// let store = MemoryStore::new(Clock::real());
+/// let swap = store.swap(vec![Compare::absent("k")], vec![Put::new("k", "v")]);
+/// assert_eq!(block_on(swap), Ok(SwapResult::Won(2)));
+/// assert_eq!(block_on(store.range("k", false, 0)).unwrap()[0].value, b"v");
+/// ```
+#[derive(Clone)]
+pub struct MemoryStore {
+    clock: Clock,
+    time_limit: Millis,
+    state: Arc<Mutex<State>>,
+}
+
+impl fmt::Debug for MemoryStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MemoryStore").field("time_limit", &self.time_limit).finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug)]
+struct Stored {
+    value: Vec<u8>,
+    revision: u64,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Millis,
+    end: Timestamp,
+}
+
+#[derive(Debug)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<String, Stored>,
+    leases: BTreeMap<LeaseId, Lease>,
+    next_lease: u64,
+    history: VecDeque<Entry>,
+    /// The first revision whose changes are all kept.
+    kept_from: u64,
+    faults: StoreFaults,
+    counts: StoreCounts,
+    watchers: Vec<Waker>,
+}
+
+impl MemoryStore {
+    /// Returns an empty store whose leases end by `clock`.
+    pub fn new(clock: Clock) -> Self {
+        let state = State {
+            // An empty etcd is at revision 1.
+            revision: 1,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            history: VecDeque::new(),
+            kept_from: 0,
+            faults: StoreFaults::default(),
+            counts: StoreCounts::default(),
+            watchers: Vec::new(),
+        };
+        Self { clock, time_limit: Millis(2_000), state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Sets the delay from which on a slow answer counts as lost (default 2 s), as it does for a
+    /// client with this time limit.
+    #[must_use]
+    pub fn time_limit(self, limit: Millis) -> Self {
+        Self { time_limit: limit, ..self }
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> StoreFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        let mut state = self.lock();
+        state.faults = faults;
+        state.wake();
+    }
+
+    /// Returns the calls counted so far.
+    pub fn counts(&self) -> StoreCounts {
+        self.lock().counts
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
+    /// Ends a lease at once and removes its keys. Returns false if there is no such lease.
+    pub fn expire_lease(&self, lease: LeaseId) -> bool {
+        self.lock().end_leases(|id, _| id == lease)
+    }
+
+    /// Ends all leases whose time is over, as every call of the store does.
+    pub fn expire(&self) {
+        drop(self.settled());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic while locked")
+    }
+
+    /// Locks the state after ending the leases whose time is over.
+    fn settled(&self) -> MutexGuard<'_, State> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.end_leases(|_, lease| lease.end <= now);
+        state
+    }
+
+    /// Delays an answer; `late` is the error of an answer over the time limit.
+    async fn delay(&self, span: u64, late: StoreError) -> Result<(), StoreError> {
+        if span > 0 {
+            Timer::after(Millis(span).min(self.time_limit).duration()).await;
+        }
+        if span >= self.time_limit.0 { Err(late) } else { Ok(()) }
+    }
+
+    async fn write<T>(
+        &self,
+        apply: impl FnOnce(&mut State, Timestamp) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let now = self.clock.now();
+        let (result, slow) = {
+            let mut state = self.settled();
+            state.counts.writes += 1;
+            if state.faults.down {
+                return Err(StoreError::Unavailable);
+            }
+            let slow = state.faults.slow_ms;
+            if state.faults.lose_writes.take() {
+                (Err(StoreError::Unknown), slow)
+            } else {
+                let result = apply(&mut state, now);
+                if state.faults.lose_answers.take() {
+                    (Err(StoreError::Unknown), slow)
+                } else {
+                    (result, slow)
+                }
+            }
+        };
+        self.delay(slow, StoreError::Unknown).await?;
+        result
+    }
+}
+
+impl State {
+    fn wake(&mut self) {
+        for waker in self.watchers.drain(..) {
+            waker.wake();
+        }
+    }
+
+    fn change(&mut self, key: String, stored: Option<Stored>) {
+        let (value, deleted) = match &stored {
+            Some(stored) => (stored.value.clone(), false),
+            None => (Vec::new(), true),
+        };
+        let entry = Entry { key: key.clone(), value, revision: self.revision, deleted };
+        match stored {
+            Some(stored) => drop(self.entries.insert(key, stored)),
+            None if self.entries.remove(&key).is_none() => return,
+            None => (),
+        }
+        self.history.push_back(entry);
+        while self.history.len() > HISTORY_LIMIT {
+            self.kept_from = self.history.pop_front().map_or(0, |entry| entry.revision + 1);
+        }
+        self.wake();
+    }
+
+    fn end_leases(&mut self, over: impl Fn(LeaseId, &Lease) -> bool) -> bool {
+        let ended: Vec<_> =
+            self.leases.iter().filter(|(id, lease)| over(**id, lease)).map(|(id, _)| *id).collect();
+        for id in &ended {
+            self.leases.remove(id);
+            let keys = self.entries.iter().filter(|(_, stored)| stored.lease == Some(*id));
+            let keys: Vec<_> = keys.map(|(key, _)| key.clone()).collect();
+            if !keys.is_empty() {
+                self.revision += 1;
+            }
+            for key in keys {
+                self.change(key, None);
+            }
+        }
+        !ended.is_empty()
+    }
+
+    fn read(&self, from: &str, prefix: bool, limit: u32) -> Vec<Entry> {
+        let limit = if limit == 0 { usize::MAX } else { limit as usize };
+        let matches = |key: &str| if prefix { key.starts_with(from) } else { key == from };
+        self.entries
+            .range(from.to_owned()..)
+            .take_while(|(key, _)| matches(key))
+            .take(limit)
+            .map(|(key, stored)| Entry {
+                key: key.clone(),
+                value: stored.value.clone(),
+                revision: stored.revision,
+                deleted: false,
+            })
+            .collect()
+    }
+
+    fn swap(&mut self, compares: &[Compare], puts: Vec<Put>) -> Result<SwapResult, StoreError> {
+        let lost = compares.iter().any(|compare| {
+            self.entries.get(&compare.key).map_or(0, |stored| stored.revision) != compare.revision
+        });
+        if lost {
+            let current = compares.iter().flat_map(|compare| self.read(&compare.key, false, 0));
+            return Ok(SwapResult::Lost(current.collect()));
+        }
+        if puts.iter().filter_map(|put| put.lease).any(|lease| !self.leases.contains_key(&lease)) {
+            return Err(StoreError::Protocol("requested lease not found".to_owned()));
+        }
+        if !puts.is_empty() {
+            self.revision += 1;
+        }
+        for put in puts {
+            let (revision, lease) = (self.revision, put.lease);
+            self.change(put.key, put.value.map(|value| Stored { value, revision, lease }));
+        }
+        Ok(SwapResult::Won(self.revision))
+    }
+
+    fn changes(&self, prefix: &str, from: u64) -> Vec<Entry> {
+        let start = self.history.partition_point(|entry| entry.revision < from);
+        let matching = self.history.iter().skip(start).filter(|e| e.key.starts_with(prefix));
+        matching.cloned().collect()
+    }
+}
+
+impl Store for MemoryStore {
+    fn range(&self, from: &str, prefix: bool, limit: u32) -> StoreFuture<'_, Vec<Entry>> {
+        let from = from.to_owned();
+        Box::pin(async move {
+            let (entries, slow) = {
+                let mut state = self.settled();
+                state.counts.reads += 1;
+                if state.faults.down {
+                    return Err(StoreError::Unavailable);
+                }
+                (state.read(&from, prefix, limit), state.faults.slow_ms)
+            };
+            self.delay(slow, StoreError::Unavailable).await?;
+            Ok(entries)
+        })
+    }
+
+    fn swap(&self, compares: Vec<Compare>, puts: Vec<Put>) -> StoreFuture<'_, SwapResult> {
+        Box::pin(self.write(move |state, _| state.swap(&compares, puts)))
+    }
+
+    fn lease(&self, ttl: Millis) -> StoreFuture<'_, LeaseId> {
+        Box::pin(self.write(move |state, now| {
+            let id = LeaseId(state.next_lease);
+            state.next_lease += 1;
+            state.leases.insert(id, Lease { ttl, end: now + ttl });
+            Ok(id)
+        }))
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> StoreFuture<'_, bool> {
+        Box::pin(self.write(move |state, now| {
+            let Some(lease) = state.leases.get_mut(&lease) else { return Ok(false) };
+            lease.end = now + lease.ttl;
+            Ok(true)
+        }))
+    }
+
+    fn watch(&self, prefix: &str, from_revision: u64) -> StoreFuture<'_, Vec<Entry>> {
+        let prefix = prefix.to_owned();
+        let from = {
+            let mut state = self.settled();
+            state.counts.watches += 1;
+            if from_revision == 0 { state.revision + 1 } else { from_revision }
+        };
+        Box::pin(async move {
+            let (changes, slow) = poll_fn(|cx| {
+                let mut state = self.settled();
+                if state.faults.down {
+                    return Poll::Ready(Err(StoreError::Unavailable));
+                }
+                if from < state.kept_from {
+                    return Poll::Ready(Err(StoreError::Compacted(state.kept_from)));
+                }
+                let changes = state.changes(&prefix, from);
+                if changes.is_empty() {
+                    state.watchers.push(cx.waker().clone());
+                    return Poll::Pending;
+                }
+                Poll::Ready(Ok((changes, state.faults.slow_ms)))
+            })
+            .await?;
+            self.delay(slow, StoreError::Unavailable).await?;
+            Ok(changes)
+        })
+    }
+}
