Add stand-ins for store, engine, booking service and VM list

Cause: routers are tested over sockets against systems that fail on order. Ruled out: berylwheel_http::serve as the listener, since its handlers cannot break a connection without an answer and a stopped stand-in has to break its connections; generation bound to the connection, since engines resume streams. Change: four servers with start functions; faults come by POST /faults, and dropping the handle breaks all connections.

--- /dev/null
+++ b/crates/berylwheel-standin/src/booking.rs
@@ -0,0 +1,219 @@
+//! A plain service whose calls must not be repeated.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_executor::Executor;
+use async_io::Timer;
+use berylwheel_types::FastMap;
+use berylwheel_types::Millis;
+use futures_lite::future;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Handle;
+use crate::exchange;
+use crate::exchange::Rejection;
+use crate::server;
+use crate::server::Answer;
+
+/// Faults of the booking service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BookingFaults {
+    /// Whether calls hang before they run.
+    pub hang_before: bool,
+    /// Whether calls run and hang before they answer.
+    pub hang_after: bool,
+    /// Whether the connection breaks before the call runs.
+    pub drop_before: bool,
+    /// Whether the call runs and the connection breaks without an answer.
+    pub drop_after: bool,
+    /// The status of a refusal before the call runs, 0 for none.
+    pub status: u16,
+    /// The status of an error after the call ran, 0 for none.
+    pub status_after: u16,
+    /// Milliseconds before the call runs.
+    pub slow_ms: u64,
+    /// Calls that the faults still apply to, all if absent.
+    pub times: Option<u64>,
+}
+
+/// How the booking stand-in behaves.
+#[derive(Debug, Clone, Default)]
+pub struct BookingOptions {
+    /// Whether a call whose key has run returns the first result and does not run again.
+    pub deduplicate: bool,
+    /// The faults in force from the start.
+    pub faults: BookingFaults,
+}
+
+#[derive(Default)]
+struct Ran {
+    running: u64,
+    runs: u64,
+    result: Value,
+}
+
+#[derive(Default)]
+struct State {
+    faults: BookingFaults,
+    calls: FastMap<String, Ran>,
+    bookings: u64,
+    lookups: u64,
+}
+
+struct Service {
+    deduplicate: bool,
+    state: Mutex<State>,
+}
+
+/// Starts a booking service.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub fn start_booking(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    options: BookingOptions,
+) -> io::Result<(SocketAddr, Handle)> {
+    let state = State { faults: options.faults, ..State::default() };
+    let service = Service { deduplicate: options.deduplicate, state: Mutex::new(state) };
+    let service = Arc::new(service);
+    server::start(address, executor, move |request| handle(service.clone(), request))
+}
+
+async fn handle(service: Arc<Service>, mut request: Request) -> Answer {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Post, "/faults") => exchange::settle(service.order(&mut request).await),
+        (Method::Get, "/runs") => Some(exchange::answer(200, &service.runs())),
+        (Method::Get, _) if path.starts_with("/calls/") => {
+            Some(service.call(&path["/calls/".len()..]))
+        }
+        (Method::Get, "/stats") => Some(exchange::answer(200, &service.stats())),
+        (Method::Get, _) => service.look_up(&path).await,
+        _ => service.book(&mut request, &path).await,
+    }
+}
+
+impl Service {
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().expect("no panic while locked"))
+    }
+
+    async fn order(&self, request: &mut Request) -> Result<Response, Rejection> {
+        let order: Value = exchange::json_body(request).await?;
+        let faults = self.with(|state| exchange::merge(&state.faults, &order))?;
+        self.with(|state| state.faults = faults);
+        Ok(exchange::answer(200, &json!({})))
+    }
+
+    fn runs(&self) -> Value {
+        self.with(|state| {
+            let ran = state.calls.iter().filter(|(_, call)| call.runs > 0);
+            ran.map(|(key, call)| (key.clone(), json!(call.runs)))
+                .collect::<serde_json::Map<_, _>>()
+        })
+        .into()
+    }
+
+    fn stats(&self) -> Value {
+        self.with(|state| json!({ "bookings": state.bookings, "lookups": state.lookups }))
+    }
+
+    /// Tells whether the call with `key` ran. While one is running, the answer may still change.
+    fn call(&self, key: &str) -> Response {
+        self.with(|state| {
+            let answer = match state.calls.get(key) {
+                Some(call) if call.runs > 0 => {
+                    json!({ "key": key, "ran": true, "running": call.running > 0, "status": 200,
+                        "result": call.result })
+                }
+                call => {
+                    let running = call.is_some_and(|call| call.running > 0);
+                    json!({ "key": key, "ran": false, "running": running })
+                }
+            };
+            exchange::answer(200, &answer)
+        })
+    }
+
+    fn take_faults(&self) -> BookingFaults {
+        self.with(|state| match &mut state.faults.times {
+            Some(0) => BookingFaults::default(),
+            Some(n) => {
+                *n -= 1;
+                state.faults.clone()
+            }
+            None => state.faults.clone(),
+        })
+    }
+
+    async fn look_up(&self, path: &str) -> Answer {
+        let faults = self.take_faults();
+        before(&faults).await?;
+        if faults.status > 0 {
+            return Some(exchange::error(faults.status, "ordered"));
+        }
+        self.with(|state| state.lookups += 1);
+        let count = berylwheel_types::stable_hash(&[path]) % 100;
+        Some(exchange::answer(200, &json!({ "path": path, "count": count })))
+    }
+
+    async fn book(&self, request: &mut Request, path: &str) -> Answer {
+        let key = exchange::header(request, "idempotency-key").unwrap_or_default();
+        let body = match exchange::body(request).await {
+            Ok(body) => body,
+            Err(rejection) => return Some(rejection.response()),
+        };
+        let faults = self.take_faults();
+        if faults.status > 0 {
+            before(&faults).await?;
+            return Some(exchange::error(faults.status, "ordered"));
+        }
+        self.with(|state| state.calls.entry(key.clone()).or_default().running += 1);
+        let started = before(&faults).await;
+        let result = self.with(|state| {
+            let call = state.calls.entry(key.clone()).or_default();
+            call.running -= 1;
+            started?;
+            if self.deduplicate && call.runs > 0 {
+                return Some(call.result.clone());
+            }
+            call.runs += 1;
+            state.bookings += 1;
+            call.result = json!({ "booking": state.bookings, "key": key, "path": path,
+                "run": call.runs, "bytes": body.len() });
+            Some(call.result.clone())
+        })?;
+        if faults.hang_after {
+            future::pending::<()>().await;
+        }
+        if faults.drop_after {
+            return None;
+        }
+        if faults.status_after > 0 {
+            return Some(exchange::error(faults.status_after, "ordered"));
+        }
+        Some(exchange::answer(200, &result))
+    }
+}
+
+/// Applies the faults that come before a call runs. Returns `None` if the connection is to break.
+async fn before(faults: &BookingFaults) -> Option<()> {
+    if faults.slow_ms > 0 {
+        Timer::after(Millis(faults.slow_ms).duration()).await;
+    }
+    if faults.hang_before {
+        future::pending::<()>().await;
+    }
+    (!faults.drop_before).then_some(())
+}
--- /dev/null
+++ b/crates/berylwheel-standin/src/engine/handler.rs
@@ -0,0 +1,111 @@
+//! The calls of the engine.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_executor::Executor;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use serde_json::Value;
+use serde_json::json;
+
+use super::EngineOptions;
+use super::chat;
+use super::state::Engine;
+use super::state::Order;
+use crate::Handle;
+use crate::exchange;
+use crate::exchange::Rejection;
+use crate::server;
+use crate::server::Answer;
+
+/// Starts an engine.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub fn start_engine(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    options: EngineOptions,
+) -> io::Result<(SocketAddr, Handle)> {
+    let engine = Arc::new(Engine::new(options));
+    let tasks = executor.clone();
+    server::start(address, executor, move |request| handle(engine.clone(), tasks.clone(), request))
+}
+
+async fn handle(
+    engine: Arc<Engine>,
+    executor: Arc<Executor<'static>>,
+    mut request: Request,
+) -> Answer {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Post, "/v1/chat/completions") => chat::complete(engine, executor, request).await,
+        (Method::Post, "/faults") => exchange::settle(faults(&engine, &mut request).await),
+        (Method::Post, "/v1/orders") => exchange::settle(order(&engine, &mut request).await),
+        (Method::Get, "/v1/orders") => {
+            Some(engine.with(|state| exchange::answer(200, &state.orders)))
+        }
+        (Method::Get, "/v1/load") => Some(exchange::answer(200, &engine.load())),
+        (Method::Get, "/v1/usage") => Some(usage(&engine, exchange::query(&request, "owner"))),
+        (Method::Get, "/v1/cache") => Some(cache(&engine, exchange::query(&request, "after"))),
+        (Method::Delete, _) if path.starts_with("/v1/requests/") => {
+            Some(cancel(&engine, &path["/v1/requests/".len()..]))
+        }
+        _ => Some(exchange::error(404, "no such call")),
+    }
+}
+
+async fn faults(engine: &Engine, request: &mut Request) -> Result<Response, Rejection> {
+    let order: Value = exchange::json_body(request).await?;
+    engine.with(|state| {
+        state.faults = exchange::merge(&state.faults, &order)?;
+        engine.note_load(state);
+        Ok(exchange::answer(200, &json!({})))
+    })
+}
+
+async fn order(engine: &Engine, request: &mut Request) -> Result<Response, Rejection> {
+    let order: Order = exchange::json_body(request).await?;
+    engine.with(|state| {
+        if engine.options.check_fence && order.fence < state.fence {
+            return Err(Rejection::new(409, "stale order").with("fence", state.fence));
+        }
+        state.remember_order(order);
+        Ok(exchange::answer(200, &json!({ "fence": state.fence })))
+    })
+}
+
+fn usage(engine: &Engine, owner: Option<String>) -> Response {
+    engine.with(|state| {
+        let records = state.records.iter();
+        let wanted = records.filter(|(_, record)| owner.is_none() || record.owner == owner);
+        let lines: Vec<_> = wanted.map(|(id, record)| record.usage(id)).collect();
+        exchange::answer(200, &lines)
+    })
+}
+
+fn cache(engine: &Engine, after: Option<String>) -> Response {
+    let Ok(after) = after.as_deref().unwrap_or("0").parse() else {
+        return exchange::error(400, "after is not a number");
+    };
+    let now = engine.options.clock.now();
+    let events = engine.with(|state| state.cache.events(after, now));
+    exchange::answer(200, &json!({ "events": events }))
+}
+
+/// Cancels a request. Its tokens so far stay in the usage.
+fn cancel(engine: &Engine, id: &str) -> Response {
+    engine.with(|state| {
+        let Some(record) = state.records.get_mut(id) else {
+            return exchange::error(404, "no such request");
+        };
+        if !record.finished {
+            record.cancelled = true;
+            record.cancel.close();
+        }
+        exchange::answer(200, &record.usage(id))
+    })
+}
--- /dev/null
+++ b/crates/berylwheel-standin/src/engine/state.rs
@@ -0,0 +1,135 @@
+//! The state of one engine.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use berylwheel_types::FastMap;
+use berylwheel_types::Timestamp;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::EngineFaults;
+use super::EngineOptions;
+use super::cache::Cache;
+use super::record::Record;
+use super::slots::Slots;
+
+/// Requests remembered; the oldest ones are forgotten.
+const RECORD_LIMIT: usize = 200_000;
+
+/// Orders remembered.
+const ORDER_LIMIT: usize = 1_000;
+
+/// An order to load something or to change role.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct Order {
+    pub(crate) fence: u64,
+    pub(crate) model: Option<String>,
+    pub(crate) adapter: Option<String>,
+    pub(crate) version: Option<String>,
+    pub(crate) role: Option<String>,
+}
+
+/// The load at a time.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(crate) struct Load {
+    pub(crate) at: Timestamp,
+    pub(crate) in_flight: usize,
+    pub(crate) queued: usize,
+    pub(crate) draining: bool,
+}
+
+pub(crate) struct State {
+    pub(crate) faults: EngineFaults,
+    pub(crate) slots: Slots,
+    pub(crate) records: FastMap<String, Record>,
+    order: VecDeque<String>,
+    pub(crate) cache: Cache,
+    pub(crate) fence: u64,
+    pub(crate) orders: VecDeque<Order>,
+    loads: VecDeque<Load>,
+    pub(crate) requests: u64,
+}
+
+/// One engine.
+pub(crate) struct Engine {
+    pub(crate) options: EngineOptions,
+    state: Mutex<State>,
+}
+
+impl Engine {
+    pub(crate) fn new(options: EngineOptions) -> Self {
+        let state = State {
+            faults: options.faults.clone(),
+            slots: Slots::new(options.slots),
+            records: FastMap::default(),
+            order: VecDeque::new(),
+            cache: Cache::default(),
+            fence: 0,
+            orders: VecDeque::new(),
+            loads: VecDeque::new(),
+            requests: 0,
+        };
+        Self { options, state: Mutex::new(state) }
+    }
+
+    /// Acts on the state.
+    pub(crate) fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().expect("no panic while locked"))
+    }
+
+    /// Notes the load after a change of the slots or the faults.
+    pub(crate) fn note_load(&self, state: &mut State) {
+        let at = self.options.clock.now();
+        let (in_flight, queued) = state.slots.load();
+        let draining = state.faults.draining;
+        state.loads.push_back(Load { at, in_flight, queued, draining });
+        self.drop_old_loads(state, at);
+    }
+
+    /// Returns the load as it was one lag ago.
+    pub(crate) fn load(&self) -> Load {
+        self.with(|state| {
+            let now = self.options.clock.now();
+            self.drop_old_loads(state, now);
+            let idle = Load { at: now, in_flight: 0, queued: 0, draining: false };
+            let shown = state.loads.front().filter(|load| self.is_shown(load, now));
+            let at =
+                Timestamp::from_millis(now.as_millis().saturating_sub(self.options.load_lag.0));
+            Load { at, ..shown.copied().unwrap_or(idle) }
+        })
+    }
+
+    fn is_shown(&self, load: &Load, now: Timestamp) -> bool {
+        load.at + self.options.load_lag <= now
+    }
+
+    fn drop_old_loads(&self, state: &mut State, now: Timestamp) {
+        while state.loads.get(1).is_some_and(|next| self.is_shown(next, now)) {
+            state.loads.pop_front();
+        }
+    }
+}
+
+impl State {
+    /// Remembers a request, and forgets the oldest one if there are too many.
+    pub(crate) fn remember(&mut self, id: &str, record: Record) {
+        self.records.insert(id.to_owned(), record);
+        self.order.push_back(id.to_owned());
+        if self.order.len() > RECORD_LIMIT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.records.remove(&oldest);
+        }
+    }
+
+    /// Remembers an order.
+    pub(crate) fn remember_order(&mut self, order: Order) {
+        self.fence = self.fence.max(order.fence);
+        self.orders.push_back(order);
+        if self.orders.len() > ORDER_LIMIT {
+            self.orders.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-standin/src/instances.rs
@@ -0,0 +1,104 @@
+//! The platform's list of VMs.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_executor::Executor;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use http_types::Method;
+use http_types::Request;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::Handle;
+use crate::exchange;
+use crate::server;
+use crate::server::Answer;
+
+/// A VM in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The name of the VM.
+    pub name: String,
+    /// IP number and port of what runs on it.
+    pub address: String,
+    /// The failure domain.
+    pub domain: String,
+    /// `live`, `leaving` or `gone`.
+    pub state: String,
+}
+
+/// How the list stand-in behaves.
+#[derive(Debug, Clone)]
+pub struct InstancesOptions {
+    /// Time by which the list is behind.
+    pub lag: Millis,
+    /// The clock of the lag.
+    pub clock: Clock,
+    /// The list from the start.
+    pub instances: Vec<Instance>,
+}
+
+impl Default for InstancesOptions {
+    fn default() -> Self {
+        Self { lag: Millis(0), clock: Clock::real(), instances: Vec::new() }
+    }
+}
+
+struct Service {
+    lag: Millis,
+    clock: Clock,
+    /// The lists by the time from which on they are shown; the first one is shown now.
+    lists: Mutex<VecDeque<(Timestamp, Vec<Instance>)>>,
+}
+
+/// Starts a list of VMs: `GET /v1/instances` shows it, `POST /v1/instances` replaces it.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub fn start_instances(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    options: InstancesOptions,
+) -> io::Result<(SocketAddr, Handle)> {
+    let lists = VecDeque::from([(options.clock.now(), options.instances)]);
+    let service = Service { lag: options.lag, clock: options.clock, lists: Mutex::new(lists) };
+    let service = Arc::new(service);
+    server::start(address, executor, move |request| handle(service.clone(), request))
+}
+
+async fn handle(service: Arc<Service>, mut request: Request) -> Answer {
+    match (request.method(), request.url().path()) {
+        (Method::Get, "/v1/instances") => Some(exchange::answer(200, &service.shown())),
+        (Method::Post, "/v1/instances") => {
+            let replaced = exchange::json_body(&mut request).await.map(|list| {
+                service.replace(list);
+                exchange::answer(200, &json!({}))
+            });
+            exchange::settle(replaced)
+        }
+        _ => Some(exchange::error(404, "no such call")),
+    }
+}
+
+impl Service {
+    fn shown(&self) -> Vec<Instance> {
+        let now = self.clock.now();
+        let mut lists = self.lists.lock().expect("no panic while locked");
+        while lists.get(1).is_some_and(|(from, _)| *from <= now) {
+            lists.pop_front();
+        }
+        lists.front().map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+
+    fn replace(&self, list: Vec<Instance>) {
+        let from = self.clock.now() + self.lag;
+        self.lists.lock().expect("no panic while locked").push_back((from, list));
+    }
+}
--- a/crates/berylwheel-standin/src/lib.rs
+++ b/crates/berylwheel-standin/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Stand-ins for the systems around the routers: small servers over sockets that fail on order.
+
+mod booking;
+mod engine;
+mod exchange;
+mod instances;
+mod server;
+mod store;
+
+pub use booking::BookingFaults;
+pub use booking::BookingOptions;
+pub use booking::start_booking;
+pub use engine::EngineFaults;
+pub use engine::EngineOptions;
+pub use engine::start_engine;
+pub use instances::Instance;
+pub use instances::InstancesOptions;
+pub use instances::start_instances;
+pub use server::Handle;
+pub use store::StoreOptions;
+pub use store::start_store;
--- /dev/null
+++ b/crates/berylwheel-standin/src/server.rs
@@ -0,0 +1,94 @@
+//! The listener that all stand-ins share.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::Executor;
+use async_h1::server::ConnectionStatus;
+use async_h1::server::Server;
+use async_io::Async;
+use berylwheel_http::Connection;
+use futures_lite::FutureExt;
+use http_types::Request;
+use http_types::Response;
+
+/// Keeps a stand-in running. Dropping it closes the listener and breaks all connections, as the
+/// death of the process would.
+#[derive(Debug)]
+#[must_use = "the stand-in stops when its handle is dropped"]
+pub struct Handle {
+    _stop: Sender<()>,
+}
+
+/// The answer of a stand-in, or `None` to break the connection without one.
+pub(crate) type Answer = Option<Response>;
+
+/// Listens on `address` and answers each request with `handler` until the handle is dropped.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub(crate) fn start<H, F>(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    handler: H,
+) -> io::Result<(SocketAddr, Handle)>
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let listener = Async::<TcpListener>::bind(address)?;
+    let address = listener.get_ref().local_addr()?;
+    let (stop, stopped) = async_channel::bounded(1);
+    let accepting = accept(listener, executor.clone(), handler, stopped.clone());
+    executor.spawn(until_stopped(stopped, accepting)).detach();
+    Ok((address, Handle { _stop: stop }))
+}
+
+/// Runs `work` until it ends or the handle is dropped.
+async fn until_stopped(stopped: Receiver<()>, work: impl Future<Output = ()>) {
+    let stop = async {
+        let _ = stopped.recv().await;
+    };
+    stop.or(work).await;
+}
+
+async fn accept<H, F>(
+    listener: Async<TcpListener>,
+    executor: Arc<Executor<'static>>,
+    handler: H,
+    stopped: Receiver<()>,
+) where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    loop {
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::error!(error:% = error; "stand-in cannot accept");
+                return;
+            }
+        };
+        let Ok(connection) = Connection::new(stream) else { continue };
+        let serving = serve(connection, handler.clone());
+        executor.spawn(until_stopped(stopped.clone(), serving)).detach();
+    }
+}
+
+async fn serve<H, F>(connection: Connection, handler: H)
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let endpoint = |request: Request| {
+        let answer = handler(request);
+        async move { answer.await.ok_or_else(|| http_types::format_err!("connection broken on order")) }
+    };
+    let mut server = Server::new(connection, endpoint);
+    while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {}
+}
--- /dev/null
+++ b/crates/berylwheel-standin/src/store.rs
@@ -0,0 +1,311 @@
+//! The key-value service: etcd's v3 JSON gateway on a [`MemoryStore`].
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_executor::Executor;
+use berylwheel_http::BodySender;
+use berylwheel_http::channel_body;
+use berylwheel_http::timeout;
+use berylwheel_store::Compare;
+use berylwheel_store::Entry;
+use berylwheel_store::LeaseId;
+use berylwheel_store::MemoryStore;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::SwapResult;
+use berylwheel_store::wire;
+use berylwheel_store::wire::Int64;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Handle;
+use crate::exchange;
+use crate::exchange::Rejection;
+use crate::server;
+use crate::server::Answer;
+
+/// How the store stand-in behaves.
+#[derive(Debug, Clone)]
+pub struct StoreOptions {
+    /// The content and the faults.
+    pub store: MemoryStore,
+}
+
+impl Default for StoreOptions {
+    fn default() -> Self {
+        // The time limit is the client's affair.
+        Self { store: MemoryStore::new(Clock::real()).time_limit(Millis(u64::MAX)) }
+    }
+}
+
+struct Service {
+    store: MemoryStore,
+    executor: Arc<Executor<'static>>,
+    watches: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// Starts a store.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub fn start_store(
+    address: SocketAddr,
+    executor: &Arc<Executor<'static>>,
+    options: StoreOptions,
+) -> io::Result<(SocketAddr, Handle)> {
+    let service = Service {
+        store: options.store,
+        executor: executor.clone(),
+        watches: AtomicU64::new(0),
+        bytes: AtomicU64::new(0),
+    };
+    let service = Arc::new(service);
+    server::start(address, executor, move |request| handle(service.clone(), request))
+}
+
+async fn handle(service: Arc<Service>, mut request: Request) -> Answer {
+    let path = request.url().path().to_owned();
+    if request.method() == Method::Get && path == "/stats" {
+        let counts = service.store.counts();
+        let mut stats = serde_json::to_value(counts).expect("counts are plain data");
+        // The store counts one watch for each batch of changes that it reports.
+        stats["watches"] = json!(service.watches.load(Ordering::Relaxed));
+        stats["bytes"] = json!(service.bytes.load(Ordering::Relaxed));
+        stats["revision"] = json!(service.store.revision());
+        return Some(exchange::answer(200, &stats));
+    }
+    let body = match exchange::body(&mut request).await {
+        Ok(body) => body,
+        Err(rejection) => return Some(rejection.response()),
+    };
+    if path != "/faults" {
+        service.bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
+    }
+    let result = match path.as_str() {
+        "/faults" => return exchange::settle(faults(&service, &body)),
+        "/v3/kv/range" => range(&service, &body).await,
+        "/v3/kv/txn" => txn(&service, &body).await,
+        "/v3/lease/grant" => grant(&service, &body).await,
+        "/v3/lease/keepalive" => keep_alive(&service, &body).await,
+        "/v3/watch" => watch(&service, &body),
+        _ => return Some(exchange::error(404, "no such call")),
+    };
+    match result {
+        Ok(response) => Some(response),
+        // No answer: the client cannot tell whether the write took effect.
+        Err(StoreError::Unknown) => None,
+        Err(StoreError::Unavailable) => Some(refusal(503, 14, "etcdserver: no leader")),
+        Err(StoreError::Protocol(detail)) => Some(refusal(400, 3, &detail)),
+        Err(StoreError::Compacted(_)) => Some(refusal(400, 11, "compacted")),
+    }
+}
+
+fn refusal(status: u16, code: u32, message: &str) -> Response {
+    exchange::answer(status, &json!({ "error": message, "code": code, "message": message }))
+}
+
+fn faults(service: &Service, body: &[u8]) -> Result<Response, Rejection> {
+    let mut order: Value = exchange::decode(body)?;
+    let lease = order.as_object_mut().and_then(|order| order.remove("expire_lease"));
+    let faults = exchange::merge(&service.store.faults(), &order)?;
+    service.store.set_faults(faults);
+    let expired = lease
+        .as_ref()
+        .and_then(Value::as_u64)
+        .is_some_and(|lease| service.store.expire_lease(LeaseId(lease)));
+    Ok(exchange::answer(200, &json!({ "expired": expired })))
+}
+
+impl Service {
+    fn answer(&self, body: &impl Serialize) -> Response {
+        let response = exchange::answer(200, body);
+        self.bytes.fetch_add(response.len().unwrap_or(0) as u64, Ordering::Relaxed);
+        response
+    }
+
+    fn header(&self) -> wire::Header {
+        wire::Header { revision: Int64(self.store.revision()) }
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Protocol(error.to_string()))
+}
+
+/// Returns the start of a range as text, and whether it covers a prefix. Other ranges are not
+/// served.
+fn bounds(key: wire::Bytes, end: &wire::Bytes) -> Result<(String, bool), StoreError> {
+    let prefix = !end.is_empty();
+    let key = if prefix && key.0 == [0] { wire::Bytes::default() } else { key };
+    if prefix && *end != wire::prefix_end(&key.0) {
+        return Err(StoreError::Protocol("only ranges over a prefix are served".to_owned()));
+    }
+    Ok((key.text().map_err(StoreError::Protocol)?, prefix))
+}
+
+async fn range(service: &Service, body: &[u8]) -> Result<Response, StoreError> {
+    let request: wire::RangeRequest = decode(body)?;
+    let (from, prefix) = bounds(request.key, &request.range_end)?;
+    let limit = request.limit.0.try_into().unwrap_or(u32::MAX);
+    let entries = service.store.range(&from, prefix, limit).await?;
+    let kvs = entries.into_iter().map(wire::KeyValue::from).collect();
+    Ok(service.answer(&wire::RangeResponse { header: service.header(), kvs }))
+}
+
+fn compare(request: wire::CompareRequest) -> Result<Compare, StoreError> {
+    if request.result != "EQUAL" || request.target != "MOD" {
+        return Err(StoreError::Protocol("only EQUAL on MOD is served".to_owned()));
+    }
+    let key = request.key.text().map_err(StoreError::Protocol)?;
+    Ok(Compare { key, revision: request.mod_revision.0 })
+}
+
+fn put(op: wire::RequestOp) -> Result<Put, StoreError> {
+    match op {
+        wire::RequestOp { request_put: Some(put), .. } => Ok(Put {
+            key: put.key.text().map_err(StoreError::Protocol)?,
+            value: Some(put.value.0),
+            lease: (put.lease.0 > 0).then_some(LeaseId(put.lease.0)),
+        }),
+        wire::RequestOp { request_delete_range: Some(delete), .. } => {
+            Ok(Put::delete(delete.key.text().map_err(StoreError::Protocol)?))
+        }
+        _ => Err(StoreError::Protocol("only put and delete are served on success".to_owned())),
+    }
+}
+
+async fn txn(service: &Service, body: &[u8]) -> Result<Response, StoreError> {
+    let request: wire::TxnRequest = decode(body)?;
+    let compares = request.compare.into_iter().map(compare).collect::<Result<_, _>>()?;
+    let puts = request.success.into_iter().map(put).collect::<Result<_, _>>()?;
+    let answer = match service.store.swap(compares, puts).await? {
+        SwapResult::Won(revision) => wire::TxnResponse {
+            header: wire::Header { revision: Int64(revision) },
+            succeeded: true,
+            responses: Vec::new(),
+        },
+        SwapResult::Lost(entries) => {
+            let ranges = entries.into_iter().map(|entry| wire::ResponseOp {
+                response_range: Some(wire::RangeResponse {
+                    header: wire::Header::default(),
+                    kvs: vec![entry.into()],
+                }),
+            });
+            wire::TxnResponse {
+                header: service.header(),
+                succeeded: false,
+                responses: ranges.collect(),
+            }
+        }
+    };
+    Ok(service.answer(&answer))
+}
+
+async fn grant(service: &Service, body: &[u8]) -> Result<Response, StoreError> {
+    let request: wire::LeaseMessage = decode(body)?;
+    let lease = service.store.lease(Millis(request.ttl.0.saturating_mul(1_000))).await?;
+    Ok(service.answer(&wire::LeaseMessage { id: Int64(lease.0), ttl: request.ttl }))
+}
+
+async fn keep_alive(service: &Service, body: &[u8]) -> Result<Response, StoreError> {
+    let request: wire::LeaseMessage = decode(body)?;
+    let alive = service.store.keep_alive(LeaseId(request.id.0)).await?;
+    let result = wire::LeaseMessage { id: request.id, ttl: Int64(alive.into()) };
+    Ok(service.answer(&wire::KeepAliveResponse { result }))
+}
+
+fn watch(service: &Arc<Service>, body: &[u8]) -> Result<Response, StoreError> {
+    let request = decode::<wire::WatchRequest>(body)?.create_request;
+    let (prefix, _) = bounds(request.key, &request.range_end)?;
+    if service.store.faults().down {
+        return Err(StoreError::Unavailable);
+    }
+    service.watches.fetch_add(1, Ordering::Relaxed);
+    let (sender, body) = channel_body();
+    let follower = Follower { service: service.clone(), sender, prefix };
+    let from = match request.start_revision.0 {
+        0 => service.store.revision() + 1,
+        from => from,
+    };
+    service.executor.spawn(follower.run(from)).detach();
+    let mut response = Response::new(200);
+    response.set_body(body);
+    response.insert_header("content-type", "application/json");
+    Ok(response)
+}
+
+/// Time after which a waiting watch looks for leases that have ended.
+const WATCH_POLL: Millis = Millis(100);
+
+/// Polls after which a watch sends a message without events, which shows whether the client is
+/// still there.
+const POLLS_PER_MESSAGE: u32 = 100;
+
+struct Follower {
+    service: Arc<Service>,
+    sender: BodySender,
+    prefix: String,
+}
+
+impl Follower {
+    /// Sends one message; returns false if the client has gone.
+    async fn send(&self, events: Vec<wire::Event>, compacted: u64) -> bool {
+        let result = wire::WatchResult {
+            header: self.service.header(),
+            canceled: compacted > 0,
+            compact_revision: Int64(compacted),
+            events,
+            ..Default::default()
+        };
+        self.send_result(result).await
+    }
+
+    async fn send_result(&self, result: wire::WatchResult) -> bool {
+        let mut line = serde_json::to_vec(&wire::WatchResponse { result }).unwrap_or_default();
+        line.push(b'\n');
+        self.service.bytes.fetch_add(line.len() as u64, Ordering::Relaxed);
+        self.sender.send(Ok(line)).await.is_ok()
+    }
+
+    async fn run(self, mut from: u64) {
+        let created = wire::WatchResult { created: true, ..Default::default() };
+        let mut present = self.send_result(created).await;
+        let mut polls = 0;
+        while present {
+            let changes = timeout(WATCH_POLL, self.service.store.watch(&self.prefix, from)).await;
+            present = match changes {
+                Some(Ok(changes)) => {
+                    from = changes.last().map_or(from, |entry| entry.revision + 1);
+                    self.send(changes.into_iter().map(event).collect(), 0).await
+                }
+                Some(Err(StoreError::Compacted(first))) => {
+                    self.send(Vec::new(), first).await;
+                    return;
+                }
+                Some(Err(_)) => return,
+                None => {
+                    polls += 1;
+                    polls % POLLS_PER_MESSAGE > 0 || self.send(Vec::new(), 0).await
+                }
+            };
+        }
+    }
+}
+
+fn event(entry: Entry) -> wire::Event {
+    let kind = if entry.deleted { "DELETE".to_owned() } else { String::new() };
+    wire::Event { kind, kv: entry.into() }
+}
--- /dev/null
+++ b/crates/berylwheel-standin/tests/booking.rs
@@ -0,0 +1,135 @@
+//! The booking and VM list stand-ins: runs by key under faults, lookups, the lag of the list.
+
+mod common;
+
+use berylwheel_http::Outgoing;
+use berylwheel_standin::BookingOptions;
+use berylwheel_standin::InstancesOptions;
+use berylwheel_standin::start_booking;
+use berylwheel_standin::start_instances;
+use berylwheel_types::Clock;
+use berylwheel_types::ManualClock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use common::Peer;
+use common::any_port;
+use common::run;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use http_types::Method;
+use serde_json::Value;
+use serde_json::json;
+
+fn book(key: &str) -> Outgoing {
+    Outgoing::new(Method::Post, "/book").header("idempotency-key", key).body("{}")
+}
+
+/// Guards against a fault that runs a call it should stop, or hides a run from the lookup.
+#[test]
+fn faults_act_before_or_after_the_run() {
+    // Faults, the status of the answer if there is one, whether the call ran.
+    let cases: [(Value, Option<u16>, bool); 8] = [
+        (json!({}), Some(200), true),
+        (json!({ "slow_ms": 1 }), Some(200), true),
+        (json!({ "status": 503 }), Some(503), false),
+        (json!({ "status_after": 500 }), Some(500), true),
+        (json!({ "drop_before": true }), None, false),
+        (json!({ "drop_after": true }), None, true),
+        (json!({ "hang_before": true }), None, false),
+        (json!({ "hang_after": true }), None, true),
+    ];
+    for (faults, status, ran) in cases {
+        run(async |executor| {
+            let (address, _service) =
+                start_booking(any_port(), &executor, BookingOptions::default()).unwrap();
+            let peer = Peer::new(address);
+            peer.order(faults.clone()).await;
+            let running = faults == json!({ "hang_before": true });
+            let call = book("k");
+            let answered = async { Some(peer.call(&call).await) };
+            let hung = async {
+                // Only a call that hangs shows this while it is not answered.
+                while !faults.to_string().contains("hang")
+                    || peer.get("/calls/k").await["ran"] != ran
+                    || peer.get("/calls/k").await["running"] != running
+                {
+                    future::yield_now().await;
+                }
+                None
+            };
+            let answer = answered.or(hung).await;
+            if let Some(Err(error)) = &answer {
+                assert!(error.sent, "{faults}: {error}");
+            }
+            let answer = answer.and_then(Result::ok);
+            assert_eq!(answer.map(|(status, _)| status), status, "{faults}");
+            let call = peer.get("/calls/k").await;
+            assert_eq!(
+                (&call["ran"], &call["running"]),
+                (&json!(ran), &json!(running)),
+                "{faults}"
+            );
+            let runs = if ran { json!({ "k": 1 }) } else { json!({}) };
+            assert_eq!(peer.get("/runs").await, runs, "{faults}");
+        });
+    }
+}
+
+/// Guards against a second booking under one key, and a double run that goes uncounted.
+#[test]
+fn runs_are_counted_by_key_and_deduplicated_on_request() {
+    for (deduplicate, runs) in [(true, 1), (false, 2)] {
+        run(async |executor| {
+            let options = BookingOptions { deduplicate, ..BookingOptions::default() };
+            let (address, _service) = start_booking(any_port(), &executor, options).unwrap();
+            let peer = Peer::new(address);
+            let (_, first) = peer.call(&book("k")).await.unwrap();
+            let (_, second) = peer.call(&book("k")).await.unwrap();
+            assert_eq!(first == second, deduplicate);
+            assert_eq!(peer.get("/runs").await, json!({ "k": runs }));
+            assert_eq!(peer.get("/calls/k").await["result"], second);
+            assert_eq!(peer.get("/calls/other").await["ran"], false);
+        });
+    }
+}
+
+/// Guards against faults that outlast their number, and lookups that count as runs.
+#[test]
+fn lookups_repeat_and_faults_wear_off() {
+    run(async |executor| {
+        let (address, _service) =
+            start_booking(any_port(), &executor, BookingOptions::default()).unwrap();
+        let peer = Peer::new(address);
+        peer.order(json!({ "status": 500, "times": 1 })).await;
+        let look_up = Outgoing::new(Method::Get, "/stock/cones");
+        assert_eq!(peer.call(&look_up).await.unwrap().0, 500);
+        let first = peer.call(&look_up).await.unwrap();
+        assert_eq!(first.0, 200);
+        assert_eq!(peer.call(&look_up).await.unwrap(), first);
+        assert_eq!(peer.get("/runs").await, json!({}));
+        assert_eq!(peer.get("/stats").await["lookups"], 2);
+        assert_eq!(peer.post("/faults", json!({ "unknown": 1 })).await.0, 400);
+    });
+}
+
+/// Guards against a list of VMs that is fresher than on the real platform.
+#[test]
+fn the_list_shows_changes_after_its_lag() {
+    run(async |executor| {
+        let clock = ManualClock::new(Timestamp::from_millis(1_000));
+        let options = InstancesOptions {
+            lag: Millis(2_000),
+            clock: Clock::Manual(clock.clone()),
+            instances: Vec::new(),
+        };
+        let (address, _list) = start_instances(any_port(), &executor, options).unwrap();
+        let peer = Peer::new(address);
+        let list =
+            json!([{ "name": "v", "address": "127.0.0.1:1", "domain": "d", "state": "leaving" }]);
+        assert_eq!(peer.post("/v1/instances", list.clone()).await.0, 200);
+        clock.advance(Millis(1_999));
+        assert_eq!(peer.get("/v1/instances").await, json!([]));
+        clock.advance(Millis(1));
+        assert_eq!(peer.get("/v1/instances").await, list);
+    });
+}
--- /dev/null
+++ b/crates/berylwheel-standin/tests/engine.rs
@@ -0,0 +1,181 @@
+//! The engine stand-in: answers, usage, load and orders.
+
+mod common;
+
+use berylwheel_http::Outgoing;
+use berylwheel_standin::EngineOptions;
+use berylwheel_standin::start_engine;
+use berylwheel_types::Clock;
+use berylwheel_types::ManualClock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use common::Peer;
+use common::any_port;
+use common::chat;
+use common::resume;
+use common::run;
+use common::text;
+use futures_lite::future;
+use http_types::Method;
+use serde_json::Value;
+use serde_json::json;
+
+/// Guards against an answer that a chat client cannot read, and usage that differs from it.
+#[test]
+fn a_plain_answer_has_the_text_and_the_usage() {
+    run(async |executor| {
+        let (address, _engine) =
+            start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+        let (status, answer) = Peer::new(address).call(&chat("r", 3, false)).await.unwrap();
+        assert_eq!((status, &answer["id"]), (200, &json!("r")));
+        assert_eq!(answer["choices"][0]["message"]["content"], "t0 t1 t2");
+        assert_eq!(answer["choices"][0]["finish_reason"], "length");
+        let usage = json!({ "prompt_tokens": 2, "completion_tokens": 3, "total_tokens": 5 });
+        assert_eq!(answer["usage"], usage);
+    });
+}
+
+/// Guards against a stream without its final event, and one that cannot be taken up again.
+#[test]
+fn a_stream_ends_with_its_usage_and_can_be_resumed() {
+    run(async |executor| {
+        let (address, _engine) =
+            start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+        let peer = Peer::new(address);
+        let (events, broke) = peer.events(&chat("r", 4, true)).await;
+        assert_eq!((events.len(), broke), (6, false));
+        assert_eq!(events[5], "[DONE]");
+        assert_eq!(text("r", &events), "t0 t1 t2 t3");
+        let last: Value = serde_json::from_str(&events[4]).unwrap();
+        assert_eq!(last["usage"]["total_tokens"], 6);
+        let (events, _) = peer.events(&resume("r", 3)).await;
+        assert_eq!((text("r", &events).as_str(), events.len()), (" t3", 3));
+        assert_eq!(peer.call(&chat("r", 4, true)).await.unwrap().0, 409);
+        assert_eq!(peer.call(&resume("unknown", 1)).await.unwrap().0, 404);
+    });
+}
+
+/// Guards against usage that a router cannot attribute when it bills for a dead one.
+#[test]
+fn usage_is_remembered_by_owner() {
+    run(async |executor| {
+        let (address, _engine) =
+            start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+        let peer = Peer::new(address);
+        let owned = chat("r", 3, false)
+            .header("x-request-owner", "r1@7")
+            .header("idempotency-key", "k")
+            .header("x-budget", "w/main");
+        peer.call(&owned).await.unwrap();
+        peer.call(&chat("other", 3, false).header("x-request-owner", "r2@7")).await.unwrap();
+        let expected = json!([{ "request": "r", "owner": "r1@7", "bill_key": "k",
+            "budget": "w/main", "tokens": 5, "finished": true }]);
+        assert_eq!(peer.get("/v1/usage?owner=r1@7").await, expected);
+    });
+}
+
+/// Guards against a queue that keeps urgent work waiting, and a cancelled request that keeps its
+/// slot.
+#[test]
+fn slots_go_to_the_most_urgent_and_are_freed_by_cancelling() {
+    run(async |executor| {
+        let options = EngineOptions { slots: 1, ..EngineOptions::default() };
+        let (address, _engine) = start_engine(any_port(), &executor, options).unwrap();
+        let peer = Peer::new(address);
+        peer.order(json!({ "first_token_ms": 3_600_000 })).await;
+        let ask = |id: &str, priority: u64| {
+            let body = json!({ "messages": [], "max_tokens": 1, "priority": priority });
+            Outgoing::new(Method::Post, "/v1/chat/completions")
+                .header("x-request-id", id)
+                .body(body.to_string())
+        };
+        let (started, order) = async_channel::unbounded();
+        for (n, (id, priority)) in [("held", 0), ("batch", 2), ("urgent", 0)].iter().enumerate() {
+            let (caller, outgoing, started) = (peer.clone(), ask(id, *priority), started.clone());
+            let id = id.to_string();
+            executor
+                .spawn(async move {
+                    let answer = caller.call(&outgoing).await.unwrap().1;
+                    started.send((id, answer)).await.unwrap();
+                })
+                .detach();
+            loop {
+                let load = peer.get("/v1/load").await;
+                if (load["in_flight"].as_u64(), load["queued"].as_u64())
+                    == (Some(1), Some(n as u64))
+                {
+                    break;
+                }
+                future::yield_now().await;
+            }
+            if n == 0 {
+                peer.order(json!({ "first_token_ms": 0 })).await;
+            }
+        }
+        let cancel = Outgoing::new(Method::Delete, "/v1/requests/held");
+        assert_eq!(peer.call(&cancel).await.unwrap().0, 200);
+        let mut ids = Vec::new();
+        for _ in 0..3 {
+            let (id, answer) = order.recv().await.unwrap();
+            let reason = if id == "held" { "cancelled" } else { "length" };
+            assert_eq!(answer["choices"][0]["finish_reason"], reason);
+            ids.push(id);
+        }
+        assert!(
+            ids.iter().position(|id| id == "urgent") < ids.iter().position(|id| id == "batch"),
+            "{ids:?}"
+        );
+        let load = peer.get("/v1/load").await;
+        assert_eq!((&load["in_flight"], &load["queued"]), (&json!(0), &json!(0)));
+    });
+}
+
+/// Guards against load reports and cache events that are fresher than on the real platform.
+#[test]
+fn load_and_cache_events_are_late_by_their_lags() {
+    run(async |executor| {
+        let clock = ManualClock::new(Timestamp::from_millis(10_000));
+        let options = EngineOptions {
+            load_lag: Millis(500),
+            cache_lag: Millis(700),
+            cache_entries: 1,
+            clock: Clock::Manual(clock.clone()),
+            ..EngineOptions::default()
+        };
+        let (address, _engine) = start_engine(any_port(), &executor, options).unwrap();
+        let peer = Peer::new(address);
+        peer.order(json!({ "draining": true })).await;
+        peer.order(json!({ "draining": false, "cache_gaps": 1 })).await;
+        peer.order(json!({ "draining": true })).await;
+        assert_eq!(peer.get("/v1/load").await["draining"], false);
+        clock.advance(Millis(500));
+        assert_eq!(peer.get("/v1/load").await["draining"], true);
+        peer.order(json!({ "draining": false })).await;
+        for (id, prefix) in [("a", "1"), ("b", "2")] {
+            peer.call(&chat(id, 1, false).header("x-prefix", prefix)).await.unwrap();
+        }
+        assert_eq!(peer.get("/v1/cache?after=0").await, json!({ "events": [] }));
+        clock.advance(Millis(700));
+        let events = json!({ "events": [
+            { "sequence": 2, "prefix": 2, "held": true },
+            { "sequence": 3, "prefix": 1, "held": false },
+        ] });
+        assert_eq!(peer.get("/v1/cache?after=0").await, events, "the first event is a gap");
+    });
+}
+
+/// Guards against a stale order that a checking engine takes, or an ignoring one refuses.
+#[test]
+fn orders_are_fenced_only_by_engines_that_check() {
+    for (check_fence, expected) in [(true, 409), (false, 200)] {
+        run(async |executor| {
+            let options = EngineOptions { check_fence, ..EngineOptions::default() };
+            let (address, _engine) = start_engine(any_port(), &executor, options).unwrap();
+            let peer = Peer::new(address);
+            let order = |fence: u64| json!({ "fence": fence, "model": "m" });
+            assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200);
+            assert_eq!(peer.post("/v1/orders", order(6)).await.0, expected);
+            assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200, "the same holder again");
+        });
+    }
+}
