Run one contract table for all store implementations

Cause: the fake must not promise more than the client keeps. Change: 14 cases run for MemoryStore and for HttpStore against the stand-in: creation, lost races, revisions, prefixes, values to 1 MB, leases, watches, store down, slow, and answers lost with and without effect.

--- /dev/null
+++ b/crates/berylwheel-store/tests/common/mod.rs
@@ -0,0 +1,51 @@
+//! The implementations of [`Store`] that the contract covers.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use async_executor::Executor;
+use berylwheel_standin::start_store;
+use berylwheel_store::HttpStore;
+use berylwheel_store::MemoryStore;
+use berylwheel_store::Store;
+use berylwheel_store::StoreOptions;
+use berylwheel_types::Clock;
+use berylwheel_types::ManualClock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use futures_lite::future;
+
+/// One implementation under test, and the store that holds its content and faults.
+pub struct Fixture {
+    pub name: &'static str,
+    pub store: Arc<dyn Store>,
+    pub memory: MemoryStore,
+    pub clock: ManualClock,
+}
+
+pub type CaseFuture = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Runs `case` for every implementation, with `limit` as the time for a call.
+pub fn for_each(limit: Millis, case: fn(Fixture) -> CaseFuture) {
+    let executor = Arc::new(Executor::new());
+    let clock = ManualClock::new(Timestamp::from_millis(1_000));
+    let memory = MemoryStore::new(Clock::Manual(clock.clone())).time_limit(limit);
+    let store = Arc::new(memory.clone());
+    let fixture = Fixture { name: "memory", store, memory, clock };
+    println!("{}", fixture.name);
+    future::block_on(executor.run(case(fixture)));
+
+    let clock = ManualClock::new(Timestamp::from_millis(1_000));
+    let memory = MemoryStore::new(Clock::Manual(clock.clone())).time_limit(Millis(u64::MAX));
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let options = berylwheel_standin::StoreOptions { store: memory.clone() };
+    let (address, _server) = start_store(any_port, &executor, options).expect("a free port");
+    let mut options = StoreOptions::new(vec![address]);
+    (options.read_time, options.write_time) = (limit, limit);
+    let store = Arc::new(HttpStore::new(options));
+    let fixture = Fixture { name: "http", store, memory, clock };
+    println!("{}", fixture.name);
+    future::block_on(executor.run(case(fixture)));
+}
--- /dev/null
+++ b/crates/berylwheel-store/tests/contract.rs
@@ -0,0 +1,284 @@
+//! What every store has to do, run for each implementation.
+
+mod common;
+
+use berylwheel_store::Compare;
+use berylwheel_store::LeaseId;
+use berylwheel_store::Lost;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::StoreFaults;
+use berylwheel_store::SwapResult;
+use berylwheel_types::Millis;
+use common::Fixture;
+use common::for_each;
+use futures_lite::future;
+
+/// Long enough for any call that is to succeed.
+const AMPLE: Millis = Millis(60_000);
+
+/// Under the delay of a store that is slow on order.
+const SHORT: Millis = Millis(50);
+
+const SLOW_MS: u64 = 3_600_000;
+
+async fn put(store: &dyn Store, key: &str, value: &[u8]) -> u64 {
+    match store.swap(Vec::new(), vec![Put::new(key, value)]).await {
+        Ok(SwapResult::Won(revision)) => revision,
+        other => panic!("put of {key}: {other:?}"),
+    }
+}
+
+async fn create(store: &dyn Store, key: &str, value: &str) -> Result<SwapResult, StoreError> {
+    store.swap(vec![Compare::absent(key)], vec![Put::new(key, value)]).await
+}
+
+async fn keys(store: &dyn Store, from: &str, prefix: bool, limit: u32) -> Vec<String> {
+    let entries = store.range(from, prefix, limit).await.expect("the store is up");
+    entries.into_iter().map(|entry| entry.key).collect()
+}
+
+async fn value(fixture: &Fixture, key: &str) -> Option<Vec<u8>> {
+    let entries = fixture.store.range(key, false, 0).await.expect("the store is up");
+    entries.into_iter().next().map(|entry| entry.value)
+}
+
+/// Guards against a second creator that overwrites the first, or is not told what won.
+#[test]
+fn only_the_first_creator_wins_and_the_other_learns_the_entry() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let won = create(&*f.store, "k", "first").await;
+            let Ok(SwapResult::Won(revision)) = won else { panic!("{won:?}") };
+            let lost = create(&*f.store, "k", "second").await;
+            let Ok(SwapResult::Lost(current)) = lost else { panic!("{lost:?}") };
+            assert_eq!(current.len(), 1);
+            assert_eq!(current[0].value, b"first");
+            assert_eq!((current[0].revision, current[0].deleted), (revision, false));
+        })
+    });
+}
+
+/// Guards against a write that takes effect although its reader saw an older revision.
+#[test]
+fn a_swap_on_an_old_revision_changes_nothing() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let first = put(&*f.store, "a", b"1").await;
+            let second = put(&*f.store, "a", b"2").await;
+            assert!(second > first, "revisions rise");
+            let puts = vec![Put::new("a", "3"), Put::new("b", "3")];
+            let lost = f.store.swap(vec![Compare::new("a", first)], puts.clone()).await;
+            assert!(matches!(lost, Ok(SwapResult::Lost(_))), "{lost:?}");
+            assert_eq!(value(&f, "b").await, None, "no part of a lost swap takes effect");
+            let won = f.store.swap(vec![Compare::new("a", second)], puts).await;
+            assert_eq!(won, Ok(SwapResult::Won(second + 1)));
+            let entries = f.store.range("", true, 0).await.unwrap();
+            assert!(entries.iter().all(|entry| entry.revision == second + 1), "{entries:?}");
+        })
+    });
+}
+
+/// Guards against a loser that is told of an entry that does not exist.
+#[test]
+fn a_compare_on_a_missing_key_loses_without_entries() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let lost = f.store.swap(vec![Compare::new("k", 7)], vec![Put::new("k", "v")]).await;
+            assert_eq!(lost, Ok(SwapResult::Lost(Vec::new())));
+        })
+    });
+}
+
+/// Guards against a deletion outside its transaction, and a key that cannot be created again.
+#[test]
+fn a_transaction_deletes_and_puts_together() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let revision = put(&*f.store, "old", b"v").await;
+            let puts = vec![Put::delete("old"), Put::new("new", "v")];
+            let won = f.store.swap(vec![Compare::new("old", revision)], puts).await;
+            assert_eq!(won, Ok(SwapResult::Won(revision + 1)));
+            assert_eq!(keys(&*f.store, "", true, 0).await, ["new"]);
+            assert!(matches!(create(&*f.store, "old", "v").await, Ok(SwapResult::Won(_))));
+        })
+    });
+}
+
+/// Guards against a prefix that takes in its neighbours, and a range without order or limit.
+#[test]
+fn ranges_cover_exactly_their_prefix() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            for key in ["b/2", "b/10", "b", "b0", "a/1", "b/\u{10ffff}"] {
+                put(&*f.store, key, b"v").await;
+            }
+            assert_eq!(keys(&*f.store, "b/", true, 0).await, ["b/10", "b/2", "b/\u{10ffff}"]);
+            assert_eq!(keys(&*f.store, "b/", true, 2).await, ["b/10", "b/2"]);
+            assert_eq!(keys(&*f.store, "b", false, 0).await, ["b"]);
+            assert_eq!(keys(&*f.store, "c", true, 0).await, [""; 0]);
+            assert_eq!(keys(&*f.store, "", true, 0).await.len(), 6);
+        })
+    });
+}
+
+/// Guards against values that are cut, or changed on their way.
+#[test]
+fn values_of_all_bytes_up_to_one_megabyte_come_back() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            for size in [0, 1, 255, 65_537, 1 << 20] {
+                let bytes: Vec<u8> = (0..size).map(|i| (i % 251) as u8).collect();
+                put(&*f.store, "k", &bytes).await;
+                assert!(value(&f, "k").await == Some(bytes), "{size} bytes");
+            }
+        })
+    });
+}
+
+/// Guards against keys that outlive their lease, and leases that end while they are kept alive.
+#[test]
+fn a_lease_ends_when_it_is_not_kept_alive_and_takes_its_keys() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let lease = f.store.lease(Millis(2_000)).await.unwrap();
+            let puts = vec![Put::new("held", "v").lease(lease), Put::new("free", "v")];
+            f.store.swap(Vec::new(), puts).await.unwrap();
+            f.clock.advance(Millis(1_900));
+            assert_eq!(f.store.keep_alive(lease).await, Ok(true));
+            f.clock.advance(Millis(1_900));
+            assert_eq!(keys(&*f.store, "", true, 0).await, ["free", "held"]);
+            f.clock.advance(Millis(100));
+            assert_eq!(keys(&*f.store, "", true, 0).await, ["free"]);
+            assert_eq!(f.store.keep_alive(lease).await, Ok(false));
+            let late = f.store.swap(Vec::new(), vec![Put::new("k", "v").lease(lease)]).await;
+            assert!(matches!(late, Err(StoreError::Protocol(_))), "{late:?}");
+        })
+    });
+}
+
+/// Guards against a holder that does not see that its lease was taken away.
+#[test]
+fn a_lease_can_be_expired_on_order() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let lease = f.store.lease(Millis(60_000)).await.unwrap();
+            f.store.swap(Vec::new(), vec![Put::new("k", "v").lease(lease)]).await.unwrap();
+            assert!(f.memory.expire_lease(lease));
+            assert_eq!(value(&f, "k").await, None);
+            assert_eq!(f.store.keep_alive(lease).await, Ok(false));
+            assert_eq!(f.store.keep_alive(LeaseId(999)).await, Ok(false));
+        })
+    });
+}
+
+/// Guards against changes that a watch leaves out, repeats or reorders.
+#[test]
+fn a_watch_reports_changes_in_order_from_its_revision() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let first = put(&*f.store, "w/a", b"1").await;
+            put(&*f.store, "other", b"-").await;
+            put(&*f.store, "w/b", b"2").await;
+            f.store.swap(Vec::new(), vec![Put::delete("w/a")]).await.unwrap();
+            let seen = f.store.watch("w/", first).await.unwrap();
+            let seen: Vec<_> =
+                seen.iter().map(|e| (e.key.as_str(), e.value.as_slice(), e.deleted)).collect();
+            let expected: [(&str, &[u8], bool); 3] =
+                [("w/a", b"1", false), ("w/b", b"2", false), ("w/a", b"", true)];
+            assert_eq!(seen, expected);
+        })
+    });
+}
+
+/// Guards against a watch that sleeps through a change, or through the end of a lease.
+#[test]
+fn a_waiting_watch_wakes_up() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let lease = f.store.lease(Millis(1_000)).await.unwrap();
+            let start = f.memory.revision() + 1;
+            let change = async {
+                let puts = vec![Put::new("w", "v").lease(lease)];
+                f.store.swap(Vec::new(), puts).await.unwrap();
+            };
+            let (seen, ()) = future::zip(f.store.watch("w", start), change).await;
+            let seen = seen.unwrap();
+            assert_eq!((seen.len(), seen[0].value.as_slice()), (1, &b"v"[..]));
+            let end = async {
+                f.clock.advance(Millis(1_000));
+                f.memory.expire();
+            };
+            let next = f.store.watch("w", seen[0].revision + 1);
+            let (seen, ()) = future::zip(next, end).await;
+            assert!(seen.unwrap()[0].deleted);
+        })
+    });
+}
+
+/// Guards against a watcher that misses changes that the store has dropped.
+#[test]
+fn a_watch_from_before_the_kept_changes_is_told() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let first = put(&f.memory, "k", b"v").await;
+            for _ in 0..10_000 {
+                put(&f.memory, "k", b"v").await;
+            }
+            let seen = f.store.watch("k", first).await;
+            assert_eq!(seen, Err(StoreError::Compacted(first + 1)));
+        })
+    });
+}
+
+/// Guards against a refused write that is taken for a possible one.
+#[test]
+fn a_store_that_is_down_refuses_everything_without_effect() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            f.memory.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+            assert_eq!(f.store.range("k", false, 0).await, Err(StoreError::Unavailable));
+            assert_eq!(create(&*f.store, "k", "v").await, Err(StoreError::Unavailable));
+            assert_eq!(f.store.lease(Millis(1)).await, Err(StoreError::Unavailable));
+            assert_eq!(f.store.keep_alive(LeaseId(1)).await, Err(StoreError::Unavailable));
+            assert_eq!(f.store.watch("k", 1).await, Err(StoreError::Unavailable));
+            f.memory.set_faults(StoreFaults::default());
+            assert_eq!(value(&f, "k").await, None);
+        })
+    });
+}
+
+/// Guards against a slow write that is taken for one without effect.
+#[test]
+fn a_slow_store_leaves_reads_unavailable_and_writes_unknown() {
+    for_each(SHORT, |f| {
+        Box::pin(async move {
+            f.memory.set_faults(StoreFaults { slow_ms: SLOW_MS, ..StoreFaults::default() });
+            assert_eq!(f.store.range("k", false, 0).await, Err(StoreError::Unavailable));
+            assert_eq!(create(&*f.store, "k", "v").await, Err(StoreError::Unknown));
+            f.memory.set_faults(StoreFaults::default());
+            let entries = f.memory.range("k", false, 0).await.unwrap();
+            assert_eq!(entries.len(), 1, "the slow write took effect");
+        })
+    });
+}
+
+/// Guards against a lost answer that is taken for a refusal, whether or not the write took effect.
+#[test]
+fn a_lost_answer_is_unknown() {
+    for_each(AMPLE, |f| {
+        Box::pin(async move {
+            let lost = Lost::Count(1);
+            f.memory.set_faults(StoreFaults { lose_answers: lost, ..StoreFaults::default() });
+            assert_eq!(create(&*f.store, "applied", "v").await, Err(StoreError::Unknown));
+            f.memory.set_faults(StoreFaults { lose_writes: lost, ..StoreFaults::default() });
+            assert_eq!(create(&*f.store, "dropped", "v").await, Err(StoreError::Unknown));
+            assert_eq!(keys(&*f.store, "", true, 0).await, ["applied"]);
+            f.memory.set_faults(StoreFaults { lose_answers: Lost::All, ..StoreFaults::default() });
+            for _ in 0..3 {
+                assert_eq!(f.store.lease(Millis(1)).await, Err(StoreError::Unknown));
+            }
+        })
+    });
+}
