--- /dev/null
+++ b/crates/berylwheel-command/src/budget.rs
@@ -0,0 +1,74 @@
+//! `berylwheel budget`
+
+use anyhow::Context;
+use anyhow::Result;
+use async_io::block_on;
+use berylwheel_types::BudgetId;
+use berylwheel_types::CreditId;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Tokens;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use serde_json::json;
+
+use crate::connect::Connection;
+use crate::connect::print_json;
+use crate::connect::with_connection;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let budget = || {
+        Arg::new("budget")
+            .required(true)
+            .help("WORKSPACE/NAME")
+            .value_parser(value_parser!(BudgetId))
+    };
+    let tokens = Arg::new("tokens")
+        .required(true)
+        .help("Tokens, such as 500, 20k or 3M")
+        .value_parser(value_parser!(Tokens));
+    let id = Arg::new("id")
+        .long("id")
+        .required(true)
+        .help("Id of the payment; the same id takes effect once")
+        .value_parser(value_parser!(CreditId));
+    let holder = Arg::new("holder")
+        .required(true)
+        .help("Process run that is gone, as ROUTER@NUMBER")
+        .value_parser(value_parser!(Incarnation));
+    let about =
+        |name: &'static str, about: &'static str| Command::new(name).about(about).arg(budget());
+    with_connection(Command::new("budget").about("Creates, tops up and shows budgets"))
+        .subcommand_required(true)
+        .subcommand(about("create", "Creates an empty budget"))
+        .subcommand(about("credit", "Tops a budget up").arg(tokens.clone()).arg(id.clone()))
+        .subcommand(about("cut", "Takes tokens back").arg(tokens).arg(id))
+        .subcommand(about("close", "Ends a budget"))
+        .subcommand(about("show", "Shows balance, grants, bills and audit trail"))
+        .subcommand(about("release", "Returns the grant of a holder that is gone").arg(holder))
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if the router cannot be reached or refuses.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let connection = Connection::from_args(args)?;
+    let (name, args) = args.subcommand().context("no subcommand")?;
+    let budget = args.get_one::<BudgetId>("budget").context("no budget")?;
+    let path = format!("/admin/budgets/{budget}");
+    if name == "show" {
+        return print_json(&block_on(connection.get(&path))?);
+    }
+    let mut body = json!({ "op": name });
+    if matches!(name, "credit" | "cut") {
+        body["tokens"] = json!(args.get_one::<Tokens>("tokens"));
+        body["id"] = json!(args.get_one::<CreditId>("id"));
+    }
+    if name == "release" {
+        body["holder"] = json!(args.get_one::<Incarnation>("holder"));
+    }
+    print_json(&block_on(connection.post(&path, &body))?)
+}
--- /dev/null
+++ b/crates/berylwheel-command/src/config.rs
@@ -0,0 +1,156 @@
+//! `berylwheel config`
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+use async_io::Timer;
+use async_io::block_on;
+use berylwheel_router::Configuration;
+use berylwheel_store::HttpStore;
+use berylwheel_store::StoreOptions;
+use berylwheel_types::Clock;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::check::read_settings;
+use crate::connect::Connection;
+use crate::connect::print_json;
+use crate::connect::with_connection;
+use crate::entity;
+
+/// Interval at which `wait` asks the routers.
+const WAIT_INTERVAL: Duration = Duration::from_millis(200);
+/// Times that `wait` asks.
+const WAIT_LIMIT: u32 = 300;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let version =
+        |name: &'static str| Arg::new(name).required(true).value_parser(value_parser!(u64));
+    let init = Command::new("init")
+        .about("Puts a file into an empty store; the first step of a new fleet")
+        .arg(
+            Arg::new("store")
+                .long("store")
+                .required(true)
+                .help("Address of the key-value service, IP:PORT")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(Arg::new("file").required(true).value_parser(value_parser!(PathBuf)));
+    let set = Command::new("set")
+        .about("Changes keys of one section")
+        .arg(Arg::new("section").required(true).help("Such as fleet or \"kind chat\""))
+        .arg(Arg::new("pairs").num_args(1..).required(true).help("KEY=VALUE, or KEY= to remove"));
+    let wait = Command::new("wait")
+        .about("Waits until every live router has a version")
+        .arg(version("version"));
+    let command = Command::new("config").about("Shows and changes the configuration");
+    with_connection(entity::with_change(command))
+        .subcommand_required(true)
+        .subcommand(init)
+        .subcommand(Command::new("show").about("Prints version and settings"))
+        .subcommand(set)
+        .subcommand(Command::new("history").about("Lists the kept versions"))
+        .subcommand(
+            Command::new("diff")
+                .about("Prints what two versions set differently")
+                .arg(version("from"))
+                .arg(version("to")),
+        )
+        .subcommand(
+            Command::new("rollback")
+                .about("Puts an earlier version's settings in force as a new version")
+                .arg(version("version")),
+        )
+        .subcommand(Command::new("fleet").about("Lists the routers' versions"))
+        .subcommand(wait)
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if the router or the store cannot be reached or refuses.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let (action, inner) = args.subcommand().context("no subcommand")?;
+    if action == "init" {
+        return block_on(init(inner));
+    }
+    let connection = Connection::from_args(args)?;
+    let number = |name: &str| inner.get_one::<u64>(name).copied().unwrap_or_default();
+    block_on(async {
+        match action {
+            "show" => show(&connection).await,
+            "set" => set(&connection, inner).await,
+            "history" => print_json(&connection.get("/admin/config/history").await?),
+            "diff" => {
+                let (from, to) = (number("from"), number("to"));
+                let path = format!("/admin/config/diff?from={from}&to={to}");
+                print_json(&connection.get(&path).await?)
+            }
+            "rollback" => {
+                let change = entity::change_id(inner);
+                let body = json!({ "change": change, "version": number("version") });
+                print_json(&connection.post("/admin/config/rollback", &body).await?)
+            }
+            "fleet" => print_json(&versions(&connection).await?),
+            _ => wait(&connection, number("version")).await,
+        }
+    })
+}
+
+async fn init(args: &ArgMatches) -> Result<()> {
+    let file = args.get_one::<PathBuf>("file").context("no file")?;
+    let store = *args.get_one::<SocketAddr>("store").context("no store")?;
+    let settings = read_settings(file)?;
+    let store = Arc::new(HttpStore::new(StoreOptions::new(vec![store])));
+    let configuration = Configuration { store, clock: Clock::real() };
+    let change = entity::change_id(args).parse()?;
+    print_json(&configuration.init(change, settings).await?)
+}
+
+async fn show(connection: &Connection) -> Result<()> {
+    let shown = connection.get("/admin/config").await?;
+    println!("# version {}", shown["version"]);
+    print!("{}", shown["settings"].as_str().unwrap_or_default());
+    Ok(())
+}
+
+async fn set(connection: &Connection, args: &ArgMatches) -> Result<()> {
+    let section = args.get_one::<String>("section").context("no section")?;
+    let pairs = args.get_many::<String>("pairs").context("nothing to set")?;
+    let edits: Vec<_> =
+        pairs.map(|pair| entity::parse_pair(section, pair)).collect::<Result<_>>()?;
+    print_json(&entity::send_edits(connection, entity::change_id(args), &edits).await?)
+}
+
+/// Returns the version of each router that the asked one knows, its own included.
+async fn versions(connection: &Connection) -> Result<Value> {
+    let dump = connection.get("/dump").await?;
+    let mut versions = dump["fleet"]["versions"].as_array().cloned().unwrap_or_default();
+    let name = dump["router"].as_str().and_then(|run| run.split('@').next()).unwrap_or_default();
+    versions.push(json!([name, dump["version"]]));
+    let live = dump["fleet"]["live"].as_array().cloned().unwrap_or_default();
+    versions.retain(|entry| live.contains(&entry[0]));
+    Ok(Value::Array(versions))
+}
+
+async fn wait(connection: &Connection, version: u64) -> Result<()> {
+    for _ in 0..WAIT_LIMIT {
+        let versions = versions(connection).await?;
+        let rows = versions.as_array().cloned().unwrap_or_default();
+        if rows.iter().all(|row| row[1].as_u64() >= Some(version)) {
+            return print_json(&versions);
+        }
+        Timer::after(WAIT_INTERVAL).await;
+    }
+    bail!("not all live routers have version {version}")
+}
--- /dev/null
+++ b/crates/berylwheel-command/src/demo.rs
@@ -0,0 +1,252 @@
+//! `berylwheel demo`: a fleet of three routers with stand-ins in one process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+use anyhow::ensure;
+use async_executor::Executor;
+use async_io::Timer;
+use async_io::block_on;
+use berylwheel_config::key_digest;
+use berylwheel_http::Client;
+use berylwheel_http::Outgoing;
+use berylwheel_peer::PeerIdentity;
+use berylwheel_router::Configuration;
+use berylwheel_router::Running;
+use berylwheel_router::start;
+use berylwheel_settings::Settings;
+use berylwheel_standin::BookingOptions;
+use berylwheel_standin::EngineOptions;
+use berylwheel_standin::Handle;
+use berylwheel_standin::StoreOptions;
+use berylwheel_standin::start_booking;
+use berylwheel_standin::start_engine;
+use berylwheel_standin::start_store;
+use berylwheel_store::HttpStore;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use clap::Command;
+use futures_lite::future;
+use http_types::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::certificates;
+use crate::connect::Connection;
+use crate::key::new_key;
+
+const ROUTERS: [&str; 3] = ["router-1", "router-2", "router-3"];
+const CREDIT: u64 = 1_000;
+const STREAM_TOKENS: u64 = 24;
+/// Time for one answer.
+const ANSWER_TIME: Millis = Millis(20_000);
+/// Interval and number of looks at a state that takes a moment.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_LIMIT: u32 = 400;
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new("demo").about("Runs a small fleet with stand-ins in one process and checks it")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if anything did not go as it should.
+pub fn run() -> Result<()> {
+    let directory = std::env::temp_dir().join(format!("berylwheel-demo-{}", std::process::id()));
+    let result = block_on(demonstrate(&directory));
+    let _ = fs::remove_dir_all(&directory);
+    result
+}
+
+struct Demo {
+    client: Client,
+    caller: String,
+    routers: Vec<Running>,
+    booking: SocketAddr,
+    operator: Connection,
+    _handles: [Handle; 3],
+}
+
+async fn demonstrate(directory: &Path) -> Result<()> {
+    let demo = set_up(directory).await?;
+    println!("3 routers, a store, a model engine and a booking service run in this process.");
+    demo.stream().await?;
+    demo.look_up().await?;
+    demo.book().await?;
+    demo.overdraw().await?;
+    demo.show_ledger().await?;
+    for router in &demo.routers {
+        router.drain();
+        router.drained().await;
+    }
+    println!("All routers have drained. Everything was as expected.");
+    for router in demo.routers {
+        router.stop();
+    }
+    Ok(())
+}
+
+async fn set_up(directory: &Path) -> Result<Demo> {
+    let executor = Arc::new(Executor::new());
+    let any: SocketAddr = "127.0.0.1:0".parse()?;
+    let (store, store_handle) = start_store(any, &executor, StoreOptions::default())?;
+    let engine_options =
+        EngineOptions { models: vec!["m1".to_owned()], ..EngineOptions::default() };
+    let (engine, engine_handle) = start_engine(any, &executor, engine_options)?;
+    let (booking, booking_handle) = start_booking(any, &executor, BookingOptions::default())?;
+    thread::spawn(move || block_on(executor.run(future::pending::<()>())));
+
+    let (caller, operator) = (new_key(), new_key());
+    let text = format!(
+        "[kind chat]\nservice = engine\nmodels = m1\nmax_tokens = 4000\n\
+         [kind booking]\nservice = plain\nrank = urgent\nrepeat = never\nlookup = yes\n\
+         [kind stock]\nservice = plain\nrank = urgent\nrepeat = idempotent\n\
+         [workspace shop]\nkey.counter = {}\n[operator demo]\nkey = {}\n\
+         [server engine-1]\naddress = {engine}\nkinds = chat\nmodels = m1\nconcurrency = 32\n\
+         domain = a\n\
+         [server booking-1]\naddress = {booking}\nkinds = booking, stock\nconcurrency = 32\n\
+         domain = a\n",
+        key_digest(&caller),
+        key_digest(&operator),
+    );
+    let settings = Settings::parse("demo", &text)?;
+    let client = HttpStore::new(berylwheel_store::StoreOptions::new(vec![store]));
+    let configuration = Configuration { store: Arc::new(client), clock: Clock::real() };
+    configuration.init("demo".parse()?, settings).await?;
+
+    certificates::write(directory, &ROUTERS)?;
+    let mut routers = Vec::new();
+    for name in ROUTERS {
+        routers.push(start_router(directory, name, store)?);
+    }
+    let operator = Connection::new(routers[0].admin, &operator);
+    let demo = Demo {
+        client: Client::default(),
+        caller,
+        routers,
+        booking,
+        operator,
+        _handles: [store_handle, engine_handle, booking_handle],
+    };
+    for router in &demo.routers {
+        demo.wait_ready(router).await?;
+    }
+    let budget = "/admin/budgets/shop/main";
+    demo.operator.post(budget, &json!({ "op": "create" })).await?;
+    let credit = json!({ "op": "credit", "id": "payment-1", "tokens": CREDIT });
+    demo.operator.post(budget, &credit).await?;
+    Ok(demo)
+}
+
+fn start_router(directory: &Path, name: &str, store: SocketAddr) -> Result<Running> {
+    let file = |suffix: &str| -> PathBuf { directory.join(format!("{name}.{suffix}")) };
+    let text = format!(
+        "[router]\nname = {name}\ndomain = {name}\nregion = demo\nlisten = 127.0.0.1:0\n\
+         admin = 127.0.0.1:0\npeer = 127.0.0.1:0\nstore = {store}\nca = {}\ncert = {}\nkey = {}\n",
+        directory.join("ca.pem").display(),
+        file("pem").display(),
+        file("key").display(),
+    );
+    let settings = Settings::parse(name, &text)?;
+    let router = settings.router();
+    let identity = PeerIdentity::from_files(&router.ca, &router.cert, &router.key)?;
+    start(router, identity).with_context(|| format!("cannot start {name}"))
+}
+
+impl Demo {
+    async fn wait_ready(&self, router: &Running) -> Result<()> {
+        for _ in 0..LOOK_LIMIT {
+            let outgoing = Outgoing::new(Method::Get, "/readyz");
+            let fetched = self.client.fetch(router.listen, &outgoing, 4_096, ANSWER_TIME).await;
+            if fetched.is_ok_and(|(response, _)| response.status() == 200) {
+                return Ok(());
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+        bail!("{} does not become ready", router.me)
+    }
+
+    async fn call(&self, router: usize, outgoing: Outgoing) -> Result<(u16, String)> {
+        let outgoing = outgoing.header("authorization", format!("Bearer {}", self.caller));
+        let address = self.routers[router].listen;
+        let (response, bytes) = self.client.fetch(address, &outgoing, 1 << 20, ANSWER_TIME).await?;
+        Ok((response.status().into(), String::from_utf8_lossy(&bytes).into_owned()))
+    }
+
+    fn chat(tokens: u64) -> Outgoing {
+        let body = json!({
+            "model": "m1",
+            "stream": true,
+            "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": "suggest a blend with rose" }],
+        });
+        Outgoing::new(Method::Post, "/v1/chat/completions").body(body.to_string())
+    }
+
+    async fn stream(&self) -> Result<()> {
+        let (status, body) = self.call(0, Self::chat(STREAM_TOKENS)).await?;
+        let tokens = body.matches("\"content\"").count();
+        println!("completion: status {status}, {tokens} tokens streamed");
+        ensure!(status == 200 && tokens as u64 == STREAM_TOKENS, "unexpected stream: {body}");
+        ensure!(body.trim_end().ends_with("[DONE]"), "the stream did not end: {body}");
+        Ok(())
+    }
+
+    async fn look_up(&self) -> Result<()> {
+        let outgoing = Outgoing::new(Method::Get, "/services/stock/stock/rose");
+        let (status, body) = self.call(1, outgoing).await?;
+        println!("lookup: status {status}, {body}");
+        ensure!(status == 200, "the lookup failed");
+        Ok(())
+    }
+
+    async fn book(&self) -> Result<()> {
+        let outgoing = Outgoing::new(Method::Post, "/services/booking/book")
+            .header("idempotency-key", "booking-1")
+            .body(r#"{"slot":"10:00"}"#);
+        let (status, first) = self.call(1, outgoing.clone()).await?;
+        let (again, second) = self.call(2, outgoing).await?;
+        let runs = Outgoing::new(Method::Get, "/runs");
+        let (_, runs) = self.client.fetch(self.booking, &runs, 1 << 20, ANSWER_TIME).await?;
+        let runs: Value = serde_json::from_slice(&runs)?;
+        println!("booking: status {status}, sent again to another router: status {again}");
+        println!("booking: the service ran it {} time(s)", runs["booking-1"]);
+        ensure!(status == 200 && again == 200 && first == second, "unexpected: {first} {second}");
+        ensure!(runs["booking-1"] == 1, "the booking ran more than once");
+        Ok(())
+    }
+
+    async fn overdraw(&self) -> Result<()> {
+        let (status, body) = self.call(2, Self::chat(CREDIT)).await?;
+        let problem: Value = serde_json::from_str(&body)?;
+        println!("request over the budget: status {status}, {problem}");
+        ensure!(status == 402 && problem["code"] == 1201, "unexpected refusal");
+        ensure!(problem["ran"] == "not-run", "a refusal that ran");
+        Ok(())
+    }
+
+    async fn show_ledger(&self) -> Result<()> {
+        for _ in 0..LOOK_LIMIT {
+            let shown = self.operator.get("/admin/budgets/shop/main").await?;
+            let account = &shown["account"];
+            if account["billed"].as_u64() > Some(STREAM_TOKENS) {
+                println!("ledger: {}", serde_json::to_string_pretty(account)?);
+                // Five words of prompt.
+                ensure!(account["billed"] == STREAM_TOKENS + 5, "unexpected bill");
+                return Ok(());
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+        bail!("the bill was not settled")
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-command/src/key.rs
@@ -0,0 +1,67 @@
+//! `berylwheel key`
+
+use anyhow::Context;
+use anyhow::Result;
+use async_io::block_on;
+use berylwheel_config::key_digest;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::connect::Connection;
+use crate::connect::print_json;
+use crate::connect::with_connection;
+use crate::entity;
+
+/// Describes the command.
+pub fn command() -> Command {
+    let workspace = Arg::new("workspace").required(true).help("The workspace");
+    let name = Arg::new("name").required(true).help("Name of the key");
+    let budget = Arg::new("budget").long("budget").help("Budget that pays, WORKSPACE/NAME");
+    with_connection(entity::with_change(
+        Command::new("key").about("Creates and revokes callers' keys"),
+    ))
+    .subcommand_required(true)
+    .subcommand(
+        Command::new("create")
+            .about("Creates a key and prints it; only its digest is kept")
+            .args([workspace.clone(), name.clone(), budget]),
+    )
+    .subcommand(Command::new("revoke").about("Revokes a key").args([workspace, name]))
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if the router cannot be reached or refuses.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let connection = Connection::from_args(args)?;
+    let (action, inner) = args.subcommand().context("no subcommand")?;
+    let text = |name: &str| inner.get_one::<String>(name).cloned();
+    let section = format!("workspace {}", text("workspace").context("no workspace")?);
+    let entry = format!("key.{}", text("name").context("no name")?);
+    if action == "revoke" {
+        let edits = [(section, entry, None)];
+        return print_json(&block_on(entity::send_edits(
+            &connection,
+            entity::change_id(inner),
+            &edits,
+        ))?);
+    }
+    let key = new_key();
+    let mut value = key_digest(&key);
+    if let Some(budget) = inner.get_one::<String>("budget") {
+        value = format!("{value} {budget}");
+    }
+    let edits = [(section, entry, Some(value))];
+    block_on(entity::send_edits(&connection, entity::change_id(inner), &edits))?;
+    println!("{key}");
+    Ok(())
+}
+
+/// Returns a random key of 256 bits.
+pub fn new_key() -> String {
+    let words: [u64; 4] = std::array::from_fn(|_| rand::random());
+    let text: String = words.iter().map(|word| format!("{word:016x}")).collect();
+    format!("bw-{text}")
+}
--- a/crates/berylwheel-command/src/lib.rs
+++ b/crates/berylwheel-command/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The commands of the `berylwheel` binary, one file each.
+
+mod budget;
+mod certificates;
+mod check;
+mod config;
+mod connect;
+mod demo;
+mod dump;
+mod entity;
+mod key;
+mod kind;
+mod rank;
+mod run;
+mod serve;
+mod server;
+mod standin;
+mod workspace;
+
+pub use run::run;
--- /dev/null
+++ b/crates/berylwheel-command/src/run.rs
@@ -0,0 +1,72 @@
+//! The command line as a whole.
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+use crate::budget;
+use crate::certificates;
+use crate::check;
+use crate::config;
+use crate::demo;
+use crate::dump;
+use crate::key;
+use crate::kind;
+use crate::rank;
+use crate::serve;
+use crate::server;
+use crate::standin;
+use crate::workspace;
+
+/// Runs the command that the process's arguments name.
+///
+/// The exit status is 0 on success, 1 on failure and 2 for wrong arguments.
+pub fn run() -> ExitCode {
+    let env = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(env).init();
+    let matches = cli().get_matches();
+    let result = match matches.subcommand() {
+        Some(("serve", args)) => serve::run(args),
+        Some(("check", args)) => check::run(args),
+        Some(("demo", _)) => demo::run(),
+        Some(("dump", args)) => dump::run(args),
+        Some(("budget", args)) => budget::run(args),
+        Some(("config", args)) => config::run(args),
+        Some(("workspace", args)) => workspace::run(args),
+        Some(("kind", args)) => kind::run(args),
+        Some(("rank", args)) => rank::run(args),
+        Some(("server", args)) => server::run(args),
+        Some(("key", args)) => key::run(args),
+        Some(("certificates", args)) => certificates::run(args),
+        Some(("standin", args)) => standin::run(args),
+        _ => unreachable!("clap requires a known subcommand"),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn cli() -> Command {
+    Command::new("berylwheel")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Router fleet for model work bought against prepaid token budgets")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(serve::command())
+        .subcommand(check::command())
+        .subcommand(demo::command())
+        .subcommand(dump::command())
+        .subcommand(budget::command())
+        .subcommand(config::command())
+        .subcommand(workspace::command())
+        .subcommand(kind::command())
+        .subcommand(rank::command())
+        .subcommand(server::command())
+        .subcommand(key::command())
+        .subcommand(certificates::command())
+        .subcommand(standin::command())
+}
--- /dev/null
+++ b/crates/berylwheel-command/src/serve.rs
@@ -0,0 +1,78 @@
+//! `berylwheel serve`
+
+use std::path::PathBuf;
+use std::process;
+
+use anyhow::Context;
+use anyhow::Result;
+use async_io::block_on;
+use async_signal::Signal;
+use async_signal::Signals;
+use berylwheel_peer::PeerIdentity;
+use berylwheel_router::Running;
+use berylwheel_router::start;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use futures_lite::FutureExt;
+use futures_lite::StreamExt;
+use serde_json::json;
+
+use crate::check::read_settings;
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new("serve").about("Runs one router").arg(
+        Arg::new("settings")
+            .long("settings")
+            .required(true)
+            .help("The router's own file, with a [router] section")
+            .value_parser(value_parser!(PathBuf)),
+    )
+}
+
+/// Runs the command until a signal ends it.
+///
+/// # Errors
+/// Fails if the settings are wrong or an address cannot be bound.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let file = args.get_one::<PathBuf>("settings").context("no settings")?;
+    let settings = read_settings(file)?;
+    anyhow::ensure!(settings.has_router(), "{}: no [router] section", file.display());
+    let router = settings.router();
+    let identity = PeerIdentity::from_files(&router.ca, &router.cert, &router.key)
+        .context("cannot read the certificates of [router]")?;
+    let running = start(router, identity).context("cannot start")?;
+    let ready = json!({
+        "router": running.me,
+        "listen": running.listen,
+        "admin": running.admin,
+        "peer": running.peer,
+    });
+    println!("{ready}");
+    block_on(until_stopped(running))
+}
+
+/// Drains on the first signal and gives up on the second.
+async fn until_stopped(running: Running) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    signals.next().await;
+    log::info!("signal received, draining");
+    running.drain();
+    let drained = async {
+        running.drained().await;
+        true
+    };
+    let second = async {
+        signals.next().await;
+        false
+    };
+    if drained.or(second).await {
+        running.stop();
+        log::info!("drained, nothing left");
+        return Ok(());
+    }
+    log::error!(requests = running.active(); "second signal: stopped with requests in progress");
+    process::exit(1);
+}
--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -190,7 +190,7 @@
             detail: format!("{address}: {detail}"),
         };
         let request = build(address, outgoing).map_err(|detail| failed(false, detail))?;
-        let answer = async_h1::connect(connection.clone(), request);
+        let answer = Box::pin(async_h1::connect(connection.clone(), request));
         let mut response = match timeout(outgoing.head_time, answer).await {
             None => return Err(failed(true, format!("no answer in {}", outgoing.head_time))),
             Some(Err(error)) => return Err(failed(false, error.to_string())),
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -20,6 +20,7 @@
 pub use event::encode_event;
 pub use problem::problem_body;
 pub use problem::problem_response;
+pub use server::ActiveRequests;
 pub use server::ServerLimits;
 pub use server::serve;
 pub use time::timeout;
--- a/crates/berylwheel-http/src/server.rs
+++ b/crates/berylwheel-http/src/server.rs
@@ -40,6 +40,20 @@
     }
 }
 
+/// Requests being answered by one listener.
+///
+/// A shutdown waits until none is left: the end of an answer is still on its way to the caller when
+/// the task that made it has ended.
+#[derive(Debug, Clone, Default)]
+pub struct ActiveRequests(Arc<AtomicUsize>);
+
+impl ActiveRequests {
+    /// Returns the number of requests whose answer is not yet written in full.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 /// Time to write the refusal of a request that could not be read.
 const REFUSAL_TIME: Millis = Millis(1_000);
 
@@ -54,6 +68,7 @@
     listener: Async<TcpListener>,
     executor: Arc<Executor<'static>>,
     limits: ServerLimits,
+    active: ActiveRequests,
     handler: H,
 ) -> io::Result<()>
 where
@@ -73,7 +88,7 @@
         };
         let Ok(connection) = Connection::new(stream) else { continue };
         let guard = OpenGuard::new(open.clone());
-        let handler = handler.clone();
+        let (handler, active) = (handler.clone(), active.clone());
         executor
             .spawn(async move {
                 if guard.number() > limits.connections {
@@ -82,7 +97,7 @@
                     refuse(connection, &refusal).await;
                     return;
                 }
-                serve_connection(connection, limits, handler).await;
+                serve_connection(connection, limits, active, handler).await;
             })
             .detach();
     }
@@ -110,16 +125,21 @@
     }
 }
 
-async fn serve_connection<H, F>(connection: Connection, limits: ServerLimits, handler: H)
-where
+async fn serve_connection<H, F>(
+    connection: Connection,
+    limits: ServerLimits,
+    active: ActiveRequests,
+    handler: H,
+) where
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let answered = Arc::new(AtomicUsize::new(0));
     let endpoint = {
-        let answered = answered.clone();
+        let (answered, active) = (answered.clone(), active.clone());
         move |request: Request| {
             answered.fetch_add(1, Ordering::Relaxed);
+            active.0.fetch_add(1, Ordering::SeqCst);
             let response = handler(request);
             async move { Ok(response.await) }
         }
@@ -138,6 +158,9 @@
         };
         let status = server.accept_one().or(expired).await;
         let reached_handler = answered.load(Ordering::Relaxed) != count;
+        if reached_handler {
+            active.0.fetch_sub(1, Ordering::SeqCst);
+        }
         match status {
             Ok(ConnectionStatus::KeepAlive) => continue,
             Ok(ConnectionStatus::Close) if reached_handler => return,
--- /dev/null
+++ b/crates/berylwheel-router/src/control.rs
@@ -0,0 +1,291 @@
+//! The control thread: owner of all control state of one router.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use berylwheel_budget::Holder;
+use berylwheel_budget::HolderAction;
+use berylwheel_budget::HolderPolicy;
+use berylwheel_config::AccessTable;
+use berylwheel_route::RoutePolicy;
+use berylwheel_route::Routes;
+use berylwheel_route::Server;
+use berylwheel_schedule::KindLimits;
+use berylwheel_schedule::RankPolicy;
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_settings::Settings;
+use berylwheel_types::Clock;
+use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Rank;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+use berylwheel_types::stable_hash;
+use futures_lite::FutureExt;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::claims::Claims;
+use crate::effects::Effects;
+use crate::event::Event;
+use crate::event::Vm;
+use crate::event::VmState;
+use crate::fleet::Fleet;
+use crate::jobs::Job;
+use crate::snapshot::Serving;
+use crate::snapshot::SharedSnapshot;
+use crate::snapshot::Snapshot;
+
+/// Interval of the timer that drives everything that depends on time alone.
+const TICK: Millis = Millis(20);
+/// Interval at which old claims are forgotten.
+const PRUNE_INTERVAL: Millis = Millis(10_000);
+
+/// All control state of one router.
+pub struct Control {
+    pub(crate) clock: Clock,
+    pub(crate) me: Incarnation,
+    pub(crate) holder: Holder,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) routes: Routes,
+    pub(crate) claims: Claims,
+    pub(crate) fleet: Fleet,
+    pub(crate) jobs: FastMap<RequestId, Job>,
+    pub(crate) effects: Effects,
+    pub(crate) draining: bool,
+    pub(crate) snapshot: SharedSnapshot,
+    pub(crate) ended: FastSet<Incarnation>,
+    settings: Option<Settings>,
+    version: Version,
+    pruned: Timestamp,
+}
+
+impl Control {
+    /// Returns the state of a router that has just started.
+    pub fn new(
+        clock: Clock,
+        me: Incarnation,
+        fleet: Fleet,
+        effects: Effects,
+        snapshot: SharedSnapshot,
+    ) -> Self {
+        let seed = stable_hash(&[&me.to_string()]);
+        Self {
+            holder: Holder::new(me.clone(), HolderPolicy::default()),
+            scheduler: Scheduler::new(SchedulePolicy::default()),
+            routes: Routes::new(me.router.clone(), RoutePolicy::default(), seed),
+            claims: Claims::default(),
+            jobs: FastMap::default(),
+            draining: false,
+            ended: FastSet::default(),
+            settings: None,
+            version: Version::default(),
+            pruned: clock.now(),
+            clock,
+            me,
+            fleet,
+            effects,
+            snapshot,
+        }
+    }
+
+    /// Handles events until a drain has ended.
+    pub async fn run(mut self, events: Receiver<Event>, drained: Sender<()>) {
+        loop {
+            let event = async { events.recv().await.ok() };
+            let tick = async {
+                async_io::Timer::after(TICK.duration()).await;
+                None
+            };
+            let first = event.or(tick).await;
+            let now = self.clock.now();
+            if let Some(event) = first {
+                self.handle(now, event);
+                while let Ok(event) = events.try_recv() {
+                    self.handle(now, event);
+                }
+            }
+            self.drive(now);
+            if self.draining && self.is_drained() {
+                self.leave().await;
+                let _ = drained.send(()).await;
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Command(command) => self.command(now, command),
+            Event::PageRead(page, revision, content) => {
+                self.holder.page_read(now, page, revision, content);
+            }
+            Event::ReadFailed(page) => self.holder.read_failed(now, page),
+            Event::PageWritten(page, result) => self.holder.page_written(now, page, result),
+            Event::Load(server, report) => self.routes.report(now, &server, report),
+            Event::Vms(vms) => self.vms(now, &vms),
+            Event::Peer(inbound) => self.peer_message(now, inbound),
+            Event::RootRead(root) => self.root_read(now, root),
+            Event::PartsRead(root, parts) => self.parts_read(now, root, parts),
+            Event::ConfigFailed => self.fleet.config.read_failed(now),
+            Event::Registry(routers) => self.registry(now, routers),
+            Event::Registered => self.fleet_changed(now),
+            Event::Ended(run) => self.note_ended(now, run),
+            Event::Reclaimed(run, done) => self.reclaimed(now, &run, done),
+            Event::Dump(reply) => {
+                let _ = reply.try_send(self.dump());
+            }
+            Event::Drain => self.drain(now),
+        }
+    }
+
+    fn drive(&mut self, now: Timestamp) {
+        self.expire_claims(now);
+        if now.since(self.pruned) >= PRUNE_INTERVAL {
+            self.pruned = now;
+            self.claims.prune(now);
+        }
+        self.drive_fleet(now);
+        self.drive_holder(now);
+        self.expire_work(now);
+        self.start_ready(now);
+        for server in self.routes.probes(now) {
+            if let Some(address) = self.address_of(&server) {
+                self.effects.probe(server, address);
+            }
+        }
+    }
+
+    fn drive_holder(&mut self, now: Timestamp) {
+        // A decision may free or use tokens, so the holder is asked until it has nothing to say.
+        loop {
+            let actions = self.holder.poll(now);
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    HolderAction::Read(page) => self.effects.read_page(page),
+                    HolderAction::Write { page, expected, content } => {
+                        self.effects.write_page(page, expected, &content);
+                    }
+                    HolderAction::Recall { holder, budget } => self.send_recall(&holder, budget),
+                    HolderAction::Reserved(request) => self.offer(now, &request),
+                    HolderAction::Refused(request, refusal) => self.refuse(&request, refusal),
+                }
+            }
+        }
+    }
+
+    /// Puts new settings in force.
+    pub(crate) fn apply(&mut self, now: Timestamp, version: Version, settings: Settings) {
+        let ranks = Rank::ALL.map(|rank| {
+            let rank = settings.rank(rank);
+            RankPolicy { floor: rank.floor, target: rank.target }
+        });
+        self.scheduler.set_policy(SchedulePolicy { ranks, ..SchedulePolicy::default() });
+        for kind in settings.kinds() {
+            let limits = KindLimits {
+                queue: kind.queue as usize,
+                queue_bytes: kind.queue_bytes,
+                concurrency: kind.concurrency as usize,
+            };
+            self.scheduler.set_kind(kind.id.clone(), limits);
+        }
+        for workspace in settings.workspaces() {
+            let limit = Some(workspace.in_flight as usize);
+            self.scheduler.set_workspace(workspace.id.clone(), limit);
+        }
+        let servers = settings.servers().iter().map(|server| Server {
+            id: server.id.clone(),
+            address: server.address,
+            kinds: server.kinds.clone(),
+            models: server.models.clone(),
+            concurrency: server.concurrency,
+            domain: server.domain.clone(),
+        });
+        self.routes.set_servers(now, servers.collect());
+        if self.settings.is_none() {
+            // The number of pages is fixed once budgets exist, and no request comes before this.
+            let policy =
+                HolderPolicy { pages: settings.fleet().ledger_pages, ..HolderPolicy::default() };
+            self.holder = Holder::new(self.me.clone(), policy);
+        }
+        log::info!(version = version.0; "configuration in force");
+        self.version = version;
+        self.settings = Some(settings);
+        self.publish();
+    }
+
+    /// Replaces the snapshot that the traffic threads read.
+    pub(crate) fn publish(&self) {
+        let serving = match (self.draining, &self.settings) {
+            (true, _) => Serving::Draining,
+            (false, Some(_)) => Serving::Open,
+            (false, None) => Serving::Starting,
+        };
+        let access = self.settings.as_ref().map(AccessTable::new).unwrap_or_default();
+        self.snapshot.store(Arc::new(Snapshot {
+            serving,
+            version: self.version,
+            settings: self.settings.clone(),
+            access,
+            ended: self.ended.clone(),
+        }));
+    }
+
+    /// Returns the settings in force.
+    pub(crate) fn settings(&self) -> Option<&Settings> {
+        self.settings.as_ref()
+    }
+
+    fn vms(&mut self, now: Timestamp, vms: &[Vm]) {
+        for vm in vms {
+            if let Ok(server) = vm.name.parse() {
+                match vm.state {
+                    VmState::Live => self.routes.set_live(now, &server),
+                    VmState::Leaving | VmState::Gone => self.routes.set_leaving(now, &server),
+                }
+            }
+        }
+        self.router_vms(now, vms);
+    }
+
+    fn drain(&mut self, now: Timestamp) {
+        if self.draining {
+            return;
+        }
+        log::info!(requests = self.jobs.len(); "draining");
+        self.draining = true;
+        self.holder.drain(now);
+        self.publish();
+    }
+
+    fn is_drained(&self) -> bool {
+        self.jobs.is_empty() && self.holder.is_empty()
+    }
+
+    fn address_of(&self, server: &berylwheel_types::BackendId) -> Option<std::net::SocketAddr> {
+        let servers = self.settings.as_ref()?.servers();
+        servers.iter().find(|s| s.id == *server).map(|s| s.address)
+    }
+
+    fn dump(&self) -> Value {
+        json!({
+            "router": self.me,
+            "version": self.version,
+            "draining": self.draining,
+            "requests": self.jobs.len(),
+            "claims": self.claims.len(),
+            "holder": self.holder.dump(),
+            "schedule": self.scheduler.dump(),
+            "routes": self.routes.dump(),
+            "fleet": self.fleet.dump(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/effects.rs
@@ -0,0 +1,145 @@
+//! I/O on behalf of the control thread. Each call runs as a task and sends its result as an event.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use async_executor::Executor;
+use berylwheel_budget::LedgerPage;
+use berylwheel_budget::PageId;
+use berylwheel_budget::WriteResult;
+use berylwheel_http::Client;
+use berylwheel_http::Outgoing;
+use berylwheel_route::LoadReport;
+use berylwheel_store::Compare;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::SwapResult;
+use berylwheel_types::BackendId;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use http_types::Method;
+use serde_json::Value;
+
+use crate::event::Event;
+
+/// Time that a load report may take.
+const PROBE_TIME: Millis = Millis(1_000);
+/// The largest load report or VM list, in bytes.
+const REPORT_LIMIT: u64 = 1 << 20;
+
+/// Starts I/O for the control thread.
+#[derive(Clone)]
+pub struct Effects {
+    /// Runs the tasks.
+    pub executor: Arc<Executor<'static>>,
+    /// The platform's key-value service.
+    pub store: Arc<dyn Store>,
+    /// Connections to backend servers and the VM list.
+    pub client: Client,
+    /// Where results go.
+    pub events: Sender<Event>,
+    /// Time.
+    pub clock: Clock,
+}
+
+impl Effects {
+    /// Runs `task` and sends the event that it returns.
+    pub fn start(&self, task: impl Future<Output = Option<Event>> + Send + 'static) {
+        let events = self.events.clone();
+        self.executor
+            .spawn(async move {
+                if let Some(event) = task.await {
+                    let _ = events.send(event).await;
+                }
+            })
+            .detach();
+    }
+
+    /// Reads a ledger page.
+    pub fn read_page(&self, page: PageId) {
+        let store = self.store.clone();
+        self.start(async move {
+            let entries = match store.range(&page.key(), false, 1).await {
+                Ok(entries) => entries,
+                Err(_) => return Some(Event::ReadFailed(page)),
+            };
+            let Some(entry) = entries.first() else {
+                return Some(Event::PageRead(page, 0, LedgerPage::default()));
+            };
+            match LedgerPage::decode(&entry.value) {
+                Ok(content) => Some(Event::PageRead(page, entry.revision, content)),
+                Err(error) => {
+                    log::error!(page:% = page; "ledger page cannot be read: {error}");
+                    Some(Event::ReadFailed(page))
+                }
+            }
+        });
+    }
+
+    /// Writes a ledger page if its revision is still `expected`.
+    pub fn write_page(&self, page: PageId, expected: u64, content: &LedgerPage) {
+        let store = self.store.clone();
+        let put = Put::new(page.key(), content.encode());
+        self.start(async move {
+            let compare = Compare::new(page.key(), expected);
+            let result = match store.swap(vec![compare], vec![put]).await {
+                Ok(SwapResult::Won(revision)) => WriteResult::Won(revision),
+                Ok(SwapResult::Lost(_)) => WriteResult::Lost,
+                Err(StoreError::Unknown) => WriteResult::Unknown,
+                // Not sent, or refused: the holder reads the page again, as after a lost answer.
+                Err(_) => WriteResult::Unknown,
+            };
+            Some(Event::PageWritten(page, result))
+        });
+    }
+
+    /// Asks a backend server for its load.
+    pub fn probe(&self, server: BackendId, address: SocketAddr) {
+        let (client, clock) = (self.client.clone(), self.clock.clone());
+        self.start(async move {
+            let value = fetch_json(&client, address, "/v1/load", PROBE_TIME).await?;
+            let count = |name: &str| value.get(name).and_then(Value::as_u64).unwrap_or(0) as u32;
+            let report = LoadReport {
+                at: clock.now(),
+                in_flight: count("in_flight"),
+                queued: count("queued"),
+                draining: value.get("draining").and_then(Value::as_bool).unwrap_or(false),
+                loaded: None,
+            };
+            Some(Event::Load(server, report))
+        });
+    }
+
+    /// Reads the platform's list of VMs.
+    pub fn read_vms(&self, address: SocketAddr) {
+        let client = self.client.clone();
+        self.start(async move {
+            let value = fetch_json(&client, address, "/v1/instances", PROBE_TIME).await?;
+            match serde_json::from_value(value) {
+                Ok(vms) => Some(Event::Vms(vms)),
+                Err(error) => {
+                    log::warn!("VM list cannot be read: {error}");
+                    None
+                }
+            }
+        });
+    }
+}
+
+/// Fetches a JSON document, or `None` if there is none.
+pub async fn fetch_json(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    time: Millis,
+) -> Option<Value> {
+    let outgoing = Outgoing::new(Method::Get, path);
+    let (response, bytes) = client.fetch(address, &outgoing, REPORT_LIMIT, time).await.ok()?;
+    if response.status() != 200 {
+        return None;
+    }
+    serde_json::from_slice(&bytes).ok()
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/engine.rs
@@ -0,0 +1,478 @@
+//! Model work: forwarding to an engine and relaying its answer.
+
+use std::io;
+
+use berylwheel_http::BodySender;
+use berylwheel_http::ClientError;
+use berylwheel_http::EventReader;
+use berylwheel_http::Outgoing;
+use berylwheel_http::ResponseStream;
+use berylwheel_http::channel_body;
+use berylwheel_http::encode_event;
+use berylwheel_http::problem_body;
+use berylwheel_http::timeout;
+use berylwheel_route::Ask;
+use berylwheel_route::Outcome;
+use berylwheel_settings::KindSettings;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use berylwheel_types::stable_hash;
+use futures_lite::FutureExt;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+
+use crate::chat::ChatRequest;
+use crate::chat::EngineEvent;
+use crate::command::Admit;
+use crate::command::Start;
+use crate::ticket::Ticket;
+use crate::traffic::Call;
+use crate::traffic::Traffic;
+use crate::traffic::kind_of_model;
+
+/// The largest answer that is not streamed, in bytes.
+const ANSWER_LIMIT: u64 = 8 << 20;
+/// Time that a caller may take to receive one event before it counts as gone.
+const STALL_LIMIT: Millis = Millis(30_000);
+/// Time that a cancellation at an engine may take.
+const CANCEL_TIME: Millis = Millis(2_000);
+/// Times that a broken stream is resumed at its engine.
+const RESUME_LIMIT: u32 = 2;
+
+/// What the tasks of one model request share.
+struct Job {
+    call: Call,
+    chat: ChatRequest,
+    kind: KindSettings,
+    max_tokens: u64,
+    deadline: Timestamp,
+    end: Timestamp,
+}
+
+/// A stream whose first event has arrived.
+struct Opened {
+    start: Start,
+    id: RequestId,
+    reader: EventReader<ResponseStream>,
+    first: String,
+}
+
+/// How an attempt at a server went wrong before the caller was sent anything.
+enum Attempt {
+    Preempted,
+    Failed(Outcome, String),
+}
+
+impl Traffic {
+    /// Serves a chat-completions request.
+    ///
+    /// # Errors
+    /// A refusal, as long as the caller has not been sent the start of an answer.
+    pub async fn chat(
+        &self,
+        mut request: Request,
+        id: RequestId,
+        arrived: Timestamp,
+    ) -> Result<Response, Refusal> {
+        let snapshot = self.snapshot.load_full();
+        let settings = snapshot.open()?;
+        let call = self.call(&request, settings, id, arrived)?;
+        let bytes = self.body(&mut request, settings).await?;
+        let chat = ChatRequest::parse(&bytes)?;
+        let kind = kind_of_model(settings, &call.workspace, &chat.model)?;
+        let max_tokens = chat.max_tokens.unwrap_or(kind.max_tokens.0);
+        if max_tokens > kind.max_tokens.0 {
+            let detail = format!("max_tokens: expected at most {}", kind.max_tokens);
+            return Err(Refusal::not_run(Code::InvalidField, detail));
+        }
+        let admit = Admit {
+            request: call.id.clone(),
+            workspace: call.workspace.clone(),
+            budget: call.budget.clone(),
+            kind: kind.id.clone(),
+            rank: kind.rank,
+            key: call.bill_key(),
+            digest: digest(&bytes),
+            claim: call.key.is_some(),
+            amount: chat.prompt + Tokens(max_tokens),
+            size: ByteSize(bytes.len() as u64),
+            deadline: call.deadline(&kind),
+            ask: Ask {
+                kind: kind.id.clone(),
+                model: Some(chat.model.clone()),
+                prefix: chat.prefix,
+                exclude: Vec::new(),
+            },
+        };
+        let (deadline, end) = (admit.deadline, arrived + settings.fleet().request_limit);
+        let (ticket, start) = Ticket::admit(&self.commands, admit).await?;
+        let job = Job { call, chat, kind, max_tokens, deadline, end };
+        if job.chat.stream {
+            return Box::pin(self.stream(job, ticket, start)).await;
+        }
+        Box::pin(self.whole(job, ticket, start)).await
+    }
+
+    fn outgoing(&self, job: &Job, start: &Start, id: &RequestId) -> Outgoing {
+        let left = job.end.since(self.clock.now());
+        let mut outgoing = Outgoing::new(Method::Post, "/v1/chat/completions")
+            .header("content-type", "application/json")
+            .header("x-request-id", id.as_str())
+            .header("x-request-owner", self.me.to_string())
+            .header("x-budget", job.call.budget.as_str())
+            .body(job.chat.engine_body(job.max_tokens, job.kind.rank));
+        if let Some(tag) = &start.tag {
+            outgoing = outgoing.header("x-usage-tag", tag.clone());
+        }
+        outgoing.head_time = left;
+        outgoing
+    }
+
+    /// Sends the request until a server's first event arrives.
+    async fn stream(
+        &self,
+        job: Job,
+        ticket: Ticket,
+        mut start: Start,
+    ) -> Result<Response, Refusal> {
+        let mut number = 0;
+        let opened = loop {
+            let id = attempt_id(&job.call.id, number);
+            number += 1;
+            match self.open(&job, &start, &id).await {
+                Ok((reader, first)) => break Opened { start, id, reader, first },
+                Err(Attempt::Preempted) => {
+                    self.cancel(&start, &id).await;
+                    start = ticket.requeue().await?;
+                }
+                Err(Attempt::Failed(outcome, detail)) => {
+                    self.note_failure(&job, &start, outcome, &detail);
+                    if outcome == Outcome::TimedOut {
+                        // What the engine has generated by now was not delivered.
+                        self.cancel(&start, &id).await;
+                    }
+                    start = self.next_server(&job, &ticket, outcome, detail).await?;
+                }
+            }
+        };
+        ticket.first_token();
+        self.metrics.started(&job.kind.id, self.clock.now().since(job.call.arrived));
+        let (sender, body) = channel_body();
+        let mut response = Response::new(200);
+        response.set_body(body);
+        response.insert_header("content-type", "text/event-stream");
+        response.insert_header("cache-control", "no-store");
+        let traffic = self.clone();
+        self.executor
+            .spawn(async move { traffic.relay(job, ticket, opened, sender).await })
+            .detach();
+        Ok(response)
+    }
+
+    /// Sends the request and waits for the first event.
+    async fn open(
+        &self,
+        job: &Job,
+        start: &Start,
+        id: &RequestId,
+    ) -> Result<(EventReader<ResponseStream>, String), Attempt> {
+        let limit = job.deadline.since(self.clock.now());
+        let opening = async {
+            let mut outgoing = self.outgoing(job, start, id);
+            outgoing.head_time = outgoing.head_time.min(limit);
+            let sent = self.client.send(start.server.address, &outgoing).await;
+            let (response, stream) = sent.map_err(|error| failed(&error))?;
+            if response.status() != 200 {
+                let detail = format!("{} answered {}", start.server.id, response.status());
+                return Err(Attempt::Failed(Outcome::Failed, detail));
+            }
+            let mut reader = EventReader::new(stream);
+            match reader.next().await {
+                Ok(Some(first)) => Ok((reader, first)),
+                Ok(None) => Err(broken("the stream ended before its first event")),
+                Err(error) => Err(broken(&error.to_string())),
+            }
+        };
+        let timed = async {
+            timeout(limit, opening).await.unwrap_or_else(|| {
+                Err(Attempt::Failed(Outcome::TimedOut, format!("no first token in {limit}")))
+            })
+        };
+        let preempted = async {
+            match start.preempt.recv().await {
+                Ok(()) => Err(Attempt::Preempted),
+                Err(_) => futures_lite::future::pending().await,
+            }
+        };
+        timed.or(preempted).await
+    }
+
+    async fn next_server(
+        &self,
+        job: &Job,
+        ticket: &Ticket,
+        outcome: Outcome,
+        detail: String,
+    ) -> Result<Start, Refusal> {
+        let (code, timed_out) = match outcome {
+            Outcome::TimedOut => (Code::BackendTimeout, true),
+            _ => (Code::BackendFailed, false),
+        };
+        if timed_out || self.clock.now() >= job.deadline {
+            return Err(Refusal::unknown(code, detail));
+        }
+        self.metrics.retried(&job.kind.id);
+        ticket.retry(outcome).await.map_err(|refusal| match refusal.code {
+            Code::NoBackend => Refusal::unknown(code, detail),
+            _ => refusal,
+        })
+    }
+
+    fn note_failure(&self, job: &Job, start: &Start, outcome: Outcome, detail: &str) {
+        log::warn!(
+            request = job.call.id.as_str(), server = start.server.id.as_str(), outcome:? = outcome;
+            "attempt failed: {detail}"
+        );
+    }
+
+    /// Relays the events of an opened stream to the caller.
+    async fn relay(&self, job: Job, mut ticket: Ticket, opened: Opened, sender: BodySender) {
+        let Opened { start, id, mut reader, first } = opened;
+        let mut progress = Progress::default();
+        let mut resumed = 0;
+        let mut next = Ok(Some(first));
+        let failure = loop {
+            let data = match next {
+                Ok(Some(data)) => data,
+                Ok(None) | Err(_) if resumed < RESUME_LIMIT && self.clock.now() < job.end => {
+                    resumed += 1;
+                    match self.resume(&job, &start, &id, progress.tokens).await {
+                        Some(resumed_reader) => reader = resumed_reader,
+                        None => break "the answer broke off and could not be resumed".to_owned(),
+                    }
+                    next = self.next_event(&job, &mut reader).await;
+                    continue;
+                }
+                Ok(None) => break "the answer broke off".to_owned(),
+                Err(error) => break error.to_string(),
+            };
+            if data == "[DONE]" {
+                if !progress.complete {
+                    break "the answer ended without its usage".to_owned();
+                }
+                let delivered = send(&sender, encode_event(&data)).await;
+                self.metrics.billed(&job.kind.id, ticket.used().0);
+                ticket.finish(Outcome::Ok, delivered);
+                return;
+            }
+            match progress.check(&data, &id) {
+                Step::Forward => {}
+                Step::Drop => {
+                    next = self.next_event(&job, &mut reader).await;
+                    continue;
+                }
+                Step::Fail(detail) => break detail.to_owned(),
+            }
+            let estimate = Tokens(job.chat.prompt.0 / BYTES_PER_TOKEN + progress.tokens);
+            ticket.set_used(progress.usage.unwrap_or(estimate));
+            if !send(&sender, encode_event(&data)).await {
+                self.cancel(&start, &id).await;
+                log::info!(request = job.call.id.as_str(), tokens = progress.tokens; "caller left");
+                ticket.finish(Outcome::Cancelled, false);
+                return;
+            }
+            next = self.next_event(&job, &mut reader).await;
+        };
+        self.note_failure(&job, &start, Outcome::Failed, &failure);
+        self.cancel(&start, &id).await;
+        let refusal = Refusal::unknown(Code::AnswerTruncated, failure);
+        self.metrics.refused(refusal.code);
+        let problem = problem_body(&refusal, job.call.id.as_str());
+        let event = format!("event: error\ndata: {}\n\n", serde_json::json!({ "error": problem }));
+        let _ = send(&sender, event.into_bytes()).await;
+        let _ = sender.try_send(Err(io::Error::other("answer truncated")));
+        ticket.finish(Outcome::Failed, false);
+    }
+
+    async fn next_event(
+        &self,
+        job: &Job,
+        reader: &mut EventReader<ResponseStream>,
+    ) -> io::Result<Option<String>> {
+        let left = job.end.since(self.clock.now());
+        let expired = || Err(io::Error::new(io::ErrorKind::TimedOut, "request limit reached"));
+        timeout(left, reader.next()).await.unwrap_or_else(expired)
+    }
+
+    /// Asks the engine to go on with a stream whose connection broke.
+    async fn resume(
+        &self,
+        job: &Job,
+        start: &Start,
+        id: &RequestId,
+        tokens: u64,
+    ) -> Option<EventReader<ResponseStream>> {
+        let outgoing = self.outgoing(job, start, id).header("x-resume-from", tokens.to_string());
+        let (response, stream) = self.client.send(start.server.address, &outgoing).await.ok()?;
+        (response.status() == 200).then(|| EventReader::new(stream))
+    }
+
+    /// Serves a request whose answer is not streamed.
+    async fn whole(
+        &self,
+        job: Job,
+        mut ticket: Ticket,
+        mut start: Start,
+    ) -> Result<Response, Refusal> {
+        let mut number = 0;
+        loop {
+            let id = attempt_id(&job.call.id, number);
+            number += 1;
+            let left = job.end.since(self.clock.now());
+            let outgoing = self.outgoing(&job, &start, &id);
+            let fetch = async {
+                self.client
+                    .fetch(start.server.address, &outgoing, ANSWER_LIMIT, left)
+                    .await
+                    .map_err(|error| failed(&error))
+            };
+            let preempted = async {
+                match start.preempt.recv().await {
+                    Ok(()) => Err(Attempt::Preempted),
+                    Err(_) => futures_lite::future::pending().await,
+                }
+            };
+            let attempt = match fetch.or(preempted).await {
+                Ok((response, bytes)) => check_whole(response.status(), &bytes, &id)
+                    .map(|usage| (bytes, usage))
+                    .map_err(|detail| Attempt::Failed(Outcome::Failed, detail)),
+                Err(attempt) => Err(attempt),
+            };
+            match attempt {
+                Ok((bytes, usage)) => {
+                    ticket.set_used(usage);
+                    self.metrics.started(&job.kind.id, self.clock.now().since(job.call.arrived));
+                    self.metrics.billed(&job.kind.id, ticket.used().0);
+                    ticket.finish(Outcome::Ok, true);
+                    let mut response = Response::new(200);
+                    response.set_body(bytes);
+                    response.insert_header("content-type", "application/json");
+                    return Ok(response);
+                }
+                Err(Attempt::Preempted) => {
+                    self.cancel(&start, &id).await;
+                    start = ticket.requeue().await?;
+                }
+                Err(Attempt::Failed(outcome, detail)) => {
+                    self.note_failure(&job, &start, outcome, &detail);
+                    self.cancel(&start, &id).await;
+                    start = self.next_server(&job, &ticket, outcome, detail).await?;
+                }
+            }
+        }
+    }
+
+    /// Cancels an attempt at its engine; best effort, since the engine may be gone.
+    async fn cancel(&self, start: &Start, id: &RequestId) {
+        let outgoing = Outgoing::new(Method::Delete, format!("/v1/requests/{id}"));
+        let done = self.client.fetch(start.server.address, &outgoing, 4_096, CANCEL_TIME).await;
+        if let Err(error) = done {
+            log::debug!(request = id.as_str(); "cancellation failed: {error}");
+        }
+    }
+}
+
+/// Bytes of prompt per token in the estimate of a bill whose usage the engine did not report.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// What has been seen of a stream.
+#[derive(Default)]
+struct Progress {
+    tokens: u64,
+    sequence: Option<u64>,
+    usage: Option<Tokens>,
+    complete: bool,
+}
+
+enum Step {
+    Forward,
+    Drop,
+    Fail(&'static str),
+}
+
+impl Progress {
+    /// Checks that an event belongs to the answer and comes next.
+    fn check(&mut self, data: &str, id: &RequestId) -> Step {
+        let Some(event) = EngineEvent::parse(data) else {
+            return Step::Fail("an event is not a JSON object");
+        };
+        if !event.is_for(id) {
+            return Step::Fail("an event belongs to another request");
+        }
+        if let (Some(last), Some(sequence)) = (self.sequence, event.sequence) {
+            if sequence <= last {
+                return Step::Drop;
+            }
+            if sequence != last + 1 {
+                return Step::Fail("an event is missing");
+            }
+        }
+        self.sequence = event.sequence.or(self.sequence);
+        self.tokens += u64::from(event.content);
+        if let Some(usage) = event.usage {
+            self.usage = Some(usage);
+            self.complete = true;
+        }
+        Step::Forward
+    }
+}
+
+fn check_whole(
+    status: http_types::StatusCode,
+    bytes: &[u8],
+    id: &RequestId,
+) -> Result<Tokens, String> {
+    if status != 200 {
+        return Err(format!("the engine answered {status}"));
+    }
+    let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
+    let event = EngineEvent::parse(text).ok_or("the answer is not a JSON object")?;
+    if !event.is_for(id) {
+        return Err("the answer belongs to another request".to_owned());
+    }
+    event.usage.ok_or_else(|| "the answer has no usage".to_owned())
+}
+
+fn failed(error: &ClientError) -> Attempt {
+    let outcome = if error.timed_out { Outcome::TimedOut } else { Outcome::Failed };
+    Attempt::Failed(outcome, error.to_string())
+}
+
+fn broken(detail: &str) -> Attempt {
+    Attempt::Failed(Outcome::Failed, detail.to_owned())
+}
+
+/// Returns a digest of a request's content.
+pub fn digest(bytes: &[u8]) -> u64 {
+    stable_hash(&[&String::from_utf8_lossy(bytes)])
+}
+
+/// Returns the id of one attempt. Each attempt has its own, so that late events of an abandoned
+/// attempt cannot be taken for the present one's.
+fn attempt_id(id: &RequestId, number: u32) -> RequestId {
+    match number {
+        0 => id.clone(),
+        n => format!("{id}.{n}").parse().expect("the parts are names"),
+    }
+}
+
+/// Sends bytes to the caller, and returns whether it is still there.
+async fn send(sender: &BodySender, bytes: Vec<u8>) -> bool {
+    matches!(timeout(STALL_LIMIT, sender.send(Ok(bytes))).await, Some(Ok(())))
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/jobs.rs
@@ -0,0 +1,282 @@
+//! The life of a request on the control thread: claim, reservation, queue, server.
+
+use async_channel::Sender;
+use berylwheel_budget::Reserve;
+use berylwheel_route::Ask;
+use berylwheel_route::Outcome;
+use berylwheel_schedule::Work;
+use berylwheel_types::BackendId;
+use berylwheel_types::Code;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use crate::claims::ClaimAnswer;
+use crate::command::Admit;
+use crate::command::Command;
+use crate::command::Finish;
+use crate::command::Start;
+use crate::command::StartResult;
+use crate::control::Control;
+
+/// Time that the home router of a key may take to answer a claim. Without an answer the request
+/// runs: its bill key still bills it once.
+const CLAIM_TIME: Millis = Millis(150);
+/// Time after which a caller tries a draining router's fleet again.
+const RETRY_AFTER: Millis = Millis(1_000);
+/// The share of a plain service's call in the scheduler, in tokens.
+const CALL_COST: Tokens = Tokens(50);
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Waits for the answer to its claim, until the given time.
+    Claiming(Timestamp),
+    /// Waits for tokens.
+    Reserving,
+    /// Waits in the scheduler.
+    Queued,
+    /// Was given a server.
+    Running,
+}
+
+/// A request on the control thread.
+#[derive(Debug)]
+pub struct Job {
+    /// What was asked.
+    pub admit: Admit,
+    /// How far it has come.
+    pub stage: Stage,
+    /// The server that runs it.
+    pub server: Option<BackendId>,
+    reply: Option<Sender<StartResult>>,
+    preempt: Option<Sender<()>>,
+}
+
+impl Control {
+    /// Takes in a message from a traffic thread.
+    pub fn command(&mut self, now: Timestamp, command: Command) {
+        match command {
+            Command::Admit(admit, reply) => self.admit(now, *admit, reply),
+            Command::FirstToken(request) => self.scheduler.first_token(now, &request),
+            Command::Retry(request, outcome, reply) => self.retry(now, &request, outcome, reply),
+            Command::Requeue(request, reply) => self.requeue(now, &request, reply),
+            Command::Finish(finish) => self.finish(now, &finish),
+        }
+    }
+
+    fn admit(&mut self, now: Timestamp, admit: Admit, reply: Sender<StartResult>) {
+        if self.draining {
+            let detail = "streams in progress finish, new work is refused";
+            let refusal = Refusal::not_run(Code::Draining, detail).retry_after(RETRY_AFTER);
+            let _ = reply.try_send(Err(refusal));
+            return;
+        }
+        let request = admit.request.clone();
+        let job = Job {
+            admit,
+            stage: Stage::Claiming(now + CLAIM_TIME),
+            server: None,
+            reply: Some(reply),
+            preempt: None,
+        };
+        let claimed = job.admit.claim.then_some(job.admit.key).flatten();
+        let digest = job.admit.digest;
+        self.jobs.insert(request.clone(), job);
+        match claimed {
+            Some(key) => self.claim(now, key, request, digest),
+            None => self.reserve(now, &request),
+        }
+    }
+
+    /// Takes in the answer to a claim, or its absence.
+    pub fn claim_answered(&mut self, now: Timestamp, request: &RequestId, answer: ClaimAnswer) {
+        let waits = self.jobs.get(request).is_some_and(|j| matches!(j.stage, Stage::Claiming(_)));
+        if !waits {
+            return;
+        }
+        match answer.refusal() {
+            None => self.reserve(now, request),
+            Some(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    /// Lets requests run whose claim was not answered in time.
+    pub fn expire_claims(&mut self, now: Timestamp) {
+        let late: Vec<RequestId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| matches!(job.stage, Stage::Claiming(until) if until <= now))
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in late {
+            self.reserve(now, &request);
+        }
+    }
+
+    fn reserve(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(job) = self.jobs.get_mut(request) else { return };
+        if job.admit.amount == Tokens::ZERO {
+            self.offer(now, request);
+            return;
+        }
+        job.stage = Stage::Reserving;
+        let reserve = Reserve {
+            request: request.clone(),
+            budget: job.admit.budget.clone(),
+            key: job.admit.key,
+            amount: job.admit.amount,
+            deadline: job.admit.deadline,
+        };
+        self.holder.reserve(now, reserve);
+    }
+
+    /// Puts a request whose tokens are reserved into the scheduler.
+    pub fn offer(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(job) = self.jobs.get_mut(request) else { return };
+        job.stage = Stage::Queued;
+        let admit = &job.admit;
+        let work = Work {
+            request: request.clone(),
+            workspace: admit.workspace.clone(),
+            kind: admit.kind.clone(),
+            model: admit.ask.model.clone(),
+            rank: admit.rank,
+            cost: if admit.ask.model.is_some() { admit.amount } else { CALL_COST },
+            size: admit.size,
+            deadline: admit.deadline,
+        };
+        if let Err(refusal) = self.scheduler.offer(now, work) {
+            self.refuse(request, refusal);
+        }
+    }
+
+    /// Starts what the scheduler allows and a server has room for.
+    pub fn start_ready(&mut self, now: Timestamp) {
+        loop {
+            let (jobs, routes) = (&self.jobs, &self.routes);
+            let next = self.scheduler.next(now, &mut |work: &Work| {
+                jobs.get(&work.request).is_some_and(|job| routes.can_start(now, &job.admit.ask))
+            });
+            let Some(work) = next else { return };
+            let Some(job) = self.jobs.get_mut(&work.request) else {
+                self.scheduler.finished(now, &work.request, Tokens::ZERO);
+                continue;
+            };
+            let Some(server) = self.routes.pick(now, &job.admit.ask) else {
+                let refusal = Refusal::not_run(Code::NoBackend, "no server has room");
+                self.refuse(&work.request, refusal);
+                continue;
+            };
+            self.routes.started(now, &server.id);
+            let (sender, receiver) = async_channel::bounded(1);
+            job.stage = Stage::Running;
+            job.server = Some(server.id.clone());
+            job.preempt = Some(sender);
+            let tag = self.holder.tag(&work.request).map(|tag| tag.to_string());
+            let start = Start { server, preempt: receiver, tag };
+            // A caller that has gone drops its ticket, and the finish that follows cleans up.
+            if let Some(reply) = job.reply.take() {
+                let _ = reply.try_send(Ok(start));
+            }
+        }
+    }
+
+    /// Cancels queued work whose deadline can no longer be met, and batch work for urgent work.
+    pub fn expire_work(&mut self, now: Timestamp) {
+        for (request, refusal) in self.scheduler.expired(now) {
+            self.refuse(&request, refusal);
+        }
+        for request in self.scheduler.preempt(now) {
+            if let Some(preempt) = self.jobs.get(&request).and_then(|job| job.preempt.as_ref()) {
+                let _ = preempt.try_send(());
+            }
+        }
+    }
+
+    fn retry(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        outcome: Outcome,
+        reply: Sender<StartResult>,
+    ) {
+        let Some(job) = self.jobs.get_mut(request) else { return };
+        if let Some(server) = job.server.take() {
+            self.routes.ended(now, &server, outcome);
+            job.admit.ask.exclude.push(server);
+        }
+        let no_backend = |detail| Err(Refusal::unknown(Code::NoBackend, detail));
+        if !self.scheduler.try_retry(now, &job.admit.kind) {
+            let _ = reply.try_send(no_backend("the retry budget of the kind is spent"));
+            return;
+        }
+        let ask: Ask = job.admit.ask.clone();
+        let Some(server) = self.routes.pick(now, &ask) else {
+            let _ = reply.try_send(no_backend("no other server has room"));
+            return;
+        };
+        self.routes.started(now, &server.id);
+        let (sender, receiver) = async_channel::bounded(1);
+        job.server = Some(server.id.clone());
+        job.preempt = Some(sender);
+        let tag = self.holder.tag(request).map(|tag| tag.to_string());
+        let _ = reply.try_send(Ok(Start { server, preempt: receiver, tag }));
+    }
+
+    fn requeue(&mut self, now: Timestamp, request: &RequestId, reply: Sender<StartResult>) {
+        let Some(job) = self.jobs.get_mut(request) else { return };
+        if let Some(server) = job.server.take() {
+            self.routes.ended(now, &server, Outcome::Cancelled);
+        }
+        job.stage = Stage::Queued;
+        job.reply = Some(reply);
+        job.preempt = None;
+        self.scheduler.requeue(now, request);
+    }
+
+    /// Answers a request that was not started, and forgets it.
+    pub fn refuse(&mut self, request: &RequestId, refusal: Refusal) {
+        let now = self.clock.now();
+        let Some(mut job) = self.jobs.remove(request) else { return };
+        if let Some(reply) = job.reply.take() {
+            let _ = reply.try_send(Err(refusal));
+        }
+        self.forget(now, request, &job, Tokens::ZERO, false);
+    }
+
+    fn finish(&mut self, now: Timestamp, finish: &Finish) {
+        let Some(job) = self.jobs.remove(&finish.request) else { return };
+        if let Some(server) = &job.server {
+            self.routes.ended(now, server, finish.outcome);
+        }
+        self.forget(now, &finish.request, &job, finish.used, finish.delivered);
+    }
+
+    fn forget(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        job: &Job,
+        used: Tokens,
+        delivered: bool,
+    ) {
+        match job.stage {
+            Stage::Queued => self.scheduler.withdraw(request),
+            Stage::Running => self.scheduler.finished(now, request, used),
+            Stage::Claiming(_) | Stage::Reserving => {}
+        }
+        if used == Tokens::ZERO {
+            self.holder.release(now, request);
+        } else {
+            self.holder.settle(now, request, used);
+        }
+        if job.admit.claim
+            && let Some(key) = job.admit.key
+        {
+            self.end_claim(now, key, request, delivered);
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -0,0 +1,77 @@
+//! Counters and timers, sent by `cadence` to a configured UDP address.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+use berylwheel_types::Code;
+use berylwheel_types::KindId;
+use berylwheel_types::Millis;
+use cadence::Counted;
+use cadence::CountedExt;
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use cadence::UdpMetricSink;
+
+/// Prefix of all metric names.
+const PREFIX: &str = "berylwheel";
+
+/// The metrics of one router.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Returns metrics that go to `address`, or nowhere without one.
+    ///
+    /// # Errors
+    /// Fails if no UDP socket can be opened.
+    pub fn new(address: Option<SocketAddr>) -> io::Result<Self> {
+        let client = match address {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
+            }
+        };
+        Ok(Self { client: Arc::new(client) })
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, code: Code) {
+        let _ = self
+            .client
+            .incr_with_tags("refused")
+            .with_tag("code", &code.number().to_string())
+            .try_send();
+    }
+
+    /// Records the time until an answer began.
+    pub fn started(&self, kind: &KindId, time: Millis) {
+        let _ = self
+            .client
+            .time_with_tags("first_token_ms", time.0)
+            .with_tag("kind", kind.as_str())
+            .try_send();
+    }
+
+    /// Counts billed tokens.
+    pub fn billed(&self, kind: &KindId, tokens: u64) {
+        let _ = self
+            .client
+            .count_with_tags("billed_tokens", tokens as i64)
+            .with_tag("kind", kind.as_str())
+            .try_send();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, kind: &KindId) {
+        let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/registry.rs
@@ -0,0 +1,87 @@
+//! The list of routers in the store, by which they find each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_io::Timer;
+use berylwheel_store::Compare;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::SwapResult;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use serde::Deserialize;
+use serde::Serialize;
+
+const PREFIX: &str = "/berylwheel/routers/";
+/// Pause after a failed attempt to register.
+const RETRY_PAUSE: Millis = Millis(1_000);
+
+/// A router as it is listed in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registered {
+    /// The present run.
+    pub incarnation: Incarnation,
+    /// Address for other routers.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: String,
+}
+
+/// Reads all listed routers.
+///
+/// # Errors
+/// Fails if the store does not answer.
+pub async fn read_all(store: &Arc<dyn Store>) -> Result<Vec<Registered>, StoreError> {
+    let entries = store.range(PREFIX, true, 0).await?;
+    let read = |value: &[u8]| serde_json::from_slice(value).ok();
+    Ok(entries.iter().filter_map(|entry| read(&entry.value)).collect())
+}
+
+/// Lists a router, and returns the entry of its name that was there before. Tries until the store
+/// answers.
+pub async fn register(store: &Arc<dyn Store>, own: &Registered) -> Option<Registered> {
+    let key = key_of(&own.incarnation.router);
+    let mut before = None;
+    loop {
+        if let Ok(entries) = store.range(&key, false, 1).await {
+            let entry = entries.first();
+            let found: Option<Registered> =
+                entry.and_then(|entry| serde_json::from_slice(&entry.value).ok());
+            if found.as_ref() == Some(own) {
+                return before;
+            }
+            before = found;
+            let compare = Compare::new(key.clone(), entry.map_or(0, |entry| entry.revision));
+            let put = Put::new(key.clone(), serde_json::to_vec(own).unwrap_or_default());
+            if let Ok(SwapResult::Won(_)) = store.swap(vec![compare], vec![put]).await {
+                return before;
+            }
+        }
+        Timer::after(RETRY_PAUSE.duration()).await;
+    }
+}
+
+/// Removes a router that has returned all its grants.
+pub async fn deregister(store: &Arc<dyn Store>, own: &Incarnation) {
+    let key = key_of(&own.router);
+    let Ok(entries) = store.range(&key, false, 1).await else { return };
+    for entry in entries {
+        let found: Option<Registered> = serde_json::from_slice(&entry.value).ok();
+        if found.is_some_and(|found| found.incarnation == *own) {
+            let compare = Compare::new(key.clone(), entry.revision);
+            let _ = store.swap(vec![compare], vec![Put::delete(key.clone())]).await;
+        }
+    }
+}
+
+fn key_of(router: &RouterId) -> String {
+    format!("{PREFIX}{router}")
+}
--- /dev/null
+++ b/crates/berylwheel-router/src/ticket.rs
@@ -0,0 +1,103 @@
+//! The traffic side of an admitted request.
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use berylwheel_route::Outcome;
+use berylwheel_types::Code;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Tokens;
+
+use crate::command::Admit;
+use crate::command::Command;
+use crate::command::Finish;
+use crate::command::Start;
+use crate::command::StartResult;
+
+/// An admitted request. Dropping it ends the request as cancelled with what was used so far, so
+/// that a caller that leaves, or a task that fails, keeps neither reservation nor capacity.
+#[derive(Debug)]
+pub struct Ticket {
+    commands: Sender<Command>,
+    request: RequestId,
+    limit: Tokens,
+    used: Tokens,
+    outcome: Outcome,
+    delivered: bool,
+}
+
+impl Ticket {
+    /// Asks the control thread for a start.
+    ///
+    /// # Errors
+    /// The refusal of the control thread.
+    pub async fn admit(commands: &Sender<Command>, admit: Admit) -> Result<(Self, Start), Refusal> {
+        let ticket = Self {
+            commands: commands.clone(),
+            request: admit.request.clone(),
+            limit: admit.amount,
+            used: Tokens::ZERO,
+            outcome: Outcome::Cancelled,
+            delivered: false,
+        };
+        let start = ticket.ask(|reply| Command::Admit(Box::new(admit), reply)).await?;
+        Ok((ticket, start))
+    }
+
+    /// Asks for another server after the one given failed with `outcome`.
+    ///
+    /// # Errors
+    /// The refusal of the control thread.
+    pub async fn retry(&self, outcome: Outcome) -> StartResult {
+        self.ask(|reply| Command::Retry(self.request.clone(), outcome, reply)).await
+    }
+
+    /// Waits for another start after more urgent work has taken the place.
+    ///
+    /// # Errors
+    /// The refusal of the control thread.
+    pub async fn requeue(&self) -> StartResult {
+        self.ask(|reply| Command::Requeue(self.request.clone(), reply)).await
+    }
+
+    /// Tells the control thread that the answer has begun.
+    pub fn first_token(&self) {
+        let _ = self.commands.try_send(Command::FirstToken(self.request.clone()));
+    }
+
+    /// Sets what the request has used so far.
+    pub fn set_used(&mut self, used: Tokens) {
+        self.used = used.min(self.limit);
+    }
+
+    /// Returns what the request has used so far.
+    pub fn used(&self) -> Tokens {
+        self.used
+    }
+
+    /// Ends the request.
+    pub fn finish(mut self, outcome: Outcome, delivered: bool) {
+        self.outcome = outcome;
+        self.delivered = delivered;
+    }
+
+    async fn ask(&self, command: impl FnOnce(Sender<StartResult>) -> Command) -> StartResult {
+        let (reply, answer): (_, Receiver<StartResult>) = async_channel::bounded(1);
+        let stopped = || Refusal::not_run(Code::Draining, "the router has stopped");
+        self.commands.send(command(reply)).await.map_err(|_| stopped())?;
+        answer.recv().await.unwrap_or_else(|_| Err(stopped()))
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let finish = Finish {
+            request: self.request.clone(),
+            used: self.used,
+            outcome: self.outcome,
+            delivered: self.delivered,
+        };
+        // The channel is unbounded: this fails only once the control thread has ended.
+        let _ = self.commands.try_send(Command::Finish(finish));
+    }
+}
--- a/crates/berylwheel-standin/src/engine/chat.rs
+++ b/crates/berylwheel-standin/src/engine/chat.rs
@@ -140,7 +140,7 @@
     let (cancel, cancelled) = async_channel::bounded(1);
     let record = Record {
         owner: header(request, "x-request-owner"),
-        bill_key: header(request, "x-bill-key").or_else(|| header(request, "idempotency-key")),
+        usage_tag: header(request, "x-usage-tag").or_else(|| header(request, "idempotency-key")),
         budget: header(request, "x-budget"),
         prompt: text.split_whitespace().count() as u64,
         started: false,
--- a/crates/berylwheel-standin/src/engine/record.rs
+++ b/crates/berylwheel-standin/src/engine/record.rs
@@ -10,8 +10,8 @@
 pub(crate) struct Record {
     /// The owner that `X-Request-Owner` named.
     pub(crate) owner: Option<String>,
-    /// The value of `X-Bill-Key`, or else of `Idempotency-Key`.
-    pub(crate) bill_key: Option<String>,
+    /// The value of `X-Usage-Tag`, or else of `Idempotency-Key`.
+    pub(crate) usage_tag: Option<String>,
     /// The value of `X-Budget`.
     pub(crate) budget: Option<String>,
     /// Words of the prompt.
@@ -35,7 +35,7 @@
 pub(crate) struct Usage<'a> {
     request: &'a str,
     owner: Option<&'a str>,
-    bill_key: Option<&'a str>,
+    usage_tag: Option<&'a str>,
     budget: Option<&'a str>,
     tokens: u64,
     finished: bool,
@@ -47,7 +47,7 @@
         Usage {
             request,
             owner: self.owner.as_deref(),
-            bill_key: self.bill_key.as_deref(),
+            usage_tag: self.usage_tag.as_deref(),
             budget: self.budget.as_deref(),
             tokens: if self.started { self.prompt + self.generated } else { 0 },
             finished: self.finished,
--- a/crates/berylwheel-standin/tests/engine.rs
+++ b/crates/berylwheel-standin/tests/engine.rs
@@ -68,7 +68,7 @@
             .header("x-budget", "w/main");
         peer.call(&owned).await.unwrap();
         peer.call(&chat("other", 3, false).header("x-request-owner", "r2@7")).await.unwrap();
-        let expected = json!([{ "request": "r", "owner": "r1@7", "bill_key": "k",
+        let expected = json!([{ "request": "r", "owner": "r1@7", "usage_tag": "k",
             "budget": "w/main", "tokens": 5, "finished": true }]);
         assert_eq!(peer.get("/v1/usage?owner=r1@7").await, expected);
     });
--- a/crates/berylwheel-types/src/code.rs
+++ b/crates/berylwheel-types/src/code.rs
@@ -100,6 +100,8 @@
     UnknownBudget = 1203, 403, "unknown budget", "Ask the operator to create the budget.";
     /// A request with this idempotency key is running.
     RequestRunning = 1211, 409, "request is running", "Wait and send the same request again.";
+    /// The request with this idempotency key was answered.
+    RequestDone = 1212, 409, "request was answered", "Use a new idempotency key to ask again.";
     /// A call that may not be repeated came without an idempotency key.
     KeyRequired = 1301, 400, "idempotency key required", "Send an Idempotency-Key header.";
     /// The record of a non-idempotent call cannot be written now.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The `berylwheel` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    berylwheel_command::run()
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,68 @@
+//! One request of each sort through real processes.
+
+mod support;
+
+use berylwheel_http::Outgoing;
+use http_types::Method;
+use support::Fleet;
+use support::call;
+use support::chat;
+use support::get;
+use support::send;
+use support::wait_until;
+
+/// Guards against a request path that works only inside one process.
+#[test]
+fn serves_stream_booking_and_refusal() {
+    let fleet = Fleet::start("whole_path", 3, &[], 1_000);
+
+    let streamed = send(fleet.router(0), chat(20, true, None));
+    assert_eq!(streamed.status, 200, "{streamed:?}");
+    assert_eq!(streamed.body.matches("\"content\"").count(), 20, "{}", streamed.body);
+    assert!(streamed.body.trim_end().ends_with("data: [DONE]"), "{}", streamed.body);
+
+    let whole = send(fleet.router(1), chat(20, false, None));
+    assert_eq!(whole.status, 200, "{whole:?}");
+
+    let book = |router| {
+        let outgoing = call(Method::Post, "/services/booking/book", Some("b-1"), r#"{"slot":1}"#);
+        send(fleet.router(router), outgoing)
+    };
+    let (first, again) = (book(1), book(2));
+    assert_eq!((first.status, again.status), (200, 200), "{first:?} {again:?}");
+    assert_eq!(first.body, again.body, "the second answer is the recorded one");
+    assert_eq!(fleet.runs("b-1"), 1);
+
+    let stock = send(fleet.router(2), call(Method::Get, "/services/stock/stock/rose", None, ""));
+    assert_eq!(stock.status, 200, "{stock:?}");
+
+    let refused = send(fleet.router(0), chat(3_000, true, None));
+    assert_eq!((refused.status, refused.code()), (402, 1201), "{refused:?}");
+    assert_eq!(refused.ran(), "not-run");
+
+    let billed = wait_until("the bills are settled", || {
+        let billed = fleet.account()["billed"].as_u64()?;
+        (billed > 0).then_some(billed)
+    });
+    // Two requests of three prompt words and twenty generated tokens.
+    assert!(billed == 23 || billed == 46, "{billed}");
+    wait_until("both bills are settled", || (fleet.account()["billed"] == 46).then_some(()));
+}
+
+/// Guards against a router whose death takes the others with it.
+#[test]
+fn others_serve_when_a_router_is_killed_mid_stream() {
+    let mut fleet = Fleet::start("kill_mid_stream", 3, &["--token-interval-ms", "20"], 100_000);
+    let router = fleet.router(0);
+    let stream = std::thread::spawn(move || support::try_send(router, chat(500, true, Some("k"))));
+    wait_until("the stream has begun", || {
+        let dump = get(fleet.admin(0), "/dump").json();
+        (dump["requests"].as_u64() == Some(1)).then_some(())
+    });
+    fleet.routers[0].kill();
+    let broken = stream.join().expect("the thread ends");
+    assert!(broken.is_err() || !broken.is_ok_and(|a| a.body.contains("[DONE]")));
+    let served = send(fleet.router(1), chat(10, true, None));
+    assert_eq!(served.status, 200, "{served:?}");
+    assert_eq!(send(fleet.router(2), Outgoing::new(Method::Get, "/healthz")).status, 200);
+}
