Send commands to the control thread without a forwarding task

Cause: each request passed through a task that only moved messages between two channels of the control thread. Ruled out: a change of the thread count; it was not touched.

--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -111,7 +111,7 @@
             },
         };
         let (deadline, end) = (admit.deadline, arrived + settings.fleet().request_limit);
-        let (ticket, start) = Ticket::admit(&self.commands, admit).await?;
+        let (ticket, start) = Ticket::admit(&self.events, admit).await?;
         let job = Job { call, chat, kind, max_tokens, deadline, end };
         if job.chat.stream {
             return Box::pin(self.stream(job, ticket, start)).await;
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -91,7 +91,6 @@
     let metrics = Metrics::new(settings.metrics)?;
     let active = ActiveRequests::default();
     let (events, inbox) = async_channel::unbounded();
-    let (commands, command_inbox) = async_channel::unbounded();
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let (drained_sender, drained) = async_channel::bounded(1);
     let mut threads = Vec::new();
@@ -114,8 +113,6 @@
         store: store.clone(),
         me: me.clone(),
     };
-    let forward = forward_commands(command_inbox, events.clone());
-    executor.spawn(forward).detach();
     executor.spawn(admin_server.listen(admin_listener, executor.clone())).detach();
     executor.spawn(control.run(inbox, drained_sender)).detach();
     threads.push(spawn_thread("control", executor, stopped.clone())?);
@@ -124,7 +121,7 @@
     let traffic = Traffic {
         clock,
         client,
-        commands,
+        events: events.clone(),
         snapshot,
         store,
         me: me.clone(),
@@ -177,14 +174,6 @@
     }
 }
 
-async fn forward_commands(commands: Receiver<crate::command::Command>, events: Sender<Event>) {
-    while let Ok(command) = commands.recv().await {
-        if events.send(Event::Command(command)).await.is_err() {
-            return;
-        }
-    }
-}
-
 fn spawn_thread(
     name: &str,
     executor: Arc<Executor<'static>>,
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -121,7 +121,7 @@
 
     async fn call_repeatable(&self, admit: Admit, call: ServiceCall) -> Result<Response, Refusal> {
         let price = admit.amount;
-        let (mut ticket, mut start) = Ticket::admit(&self.commands, admit).await?;
+        let (mut ticket, mut start) = Ticket::admit(&self.events, admit).await?;
         loop {
             match self.exchange(&call, &start, true).await {
                 Ok(answer) => {
@@ -164,7 +164,7 @@
         if let Some(answer) = self.existing(&records, &outgoing, digest, admit.deadline).await? {
             return Ok(answer);
         }
-        let (ticket, start) = Ticket::admit(&self.commands, admit).await?;
+        let (ticket, start) = Ticket::admit(&self.events, admit).await?;
         let record = OnceRecord {
             attempt: call.id.clone(),
             owner: self.me.clone(),
--- a/crates/berylwheel-router/src/ticket.rs
+++ b/crates/berylwheel-router/src/ticket.rs
@@ -13,12 +13,13 @@
 use crate::command::Finish;
 use crate::command::Start;
 use crate::command::StartResult;
+use crate::event::Event;
 
 /// An admitted request. Dropping it ends the request as cancelled with what was used so far, so
 /// that a caller that leaves, or a task that fails, keeps neither reservation nor capacity.
 #[derive(Debug)]
 pub struct Ticket {
-    commands: Sender<Command>,
+    events: Sender<Event>,
     request: RequestId,
     limit: Tokens,
     used: Tokens,
@@ -31,9 +32,9 @@
     ///
     /// # Errors
     /// The refusal of the control thread.
-    pub async fn admit(commands: &Sender<Command>, admit: Admit) -> Result<(Self, Start), Refusal> {
+    pub async fn admit(events: &Sender<Event>, admit: Admit) -> Result<(Self, Start), Refusal> {
         let ticket = Self {
-            commands: commands.clone(),
+            events: events.clone(),
             request: admit.request.clone(),
             limit: admit.amount,
             used: Tokens::ZERO,
@@ -62,7 +63,7 @@
 
     /// Tells the control thread that the answer has begun.
     pub fn first_token(&self) {
-        let _ = self.commands.try_send(Command::FirstToken(self.request.clone()));
+        let _ = self.events.try_send(Event::Command(Command::FirstToken(self.request.clone())));
     }
 
     /// Sets what the request has used so far.
@@ -84,7 +85,7 @@
     async fn ask(&self, command: impl FnOnce(Sender<StartResult>) -> Command) -> StartResult {
         let (reply, answer): (_, Receiver<StartResult>) = async_channel::bounded(1);
         let stopped = || Refusal::not_run(Code::Draining, "the router has stopped");
-        self.commands.send(command(reply)).await.map_err(|_| stopped())?;
+        self.events.send(Event::Command(command(reply))).await.map_err(|_| stopped())?;
         answer.recv().await.unwrap_or_else(|_| Err(stopped()))
     }
 }
@@ -98,6 +99,6 @@
             delivered: self.delivered,
         };
         // The channel is unbounded: this fails only once the control thread has ended.
-        let _ = self.commands.try_send(Command::Finish(finish));
+        let _ = self.events.try_send(Event::Command(Command::Finish(finish)));
     }
 }
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/traffic.rs
@@ -34,7 +34,7 @@
 use http_types::Response;
 use serde_json::json;
 
-use crate::command::Command;
+use crate::event::Event;
 use crate::metrics::Metrics;
 use crate::snapshot::SharedSnapshot;
 
@@ -49,7 +49,7 @@
     /// Connections to backend servers.
     pub client: Client,
     /// Messages to the control thread.
-    pub commands: Sender<Command>,
+    pub events: Sender<Event>,
     /// The configuration in force.
     pub snapshot: SharedSnapshot,
     /// Holds the idempotency records.
