Add the overload bench

Cause: the claims on service under overload had no measurement. Ruled out: kind bounds of 0.7 for chat and 0.5 for bulk. With them the floors held by the bounds alone (batch 1.0); with 1.0 the minimum shares of the scheduler are what is measured. Change: arrivals and completions over nine Schedulers with small fakes of engines and services, against one first-come queue a router with round robin.

--- /dev/null
+++ b/benches/overload/queueing.rs
@@ -0,0 +1,95 @@
+//! The queue of one router: the scheduler, or the first-come queue that users have today.
+
+use std::collections::VecDeque;
+
+use berylwheel_schedule::KindLimits;
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_schedule::Work;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use crate::load::ENGINE_SLOTS;
+use crate::load::KINDS;
+use crate::load::KindOf;
+use crate::load::Request;
+use crate::load::SERVICE_SLOTS;
+use crate::load::Size;
+use crate::load::TOKEN_MS;
+
+/// Which queue the routers have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Queueing {
+    Scheduler,
+    FirstCome,
+}
+
+/// One router.
+pub struct Router {
+    pub queue: Queue,
+    /// Requests in flight by server.
+    pub in_flight: Vec<usize>,
+    /// Next server by class, for round robin.
+    pub turn: [usize; 2],
+}
+
+pub enum Queue {
+    Scheduler(Box<Scheduler>),
+    FirstCome(VecDeque<usize>),
+}
+
+/// Returns the slots of this router at the engines or the services.
+pub fn slots(size: &Size, engine: bool) -> usize {
+    match engine {
+        true => size.engines * ENGINE_SLOTS / size.routers,
+        false => size.services * SERVICE_SLOTS / size.routers,
+    }
+}
+
+/// Sizes a kind as docs/operators/overload.md tells operators to: the queue holds what the kind's
+/// concurrency serves within the target of its rank.
+fn limits(size: &Size, kind: &KindOf, policy: &SchedulePolicy) -> KindLimits {
+    let concurrency = (slots(size, kind.engine) as f64 * kind.bound).ceil();
+    let service_ms = (kind.tokens * TOKEN_MS) as f64;
+    let target = policy.rank(kind.rank).target.0 as f64;
+    KindLimits {
+        queue: (concurrency * target / service_ms).ceil() as usize,
+        queue_bytes: ByteSize(64 << 20),
+        concurrency: concurrency as usize,
+    }
+}
+
+impl Router {
+    pub fn new(size: &Size, queueing: Queueing) -> Self {
+        let queue = match queueing {
+            Queueing::FirstCome => Queue::FirstCome(VecDeque::new()),
+            Queueing::Scheduler => {
+                let policy =
+                    SchedulePolicy { workspace_limit: slots(size, true) / 2, ..Default::default() };
+                let mut scheduler = Scheduler::new(policy);
+                for kind in &KINDS {
+                    let limits = limits(size, kind, &policy);
+                    scheduler.set_kind(kind.name.parse().expect("a name"), limits);
+                }
+                Queue::Scheduler(Box::new(scheduler))
+            }
+        };
+        Self { queue, in_flight: vec![0; size.engines + size.services], turn: [0; 2] }
+    }
+}
+
+/// Returns what the scheduler learns of request number `id`.
+pub fn work(id: usize, request: &Request) -> Work {
+    let kind = request.kind();
+    Work {
+        request: format!("{id}").parse().expect("a name"),
+        workspace: format!("w{}", request.workspace).parse().expect("a name"),
+        kind: kind.name.parse().expect("a name"),
+        model: kind.engine.then(|| "m".parse().expect("a name")),
+        rank: kind.rank,
+        cost: Tokens(request.cost),
+        size: ByteSize(2_000),
+        deadline: Timestamp::from_millis(request.deadline()),
+    }
+}
--- /dev/null
+++ b/benches/overload/report.rs
@@ -0,0 +1,39 @@
+//! Figures as JSON lines.
+
+use serde_json::json;
+
+/// What a figure is compared with; both `None` where nothing is required.
+#[derive(Clone, Copy)]
+pub struct Figure {
+    pub value: f64,
+    pub baseline: f64,
+    pub target: Option<f64>,
+}
+
+/// Prints the figures of one size of fleet.
+pub struct Report {
+    size: &'static str,
+    pub seed: u64,
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
+
+impl Report {
+    pub fn new(size: &'static str, seed: u64) -> Self {
+        Self { size, seed }
+    }
+
+    pub fn print(&self, name: &str, unit: &str, figure: Figure) {
+        let line = json!({
+            "figure": format!("{name}.{}", self.size),
+            "value": rounded(figure.value),
+            "unit": unit,
+            "baseline": rounded(figure.baseline),
+            "target": figure.target,
+            "seed": self.seed,
+        });
+        println!("{line}");
+    }
+}
