Keep the credit of a rank whose servers are busy

Cause: each start took positive credit from ranks without startable work. Lookups start between engine requests while all engines are full, so the batch rank lost credit that it had earned at the engines. Ruled out: preemption (it leaves batch its share of what runs) and the debt for borrowed capacity (bounded by one second). Change: only a rank with an empty queue loses its credit. A rank whose servers are busy keeps it and earns none.

--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -197,6 +197,7 @@
     ) -> Option<Work> {
         let heads = Rank::ALL.map(|rank| self.startable(rank, can_start));
         let ready = [heads[0].is_some(), heads[1].is_some(), heads[2].is_some()];
+        let idle = self.lanes.each_ref().map(|lane| lane.len() == 0);
         let rank = self.shares.choose(ready)?;
         let request = heads.into_iter().nth(rank.index())??;
         let entry = self.entries.get_mut(&request)?;
@@ -216,7 +217,7 @@
         let charge = kind.expected(&work);
         entry.state = State::Running { since: now, charge, answered: false, preempted: false };
         self.lanes[rank.index()].start(&work, charge);
-        self.shares.started(now, rank, charge, ready);
+        self.shares.started(now, rank, charge, ready, idle);
         Some(work)
     }
 
--- a/crates/berylwheel-schedule/src/shares.rs
+++ b/crates/berylwheel-schedule/src/shares.rs
@@ -49,14 +49,23 @@
         ready().find(|r| self.credit(*r) > 0.0).or_else(|| ready().next())
     }
 
-    /// Accounts for the start of `cost` tokens of `rank` while the ranks in `ready` had work.
-    pub(crate) fn started(&mut self, now: Timestamp, rank: Rank, cost: f64, ready: [bool; 3]) {
+    /// Accounts for the start of `cost` tokens of `rank`. The ranks in `ready` had work that could
+    /// start, those in `idle` had no work.
+    pub(crate) fn started(
+        &mut self,
+        now: Timestamp,
+        rank: Rank,
+        cost: f64,
+        ready: [bool; 3],
+        idle: [bool; 3],
+    ) {
         self.recent.add(now, self.window, cost);
-        for (i, ready) in ready.into_iter().enumerate() {
-            if ready {
+        for i in 0..3 {
+            if ready[i] {
                 self.credit[i] += self.floors[i] * cost;
-            } else {
-                // A rank saves up nothing while it has no work that could start.
+            } else if idle[i] {
+                // A rank saves up nothing while it has no work. One whose servers are busy keeps
+                // its credit: work for other servers must not cost it its minimum share.
                 self.credit[i] = self.credit[i].min(0.0);
             }
         }
--- a/crates/berylwheel-schedule/tests/shares.rs
+++ b/crates/berylwheel-schedule/tests/shares.rs
@@ -5,6 +5,7 @@
 use berylwheel_schedule::SchedulePolicy;
 use berylwheel_schedule::Scheduler;
 use berylwheel_schedule::Served;
+use berylwheel_schedule::Work;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::Timestamp;
@@ -135,6 +136,30 @@
     assert!((9..=11).contains(&served), "{served} of 20");
 }
 
+/// Guards against a rank that loses its minimum share at its servers because work for other
+/// servers starts in between.
+#[test]
+fn other_servers_cost_no_share() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(1_000, 1_000));
+    scheduler.set_workspace("w0".parse().unwrap(), Some(1_000));
+    let now = Timestamp::from_millis(1_000);
+    let models = [("b", "m0", Rank::Batch), ("u", "m0", Rank::Urgent), ("o", "m1", Rank::Urgent)];
+    for (name, model, rank) in models {
+        for number in 0..200 {
+            let mut work = work(&format!("{name}{number}"), "w0", "k0", rank, 100);
+            work.model = Some(model.parse().unwrap());
+            scheduler.offer(now, work).unwrap();
+        }
+    }
+    let mut start = |model: &str| {
+        let on = |w: &Work| w.model.as_ref().is_some_and(|m| m.as_str() == model);
+        scheduler.next(now, &mut |work| on(work)).unwrap().rank
+    };
+    let batch = (0..200).filter(|i| start(["m0", "m1"][i % 2]) == Rank::Batch).count();
+    assert!((9..=11).contains(&batch), "{batch} of 100");
+}
+
 /// Serves two workspaces after a peer reports `tokens` for the first, and returns how far the
 /// second is ahead.
 fn lead_after_heartbeat(tokens: u64) -> f64 {
