Weigh the time with work waiting by its age

Cause: the service rate divides tokens started by the time with work waiting. Both lose weight with age, but a span between two calls was added in full, so rare timer calls made the rate too low and refused work that had time. Ruled out: a shorter window, which only makes the rate noisier. Change: a span counts with the weight that its parts have at its end. Conclusion: the estimate no longer depends on how often the timer runs.

--- a/crates/berylwheel-schedule/src/meter.rs
+++ b/crates/berylwheel-schedule/src/meter.rs
@@ -50,7 +50,11 @@
     /// Accounts for the time since the last call, during which work was `waiting` or not.
     pub(crate) fn advance(&mut self, now: Timestamp, waiting: bool) {
         if waiting {
-            self.busy.add(now, RATE_WINDOW, now.since(self.seen).0 as f64);
+            // The time between two calls loses weight with its age like any sample, so that the
+            // sum never exceeds the window however rarely the caller's timer runs.
+            let window = RATE_WINDOW.0 as f64;
+            let weighted = window * -(-(now.since(self.seen).0 as f64) / window).exp_m1();
+            self.busy.add(now, RATE_WINDOW, weighted);
         }
         self.seen = self.seen.max(now);
     }
