Allow short requests the time they need

Cause: admission and expiry allowed every request the mean time of its kind. A short request with a short deadline was refused while long ones of its kind were running. Ruled out: scaling up for requests longer than the mean, since their upper bound says little about the tokens that they use. Change: the time allowed is scaled down by expected tokens over mean tokens. The sum of work in front is written without the case for the own workspace, which gave the same value.

--- a/crates/berylwheel-schedule/src/kind.rs
+++ b/crates/berylwheel-schedule/src/kind.rs
@@ -35,6 +35,8 @@
     callers: BTreeMap<WorkspaceId, Caller>,
     rate: ServiceRate,
     service: Mean,
+    /// Tokens used by a request.
+    tokens: Mean,
     /// Tokens used per token of upper bound.
     usage: Mean,
     retries: f64,
@@ -50,6 +52,7 @@
             callers: BTreeMap::new(),
             rate: ServiceRate::new(),
             service: Mean::new(),
+            tokens: Mean::new(),
             usage: Mean::new(),
             retries: f64::from(policy.retry_burst),
         }
@@ -139,6 +142,7 @@
             return;
         }
         self.service.add(time.0 as f64);
+        self.tokens.add(served as f64);
         self.usage.add((served as f64 / work.cost.0 as f64).min(1.0));
     }
 
@@ -147,10 +151,17 @@
         self.service.or(0.0)
     }
 
-    /// Returns the time for which an answer has to be allowed. It is zero while nothing runs, so
-    /// that a wrong estimate is corrected by a request that tries.
-    pub(crate) fn time_needed(&self) -> f64 {
-        if self.running == 0 { 0.0 } else { self.service_time() }
+    /// Returns the time in milliseconds for which the answer to `work` has to be allowed.
+    ///
+    /// It is zero while nothing runs, so that a wrong estimate is corrected by a request that
+    /// tries. Requests shorter than the mean are allowed less; longer ones are not allowed more,
+    /// since their upper bound says little about the tokens they use.
+    pub(crate) fn time_needed(&self, work: &Work) -> f64 {
+        if self.running == 0 {
+            return 0.0;
+        }
+        let mean = self.tokens.or(1.0).max(1.0);
+        self.service_time() * (self.expected(work) / mean).min(1.0)
     }
 
     /// Returns the expected wait of new work in milliseconds.
@@ -160,11 +171,9 @@
     pub(crate) fn wait(&self, now: Timestamp, work: &Work) -> f64 {
         let queued = |c: &Caller| -> f64 { c.tokens[..=work.rank.index()].iter().sum() };
         let own = self.callers.get(&work.workspace).map_or(0.0, queued) + self.expected(work);
-        let front: f64 = self
-            .callers
-            .iter()
-            .map(|(w, c)| if *w == work.workspace { queued(c) } else { queued(c).min(own) })
-            .sum();
+        // The work itself is not in front: its own queue counts as far as it is there, and with an
+        // empty queue there is no wait, whatever rate was measured while the servers hung.
+        let front: f64 = self.callers.values().map(|caller| queued(caller).min(own)).sum();
         self.drain_time(now, front)
     }
 
--- a/crates/berylwheel-schedule/src/release.rs
+++ b/crates/berylwheel-schedule/src/release.rs
@@ -13,7 +13,6 @@
 
 use crate::Scheduler;
 use crate::Work;
-use crate::kind::Kind;
 use crate::kind::bounded;
 use crate::scheduler::Entry;
 use crate::scheduler::State;
@@ -87,7 +86,7 @@
     }
 
     fn is_late(&self, now: Timestamp, work: &Work) -> bool {
-        let needed = self.kinds.get(&work.kind).map_or(0.0, Kind::time_needed);
+        let needed = self.kinds.get(&work.kind).map_or(0.0, |kind| kind.time_needed(work));
         now >= work.deadline || needed > work.deadline.since(now).0 as f64
     }
 
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -165,7 +165,7 @@
         }
         let wait = kind.wait(now, work);
         let left = work.deadline.since(now).0 as f64;
-        let needed = wait + kind.time_needed();
+        let needed = wait + kind.time_needed(work);
         if left <= 0.0 || needed > left {
             let detail = format!("needs {} ms, {left} ms left", needed.min(1e9) as u64);
             return Err(
--- a/crates/berylwheel-schedule/tests/kind.rs
+++ b/crates/berylwheel-schedule/tests/kind.rs
@@ -124,6 +124,41 @@
     assert_eq!(scheduler.expired(now), []);
 }
 
+/// Guards against short requests refused for the time that long ones of their kind take.
+#[test]
+fn short_request_needs_less_time() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(10, 4));
+    for name in ["long", "running"] {
+        scheduler.offer(START, work(name, "w0", "k0", Rank::Normal, 1_000)).unwrap();
+        scheduler.next(START, &mut |_| true).unwrap();
+    }
+    let now = START + Millis(10_000);
+    scheduler.finished(now, &"long".parse().unwrap(), Tokens(1_000));
+    let mut offer = |name, cost| {
+        let mut work = work(name, "w0", "k0", Rank::Normal, cost);
+        work.deadline = now + Millis(2_000);
+        scheduler.offer(now, work).map_err(|refusal| refusal.code)
+    };
+    assert_eq!(offer("short", 100), Ok(()));
+    assert_eq!(offer("late", 1_000), Err(Code::DeadlineUnmet));
+}
+
+/// Guards against refusals after a hang is over: with nothing queued there is no wait, although no
+/// work was started while some waited.
+#[test]
+fn empty_queue_has_no_wait() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    let mut now = backlog(&mut scheduler, 2);
+    now += Millis(20_000);
+    assert_eq!(scheduler.expired(now), []);
+    scheduler.withdraw(&"b21".parse().unwrap());
+    scheduler.finished(now, &"b20".parse().unwrap(), Tokens(100));
+    let mut work = work("q", "w0", "k0", Rank::Normal, 100);
+    work.deadline = now + Millis(1_000);
+    assert_eq!(scheduler.offer(now, work), Ok(()));
+}
+
 /// Guards against refusals with the wrong code or without a time to come back.
 #[test]
 fn full_kind_refuses() {
