Keep a server draining until a report taken later

Cause: a load report taken before a 503 with `draining`, but arriving after it, brought the server back; the table row "answer" of leaving_is_believed_from_every_source shows it. Ruled out: ignoring reports for a fixed time, which delays a restart. Change: the time of the server's last word is kept, and a report clears it only if taken later. The limit on own work follows from the load estimate, so the second comparison goes. The dump's time follows leaving news. Conclusion: only newer word of the server itself ends its draining.

--- a/crates/berylwheel-route/src/routes.rs
+++ b/crates/berylwheel-route/src/routes.rs
@@ -148,11 +148,14 @@
         if !state.load.report(now, &report) {
             return;
         }
-        if state.draining && !report.draining {
+        let at = report.at.min(now);
+        if report.draining {
+            state.draining = state.draining.max(Some(at));
+        } else if state.draining.is_some_and(|since| at > since) {
             // A server that drains does not change its mind; this is a new process.
+            state.draining = None;
             state.since = Some(now);
         }
-        state.draining = report.draining;
         state.loaded = report.loaded;
         self.limit_ejections(now);
     }
@@ -175,15 +178,17 @@
                 self.leaving.remove(&id);
             }
         }
+        self.latest = now;
         self.leaving.insert(server.clone(), now);
         self.limit_ejections(now);
     }
 
-    /// Notes that a server itself said that it drains, as in a 503 answer. A later load report that
-    /// does not say so brings it back.
+    /// Notes that a server itself said that it drains, as in a 503 answer. A load report taken
+    /// later that does not say so brings it back.
     pub fn set_draining(&mut self, now: Timestamp, server: &BackendId) {
+        self.latest = now;
         if let Some(state) = self.states.get_mut(server) {
-            state.draining = true;
+            state.draining = Some(now);
         }
         self.limit_ejections(now);
     }
@@ -197,6 +202,7 @@
         if now.since(*at) < self.policy.leaving_hold {
             return;
         }
+        self.latest = now;
         self.leaving.remove(server);
         if let Some(state) = self.states.get_mut(server) {
             state.since = Some(now);
@@ -206,7 +212,7 @@
     /// Returns whether a server gets no new work because it leaves.
     pub fn is_leaving(&self, server: &BackendId) -> bool {
         self.leaving.contains_key(server)
-            || self.states.get(server).is_some_and(|state| state.draining)
+            || self.states.get(server).is_some_and(|state| state.draining.is_some())
     }
 
     /// Returns whether [`Routes::pick`] would find a server.
@@ -265,9 +271,9 @@
             let others = state.load.others(now, limit).map_or(mean, f64::from);
             let load = f64::from(own) + others;
             let concurrency = f64::from(state.server.concurrency);
-            // Within its own share a router does not wait for what the others have taken.
-            let fits = load < concurrency || f64::from(own) < (concurrency * share).floor();
-            let room = own < state.server.concurrency && fits;
+            // Within its own share a router does not wait for what the others have taken. Neither
+            // term lets own work pass the limit, since the load counts it.
+            let room = load < concurrency || f64::from(own) < (concurrency * share).floor();
             let capacity = concurrency * state.weight(now, &self.policy);
             candidates.push(Candidate { state, load, capacity, room });
         }
--- a/crates/berylwheel-route/src/state.rs
+++ b/crates/berylwheel-route/src/state.rs
@@ -24,8 +24,8 @@
     pub load: Load,
     pub held: HeldPrefixes,
     pub health: Health,
-    /// Whether the server's own last word was that it drains.
-    pub draining: bool,
+    /// When the server last said that it drains, if it has not said otherwise since.
+    pub draining: Option<Timestamp>,
     pub loaded: Option<Vec<ModelId>>,
     /// When the server came in; `None` if it was there when the router started.
     pub since: Option<Timestamp>,
@@ -42,7 +42,7 @@
             load: Load::default(),
             held: HeldPrefixes::default(),
             health: Health::default(),
-            draining: false,
+            draining: None,
             loaded: None,
             since,
             probe_due: Timestamp::default(),
@@ -54,7 +54,7 @@
         self.load.forget_reports();
         self.held = HeldPrefixes::default();
         self.health = Health::default();
-        self.draining = false;
+        self.draining = None;
         self.loaded = None;
         self.since = Some(now);
         self.probe_due = now;
