--- /dev/null
+++ b/crates/berylwheel-route/tests/choice.rs
@@ -0,0 +1,111 @@
+//! Choice among eligible servers.
+
+mod support;
+
+use berylwheel_route::Ask;
+use berylwheel_route::CacheEvent;
+use berylwheel_route::LoadReport;
+use berylwheel_route::Outcome;
+use berylwheel_route::RoutePolicy;
+use berylwheel_route::Routes;
+use support::SEED;
+use support::ask;
+use support::ask_service;
+use support::at;
+use support::chosen;
+use support::engine;
+use support::engines;
+use support::id;
+use support::service;
+use support::spread;
+
+/// Guards against work that reaches a server which cannot do it.
+#[test]
+fn a_server_must_fit_the_request() {
+    let mut routes = Routes::new("r1".parse().unwrap(), RoutePolicy::default(), SEED);
+    let mut limited = engine("e2", &["m1"], 9);
+    limited.kinds = vec!["draft".parse().unwrap()];
+    let servers = [engine("e0", &["m1"], 9), engine("e1", &["m1", "m2"], 9), limited];
+    let services = [service("s0", "booking", 9), service("s1", "charge", 9)];
+    routes.set_servers(at(0), servers.into_iter().chain(services).collect());
+    let tried = Ask { exclude: vec![id("e0")], ..ask("m1", 0) };
+    let draft = Ask { kind: "draft".parse().unwrap(), ..ask("m1", 0) };
+    let table = [
+        (ask("m1", 0), "e0 e1"),
+        (ask("m2", 0), "e1"),
+        (ask("m3", 0), ""),
+        (draft, "e0 e1 e2"),
+        (tried, "e1"),
+        (ask_service("booking"), "s0"),
+        (ask_service("chat"), ""),
+    ];
+    for (ask, expected) in table {
+        assert_eq!(chosen(&mut routes, at(0), &ask, 100), expected, "{ask:?}");
+    }
+    let loaded = Some(vec!["m2".parse().unwrap()]);
+    routes.report(at(1), &id("e1"), LoadReport { at: at(1), loaded, ..LoadReport::default() });
+    assert_eq!(chosen(&mut routes, at(1), &ask("m1", 0), 100), "e0", "e1 has unloaded m1");
+    assert_eq!(chosen(&mut routes, at(1), &ask("m2", 0), 100), "e1");
+}
+
+/// Guards against choices that differ between runs with one seed, or agree between seeds.
+#[test]
+fn the_seed_decides_the_choices() {
+    let run = |seed| {
+        let mut routes = Routes::new("r1".parse().unwrap(), RoutePolicy::default(), seed);
+        routes.set_servers(at(0), (0..9).map(|n| engine(&format!("e{n}"), &["m1"], 9)).collect());
+        let mut pick = || routes.pick(at(0), &ask("m1", 0)).unwrap().id;
+        (0..20).map(|_| pick()).collect::<Vec<_>>()
+    };
+    assert_eq!(run(SEED), run(SEED));
+    assert_ne!(run(SEED), run(SEED + 1));
+}
+
+/// Guards against routers that send one prefix to different servers, and against a prefix that
+/// overloads its server.
+#[test]
+fn a_prefix_keeps_its_server_within_the_load_bound() {
+    let mut routes = engines(8, 1_000);
+    let home = chosen(&mut routes, at(0), &ask("m1", 42), 20);
+    assert!(!home.contains(' '), "{home}");
+    let mut other = Routes::new("r2".parse().unwrap(), RoutePolicy::default(), SEED + 1);
+    other.set_servers(at(0), (0..8).map(|n| engine(&format!("e{n}"), &["m1"], 1_000)).collect());
+    assert_eq!(chosen(&mut other, at(0), &ask("m1", 42), 20), home);
+    for n in 0..400 {
+        let server = routes.pick(at(0), &ask("m1", 42)).unwrap().id;
+        routes.started(at(0), &server);
+        let loads: Vec<u32> = routes.dump().servers.iter().map(|s| s.in_flight).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / 8.0;
+        // Two random choices take over beyond the bound, and they may be one request above it.
+        let most = f64::from(*loads.iter().max().unwrap());
+        assert!(most <= (1.25 * mean).ceil() + 1.0, "{loads:?} after {n}");
+    }
+}
+
+/// Guards against cache events that are taken in but not used.
+#[test]
+fn a_known_holder_comes_before_the_home() {
+    let mut routes = engines(8, 1_000);
+    let home = chosen(&mut routes, at(0), &ask("m1", 42), 1);
+    let holder = if home == "e3" { "e4" } else { "e3" };
+    let event = CacheEvent { sequence: 1, prefix: 42, held: true };
+    routes.cache_event(at(0), &id(holder), event);
+    assert_eq!(chosen(&mut routes, at(0), &ask("m1", 42), 20), holder);
+    for _ in 0..3 {
+        routes.started(at(0), &id(holder));
+    }
+    assert!(!chosen(&mut routes, at(0), &ask("m1", 42), 20).contains(holder), "over the bound");
+    routes.ended(at(0), &id(holder), Outcome::Ok);
+    routes.ended(at(0), &id(holder), Outcome::Ok);
+    routes.ended(at(0), &id(holder), Outcome::Ok);
+    let event = CacheEvent { sequence: 2, prefix: 42, held: false };
+    routes.cache_event(at(0), &id(holder), event);
+    assert_eq!(chosen(&mut routes, at(0), &ask("m1", 42), 20), home);
+}
+
+/// Guards against a router that connects to every server of a model.
+#[test]
+fn a_router_uses_48_servers_of_a_model() {
+    let mut routes = engines(60, 10);
+    assert_eq!(spread(&mut routes, at(0), &ask("m1", 0), 5_000).len(), 48);
+}
--- /dev/null
+++ b/crates/berylwheel-route/tests/health.rs
@@ -0,0 +1,187 @@
+//! Ejection of failing servers, and servers that leave or come back.
+
+mod support;
+
+use berylwheel_route::LoadReport;
+use berylwheel_route::Outcome;
+use berylwheel_route::Routes;
+use support::ask;
+use support::at;
+use support::chosen;
+use support::engine;
+use support::engines;
+use support::id;
+use support::report;
+use support::spread;
+
+fn end(routes: &mut Routes, ms: u64, server: &str, outcomes: &[Outcome]) {
+    for outcome in outcomes {
+        routes.started(at(ms), &id(server));
+        routes.ended(at(ms), &id(server), *outcome);
+    }
+}
+
+fn is_out(routes: &mut Routes, ms: u64) -> bool {
+    let chosen = chosen(routes, at(ms), &ask("m1", 0), 200);
+    let out = routes.dump().servers[0].ejected_until.is_some();
+    assert!(!out || !chosen.contains("e0"), "work for an ejected server");
+    out
+}
+
+const FAIL: [Outcome; 5] = [Outcome::Failed; 5];
+
+/// Guards against an ejection on too little evidence, or none in spite of it.
+#[test]
+fn five_failures_in_a_row_eject() {
+    use Outcome::Cancelled;
+    use Outcome::Failed;
+    use Outcome::Ok;
+    use Outcome::TimedOut;
+    let table: [(&[Outcome], bool); 5] = [
+        (&[Failed, Failed, Failed, Failed], false),
+        (&[Failed, Failed, Failed, Failed, TimedOut], true),
+        (&[Failed, Failed, Failed, Failed, Ok, Failed], false),
+        (&[Failed, Failed, Failed, Failed, Cancelled], false),
+        (&[Failed, Failed, Failed, Failed, Cancelled, Failed], true),
+    ];
+    for (outcomes, out) in table {
+        let mut routes = engines(3, 100);
+        end(&mut routes, 0, "e0", outcomes);
+        assert_eq!(is_out(&mut routes, 0), out, "{outcomes:?}");
+    }
+}
+
+/// Guards against ejections that do not grow, or that never shrink after a long good time.
+#[test]
+fn ejections_double_up_to_a_minute() {
+    let mut routes = engines(3, 100);
+    let mut now = 0;
+    for span in [5_000, 10_000, 20_000, 40_000, 60_000, 60_000] {
+        end(&mut routes, now, "e0", &FAIL);
+        assert!(is_out(&mut routes, now + span - 1), "back before {span} ms");
+        now += span;
+        assert!(!is_out(&mut routes, now), "out after {span} ms");
+    }
+    now += 60_000;
+    end(&mut routes, now, "e0", &FAIL);
+    assert!(!is_out(&mut routes, now + 5_000));
+}
+
+/// Guards against failures of old requests that prolong an ejection.
+#[test]
+fn failures_of_requests_sent_before_an_ejection_do_not_count() {
+    let mut routes = engines(3, 100);
+    (0..20).for_each(|_| routes.started(at(0), &id("e0")));
+    (0..20).for_each(|_| routes.ended(at(0), &id("e0"), Outcome::Failed));
+    assert!(is_out(&mut routes, 4_999));
+    assert!(!is_out(&mut routes, 5_000));
+    end(&mut routes, 5_000, "e0", &FAIL[..4]);
+    assert!(!is_out(&mut routes, 5_001));
+}
+
+/// Guards against ejections that leave too few servers, also after others have left.
+#[test]
+fn a_third_at_most_is_out() {
+    for (count, most) in [(1, 0), (2, 0), (3, 1), (5, 1), (6, 2), (12, 4)] {
+        let mut routes = engines(count, 100);
+        (0..count).for_each(|n| end(&mut routes, n as u64, &format!("e{n}"), &FAIL));
+        let out = |routes: &Routes| {
+            routes.dump().servers.iter().filter(|s| s.ejected_until.is_some()).count()
+        };
+        assert_eq!(out(&routes), most, "of {count}");
+        if count == 12 {
+            (9..12).for_each(|n| routes.set_leaving(at(20), &id(&format!("e{n}"))));
+            assert_eq!(out(&routes), 3);
+            // The ejection that would have ended first has ended.
+            assert!(!is_out(&mut routes, 20));
+        }
+    }
+}
+
+/// Guards against a rush of work to a server that has just come in or come back.
+#[test]
+fn a_new_server_gets_a_rising_share() {
+    let mut routes = engines(2, 100);
+    let servers = ["e0", "e1", "e2"].map(|name| engine(name, &["m1"], 100)).to_vec();
+    routes.set_servers(at(0), servers);
+    for n in 0..100 {
+        routes.started(at(0), &id(["e0", "e1"][n % 2]));
+    }
+    let mut share = |ms: u64| {
+        let mut count = 0;
+        while chosen(&mut routes, at(ms), &ask("m1", 0), 50).contains("e2") {
+            routes.started(at(ms), &id("e2"));
+            count += 1;
+        }
+        (0..count).for_each(|_| routes.ended(at(ms), &id("e2"), Outcome::Ok));
+        count
+    };
+    // A tenth of the 51 that the others have, then half, then all of it.
+    assert_eq!([share(0), share(5_000), share(10_000)], [5, 28, 51]);
+}
+
+/// Guards against new work at a server that leaves, whichever way the news comes, and against a
+/// server that stays out after it has come back.
+#[test]
+fn leaving_is_believed_from_every_source() {
+    type Cause = fn(&mut Routes);
+    let table: [(&str, Cause, Cause); 4] = [
+        (
+            "list or peer",
+            |r| r.set_leaving(at(0), &id("e0")),
+            |r| {
+                r.set_live(at(59_999), &id("e0"));
+                assert!(r.is_leaving(&id("e0")), "a list that lags has brought it back");
+                r.set_live(at(60_000), &id("e0"));
+            },
+        ),
+        (
+            "report",
+            |r| r.report(at(0), &id("e0"), LoadReport { draining: true, ..report(at(0), 0) }),
+            |r| r.report(at(60_000), &id("e0"), report(at(60_000), 0)),
+        ),
+        (
+            "answer",
+            |r| r.set_draining(at(500), &id("e0")),
+            |r| {
+                r.report(at(600), &id("e0"), report(at(400), 0));
+                assert!(r.is_leaving(&id("e0")), "a report from before has brought it back");
+                r.report(at(60_000), &id("e0"), report(at(60_000), 0));
+            },
+        ),
+        (
+            "new address",
+            |r| r.set_leaving(at(0), &id("e0")),
+            |r| {
+                let mut server = engine("e0", &["m1"], 100);
+                server.address = "127.0.0.1:9001".parse().unwrap();
+                r.set_servers(at(60_000), vec![server, engine("e1", &["m1"], 100)]);
+            },
+        ),
+    ];
+    for (name, leave, come_back) in table {
+        let mut routes = engines(2, 100);
+        leave(&mut routes);
+        assert_eq!(chosen(&mut routes, at(0), &ask("m1", 0), 50), "e1", "{name}");
+        assert_eq!(chosen(&mut routes, at(0), &ask("m1", 9), 50), "e1", "{name}");
+        come_back(&mut routes);
+        let shares = spread(&mut routes, at(60_000), &ask("m1", 0), 50);
+        assert_eq!(shares, [("e1".to_owned(), 50)], "{name}: no slow start");
+        assert_eq!(chosen(&mut routes, at(70_000), &ask("m1", 0), 50), "e0 e1", "{name}");
+    }
+}
+
+/// Guards against news of leaving that is lost because the server was not configured yet or was
+/// configured again.
+#[test]
+fn leaving_outlasts_the_configuration() {
+    let mut routes = engines(1, 100);
+    routes.set_leaving(at(0), &id("e1"));
+    let both = || ["e0", "e1"].map(|name| engine(name, &["m1"], 100)).to_vec();
+    routes.set_servers(at(0), both());
+    assert_eq!(chosen(&mut routes, at(20_000), &ask("m1", 0), 50), "e0");
+    routes.set_servers(at(0), both()[..1].to_vec());
+    routes.set_servers(at(0), both());
+    (0..5_000).for_each(|n| routes.set_leaving(at(n), &id(&format!("x{n}"))));
+    assert_eq!(chosen(&mut routes, at(20_000), &ask("m1", 0), 50), "e0");
+}
--- /dev/null
+++ b/crates/berylwheel-route/tests/load.rs
@@ -0,0 +1,125 @@
+//! Load estimates from reports that lag, are lost or come in the wrong order.
+
+mod support;
+
+use berylwheel_route::Ask;
+use berylwheel_route::LoadReport;
+use berylwheel_route::Outcome;
+use berylwheel_route::Routes;
+use berylwheel_types::Millis;
+use support::ask;
+use support::at;
+use support::chosen;
+use support::engines;
+use support::id;
+use support::report;
+
+struct Fault {
+    name: &'static str,
+    /// What happens to `e0`; four own requests start at 1,000 ms and end at 2,000 ms.
+    reports: &'static [(u64, u64, u32)],
+    /// The requests of other routers at `e0` at 3,000 ms.
+    others: Option<u32>,
+}
+
+const FAULTS: &[Fault] = &[
+    Fault { name: "no report", reports: &[], others: None },
+    Fault { name: "in time", reports: &[(1_500, 1_500, 10)], others: Some(6) },
+    Fault { name: "lags behind own starts", reports: &[(1_500, 900, 10)], others: Some(10) },
+    Fault { name: "lags behind own ends", reports: &[(2_900, 1_900, 10)], others: Some(6) },
+    Fault {
+        name: "older one comes later",
+        reports: &[(1_600, 1_500, 10), (1_700, 900, 3)],
+        others: Some(6),
+    },
+    Fault { name: "from a clock ahead", reports: &[(2_500, 9_000, 7)], others: Some(7) },
+    Fault {
+        name: "a clock ahead hides no later one",
+        reports: &[(2_500, 9_000, 7), (2_600, 2_600, 1)],
+        others: Some(1),
+    },
+    Fault { name: "below own count", reports: &[(1_500, 1_500, 1)], others: Some(0) },
+    Fault {
+        name: "from long ago",
+        reports: &[(1_500, 1_500, 10), (40_000, 40_000, 0)],
+        others: Some(0),
+    },
+];
+
+/// Runs the events of `fault` in the order of their times.
+fn run(fault: &Fault) -> Routes {
+    let mut routes = engines(3, 100);
+    let mut events: Vec<(u64, Option<(u64, u32)>)> = vec![(1_000, None), (2_000, None)];
+    events.extend(fault.reports.iter().map(|(now, time, load)| (*now, Some((*time, *load)))));
+    events.sort_by_key(|(now, _)| *now);
+    for (now, event) in events {
+        match event {
+            Some((time, load)) => routes.report(at(now), &id("e0"), report(at(time), load)),
+            None if now == 1_000 => (0..4).for_each(|_| routes.started(at(now), &id("e0"))),
+            None => (0..4).for_each(|_| routes.ended(at(now), &id("e0"), Outcome::Ok)),
+        }
+    }
+    routes.probes(at(3_000));
+    routes
+}
+
+/// Guards against own requests counted twice, and against old reports that replace newer ones.
+#[test]
+fn reports_are_corrected_by_own_requests_of_their_time() {
+    for fault in FAULTS {
+        assert_eq!(run(fault).dump().servers[0].others, fault.others, "{}", fault.name);
+    }
+}
+
+/// Guards against a report that is trusted for ever, and against a silent server that looks idle.
+#[test]
+fn a_server_without_recent_report_counts_as_the_mean() {
+    let mut routes = engines(3, 100);
+    routes.report(at(0), &id("e0"), report(at(0), 0));
+    routes.report(at(40_000), &id("e1"), report(at(40_000), 50));
+    routes.report(at(40_000), &id("e2"), report(at(40_000), 20));
+    routes.probes(at(40_000));
+    assert_eq!(routes.dump().servers[0].others, None);
+    assert_eq!(routes.dump().servers[0].report_age, Some(Millis(40_000)));
+    // Of e0 and e2 the less loaded one gets the work: e0 counts as loaded as e2, the only other.
+    let ask = Ask { exclude: vec![id("e1")], ..ask("m1", 0) };
+    assert_eq!(chosen(&mut routes, at(40_000), &ask, 50), "e0 e2");
+    routes.started(at(40_000), &id("e2"));
+    assert_eq!(chosen(&mut routes, at(40_000), &ask, 50), "e0");
+}
+
+/// Guards against work sent to a server that others have filled, beyond the own share.
+#[test]
+fn a_full_server_gets_only_the_own_share() {
+    let mut routes = engines(1, 10);
+    routes.set_routers(5);
+    let full = LoadReport { queued: 1, ..report(at(0), 9) };
+    routes.report(at(0), &id("e0"), full);
+    assert_eq!(routes.capacity(at(0), &ask("m1", 0)), 2);
+    for _ in 0..2 {
+        assert!(routes.can_start(at(0), &ask("m1", 0)));
+        routes.started(at(0), &id("e0"));
+    }
+    assert!(!routes.can_start(at(0), &ask("m1", 0)));
+    routes.report(at(100), &id("e0"), report(at(100), 4));
+    assert!(routes.can_start(at(100), &ask("m1", 0)));
+    assert_eq!(routes.capacity(at(100), &ask("m1", 0)), 8);
+}
+
+/// Guards against control traffic that grows with the number of servers.
+#[test]
+fn probes_keep_to_their_rate_and_reach_every_server() {
+    let mut routes = engines(48, 10);
+    let mut asked = Vec::new();
+    for second in 1..=6 {
+        let due = routes.probes(at(second * 1_000));
+        assert!(due.len() <= 40, "{} probes", due.len());
+        asked.extend(due);
+    }
+    assert!(asked.len() >= 6 * 40 - 10, "{} probes in 6 s", asked.len());
+    for n in 0..48 {
+        let count = asked.iter().filter(|a| **a == id(&format!("e{n}"))).count();
+        // A server that a round leaves out comes first in the next.
+        assert!((3..=6).contains(&count), "e{n} was asked {count} times");
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-route/tests/subset.rs
@@ -0,0 +1,55 @@
+//! Subsets of routers.
+
+mod support;
+
+use berylwheel_route::subset_of;
+use berylwheel_types::BackendId;
+use berylwheel_types::FastSet;
+use berylwheel_types::RouterId;
+use proptest::prelude::*;
+use support::config;
+
+fn routers(count: usize) -> Vec<RouterId> {
+    (0..count).map(|n| format!("r{n}").parse().unwrap()).collect()
+}
+
+fn servers(count: usize, seed: u64) -> Vec<BackendId> {
+    (0..count).map(|n| format!("e{seed}-{n}").parse().unwrap()).collect()
+}
+
+proptest! {
+    #![proptest_config(config(24))]
+
+    /// Guards against a change of one server that moves the connections of many routers.
+    #[test]
+    fn one_server_moves_one_place_at_its_share_of_routers(count in 60..400_usize, seed: u64) {
+        let (routers, all) = (routers(340), servers(count, seed));
+        let (last, fewer) = all.split_last().unwrap();
+        let mut changed = 0;
+        for router in &routers {
+            let with = subset_of(router, &all, 48);
+            let without = subset_of(router, fewer, 48);
+            let moved = with.iter().filter(|id| !without.contains(id)).count();
+            prop_assert!(moved <= 1, "{moved} servers moved at {router}");
+            prop_assert_eq!(moved == 1, with.contains(last));
+            changed += moved;
+        }
+        // Expected: 340 x 48 / n routers; four standard deviations either way.
+        let expected = 340.0 * 48.0 / count as f64;
+        prop_assert!((changed as f64 - expected).abs() < 4.0 * expected.sqrt() + 1.0,
+            "{changed} routers changed, {expected:.0} expected");
+    }
+
+    /// Guards against servers of the target size that no router sends work to.
+    #[test]
+    fn every_server_has_a_router_at_the_target_size(seed: u64) {
+        let (routers, all) = (routers(340), servers(930, seed));
+        let mut covered: FastSet<BackendId> = FastSet::default();
+        for router in &routers {
+            let subset = subset_of(router, &all, 48);
+            prop_assert_eq!(subset.len(), 48);
+            covered.extend(subset);
+        }
+        prop_assert_eq!(covered.len(), 930);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-route/tests/support/mod.rs
@@ -0,0 +1,91 @@
+//! Fleets and requests shared by the tests.
+#![allow(dead_code)]
+
+use berylwheel_route::Ask;
+use berylwheel_route::LoadReport;
+use berylwheel_route::RoutePolicy;
+use berylwheel_route::Routes;
+use berylwheel_route::Server;
+use berylwheel_types::BackendId;
+use berylwheel_types::Timestamp;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+/// The seed of all tests of this crate.
+pub const SEED: u64 = 20_260_107;
+
+pub fn config(cases: u32) -> Config {
+    println!("seed {SEED}");
+    Config { cases, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() }
+}
+
+pub fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+pub fn id(name: &str) -> BackendId {
+    name.parse().unwrap()
+}
+
+pub fn engine(name: &str, models: &[&str], concurrency: u32) -> Server {
+    Server {
+        id: id(name),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        kinds: vec![],
+        models: models.iter().map(|m| m.parse().unwrap()).collect(),
+        concurrency,
+        domain: "d1".parse().unwrap(),
+    }
+}
+
+pub fn service(name: &str, kind: &str, concurrency: u32) -> Server {
+    Server { kinds: vec![kind.parse().unwrap()], ..engine(name, &[], concurrency) }
+}
+
+pub fn ask(model: &str, prefix: u64) -> Ask {
+    let model = Some(model.parse().unwrap());
+    Ask { kind: "chat".parse().unwrap(), model, prefix, exclude: vec![] }
+}
+
+pub fn ask_service(kind: &str) -> Ask {
+    Ask { kind: kind.parse().unwrap(), model: None, prefix: 0, exclude: vec![] }
+}
+
+pub fn report(time: Timestamp, in_flight: u32) -> LoadReport {
+    LoadReport { at: time, in_flight, ..LoadReport::default() }
+}
+
+/// Routes over engines `e0`, `e1`, ... that hold model `m1`.
+pub fn engines(count: usize, concurrency: u32) -> Routes {
+    let mut routes = Routes::new("r1".parse().unwrap(), RoutePolicy::default(), SEED);
+    let server = |n| engine(&format!("e{n}"), &["m1"], concurrency);
+    routes.set_servers(at(0), (0..count).map(server).collect());
+    routes
+}
+
+/// Sends `count` requests and returns the servers that got any, with their shares.
+pub fn spread(
+    routes: &mut Routes,
+    now: Timestamp,
+    ask: &Ask,
+    count: usize,
+) -> Vec<(String, usize)> {
+    let mut shares: Vec<(String, usize)> = Vec::new();
+    for _ in 0..count {
+        let Some(server) = routes.pick(now, ask) else { break };
+        let name = server.id.to_string();
+        match shares.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, share)) => *share += 1,
+            None => shares.push((name, 1)),
+        }
+    }
+    shares.sort();
+    shares
+}
+
+/// Returns the names of the servers that `count` picks choose.
+pub fn chosen(routes: &mut Routes, now: Timestamp, ask: &Ask, count: usize) -> String {
+    let names: Vec<String> =
+        spread(routes, now, ask, count).into_iter().map(|(name, _)| name).collect();
+    names.join(" ")
+}
