Add the link between routers

Cause: heartbeats, configuration, recalls and claims need a link between routers with mutual TLS and bounded memory. Ruled out: quinn's own smol runtime for tasks, which starts threads beside the process's executor; only its timers and sockets are used. Ruled out: session resumption, which would skip the check of a withdrawn certificate. Ruled out: checking a server by name, since a message goes to an address; the certificate is checked against the CA for the name it holds itself. Change: messages in postcard with bounded lists, one a unidirectional stream, frames up to 1 MB, a queue per peer that drops its oldest, reconnect with backoff and jitter, limits on streams and connections, reload, counters. The sender's name comes from its certificate, and a heartbeat under another name is dropped. rustls-webpki, already in the lock file through rustls, reads the name.

--- a/crates/berylwheel-peer/src/lib.rs
+++ b/crates/berylwheel-peer/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! Links between routers: mutual TLS over QUIC, one message a stream.
+
+mod bounded;
+mod error;
+mod identity;
+mod link;
+mod message;
+mod outbox;
+mod receiver;
+mod registry;
+mod runtime;
+mod sender;
+
+pub use error::PeerError;
+pub use identity::PeerIdentity;
+pub use link::PeerLink;
+pub use message::ClaimState;
+pub use message::DecodeError;
+pub use message::EncodeError;
+pub use message::FRAME_LIMIT;
+pub use message::Message;
+pub use message::PeerState;
+pub use message::ServedShare;
+pub use receiver::Inbound;
+pub use registry::PeerStats;
--- /dev/null
+++ b/crates/berylwheel-peer/src/link.rs
@@ -0,0 +1,196 @@
+//! The link of one router to all others.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::Executor;
+use berylwheel_types::FastMap;
+use berylwheel_types::RouterId;
+use futures_lite::future;
+use quinn::ClientConfig;
+use quinn::Endpoint;
+use quinn::EndpointConfig;
+use quinn::Runtime;
+use quinn::VarInt;
+
+use crate::Inbound;
+use crate::Message;
+use crate::PeerError;
+use crate::PeerIdentity;
+use crate::PeerStats;
+use crate::outbox::Outbox;
+use crate::receiver;
+use crate::receiver::CONNECTION_LIMIT;
+use crate::registry::Registry;
+use crate::registry::add;
+use crate::runtime::ExecutorRuntime;
+use crate::sender;
+
+/// Messages received that wait for the control thread.
+const INBOUND_LIMIT: usize = 1_024;
+
+/// Sends messages to peers and receives theirs, on one UDP port.
+///
+/// Delivery is not certain: a message may be lost with its connection, and is then counted. Clones
+/// are the same link.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    shared: Arc<Shared>,
+}
+
+/// What the tasks of a link share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub name: RouterId,
+    pub endpoint: Endpoint,
+    pub registry: Registry,
+    runtime: ExecutorRuntime,
+    client: Mutex<ClientConfig>,
+    outboxes: Mutex<FastMap<SocketAddr, Arc<Outbox>>>,
+    /// Tasks end when `close` drops the sender of `stopped`.
+    stop: Sender<()>,
+    stopped: Receiver<()>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Runs a task until it or the link ends.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let stopped = self.stopped.clone();
+        let stop = async move {
+            // Nothing is sent here; this ends when the channel closes.
+            let _ = stopped.recv().await;
+        };
+        self.runtime.spawn(Box::pin(future::or(stop, task)));
+    }
+
+    /// Returns the configuration for new connections to peers.
+    pub fn client(&self) -> ClientConfig {
+        lock(&self.client).clone()
+    }
+
+    /// Drops the queue of a peer if nothing waits in it, and returns whether it did.
+    pub fn forget_if_idle(&self, peer: SocketAddr, outbox: &Outbox) -> bool {
+        let mut outboxes = lock(&self.outboxes);
+        let idle = outbox.close_if_empty();
+        if idle {
+            outboxes.remove(&peer);
+        }
+        idle
+    }
+}
+
+impl PeerLink {
+    /// Binds `address` and starts to accept peers. Tasks run on `executor`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the identity does not make a TLS configuration or if the address cannot be bound.
+    pub fn bind(
+        address: SocketAddr,
+        identity: PeerIdentity,
+        executor: &Arc<Executor<'static>>,
+    ) -> Result<(Self, Receiver<Inbound>), PeerError> {
+        let (server, client) = (identity.server()?, identity.client()?);
+        let runtime = ExecutorRuntime(Arc::downgrade(executor));
+        let socket = UdpSocket::bind(address).map_err(PeerError::Bind)?;
+        let endpoint = Endpoint::new(
+            EndpointConfig::default(),
+            Some(server),
+            socket,
+            Arc::new(runtime.clone()),
+        )
+        .map_err(PeerError::Bind)?;
+        let (stop, stopped) = async_channel::bounded(1);
+        let shared = Arc::new(Shared {
+            name: identity.name().clone(),
+            endpoint,
+            registry: Registry::default(),
+            runtime,
+            client: Mutex::new(client),
+            outboxes: Mutex::default(),
+            stop,
+            stopped,
+        });
+        let (sender, receiver) = async_channel::bounded(INBOUND_LIMIT);
+        shared.spawn(receiver::accept(Arc::clone(&shared), sender));
+        Ok((Self { shared }, receiver))
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not say.
+    pub fn address(&self) -> Result<SocketAddr, PeerError> {
+        self.shared.endpoint.local_addr().map_err(PeerError::Bind)
+    }
+
+    /// Queues a message for the router at `to`. Never waits.
+    ///
+    /// A message over [`crate::FRAME_LIMIT`] is dropped, and a full queue drops its oldest; both are
+    /// counted.
+    pub fn send(&self, to: SocketAddr, message: Message) {
+        let dropped = &self.shared.registry.counters.dropped;
+        let frame = match message.encode() {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::error!(peer:% = to, error:%; "message not sent");
+                return add(dropped, 1);
+            }
+        };
+        let mut outboxes = lock(&self.shared.outboxes);
+        if self.shared.stopped.is_closed()
+            || outboxes.len() >= CONNECTION_LIMIT && !outboxes.contains_key(&to)
+        {
+            return add(dropped, 1);
+        }
+        let outbox = outboxes.entry(to).or_insert_with(|| {
+            let outbox = Arc::new(Outbox::new());
+            let task = sender::send(Arc::clone(&self.shared), to, Arc::clone(&outbox));
+            self.shared.spawn(task);
+            outbox
+        });
+        // The map has no closed queue: closing and removing one happen under the same lock.
+        add(dropped, outbox.push(frame).unwrap_or(1));
+    }
+
+    /// Uses a new identity from now on. Open connections are closed, so that a peer whose
+    /// certificate is no longer trusted is cut off; the others connect again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the identity does not make a TLS configuration; the old one then stays in use.
+    pub fn reload(&self, identity: PeerIdentity) -> Result<(), PeerError> {
+        let (server, client) = (identity.server()?, identity.client()?);
+        // The new configurations are in place before the epoch changes, so a connection made with
+        // the old ones is of an earlier epoch.
+        self.shared.endpoint.set_server_config(Some(server));
+        *lock(&self.shared.client) = client;
+        self.shared.registry.close_all(b"reload");
+        Ok(())
+    }
+
+    /// Returns what the link has done so far.
+    pub fn stats(&self) -> PeerStats {
+        self.shared.registry.stats()
+    }
+
+    /// Closes all connections and waits until the peers have been told. Queued messages are
+    /// dropped.
+    pub async fn close(&self) {
+        self.shared.stop.close();
+        self.shared.endpoint.close(VarInt::from_u32(0), b"closed");
+        self.shared.endpoint.wait_idle().await;
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-peer/src/receiver.rs
@@ -0,0 +1,136 @@
+//! Connections from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use berylwheel_types::RouterId;
+use quinn::Connection;
+use quinn::Incoming;
+use quinn::ReadToEndError;
+use quinn::VarInt;
+use rustls::pki_types::CertificateDer;
+
+use crate::FRAME_LIMIT;
+use crate::Message;
+use crate::identity::router_name;
+use crate::link::Shared;
+use crate::registry::add;
+use crate::runtime::within;
+
+/// Connections at a time, in either direction. At the target size a router has some 10 for
+/// heartbeats and up to 339 for claims and recalls.
+pub(crate) const CONNECTION_LIMIT: usize = 512;
+
+/// How long a handshake may take.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
+
+/// How long a peer may take to send one frame.
+const FRAME_TIME: Duration = Duration::from_secs(10);
+
+/// A message from a peer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Inbound {
+    /// The router that sent it, as its certificate says.
+    pub from: RouterId,
+    /// The address that it sends from, which takes messages as well.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: Message,
+}
+
+/// Accepts connections until the endpoint closes.
+pub(crate) async fn accept(shared: Arc<Shared>, inbound: Sender<Inbound>) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        let open = shared.endpoint.open_connections();
+        if open >= CONNECTION_LIMIT {
+            add(&shared.registry.counters.refused, 1);
+            incoming.refuse();
+            continue;
+        }
+        // From half the limit on a peer proves its address first, so that packets with forged
+        // addresses cannot use up the connections.
+        if open >= CONNECTION_LIMIT / 2 && incoming.may_retry() {
+            let _ = incoming.retry();
+            continue;
+        }
+        shared.spawn(receive(Arc::clone(&shared), incoming, inbound.clone()));
+    }
+}
+
+async fn receive(shared: Arc<Shared>, incoming: Incoming, inbound: Sender<Inbound>) {
+    let address = incoming.remote_address();
+    let epoch = shared.registry.epoch();
+    let Ok(connecting) = incoming.accept() else { return };
+    let connection = match within(HANDSHAKE_TIME, connecting).await {
+        Some(Ok(connection)) => connection,
+        Some(Err(error)) => {
+            add(&shared.registry.counters.refused, 1);
+            log::warn!(address:%, error:%; "connection from a peer failed");
+            return;
+        }
+        None => {
+            add(&shared.registry.counters.refused, 1);
+            return;
+        }
+    };
+    let Some(from) = peer_name(&connection) else {
+        add(&shared.registry.counters.refused, 1);
+        log::warn!(address:%; "certificate of a peer does not name a router");
+        connection.close(VarInt::from_u32(0), b"no router name");
+        return;
+    };
+    shared.registry.open(&connection, Some(&from), epoch);
+    read_frames(&shared, &connection, &from, &inbound).await;
+    connection.close(VarInt::from_u32(0), b"done");
+    shared.registry.ended(&connection, Some(&from));
+}
+
+fn peer_name(connection: &Connection) -> Option<RouterId> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    router_name(chain.first()?)
+}
+
+/// Reads frames one after the other until the connection ends. A frame that is no message is
+/// counted and skipped: it may be of a newer version, and the next one has a stream of its own.
+async fn read_frames(
+    shared: &Shared,
+    connection: &Connection,
+    from: &RouterId,
+    inbound: &Sender<Inbound>,
+) {
+    while let Ok(mut stream) = connection.accept_uni().await {
+        let frame = match within(FRAME_TIME, stream.read_to_end(FRAME_LIMIT)).await {
+            Some(Ok(frame)) => frame,
+            Some(Err(ReadToEndError::TooLong)) => {
+                add(&shared.registry.counters.malformed, 1);
+                log::warn!(peer:% = from; "frame of a peer is over {FRAME_LIMIT} bytes");
+                continue;
+            }
+            // A stream that the peer has given up says nothing of the next one.
+            Some(Err(ReadToEndError::Read(_))) => continue,
+            None => return,
+        };
+        let message = match Message::decode(&frame) {
+            Ok(Message::Heartbeat { incarnation, .. }) if incarnation.router != *from => {
+                add(&shared.registry.counters.malformed, 1);
+                log::warn!(peer:% = from, name:% = incarnation; "heartbeat under another name");
+                continue;
+            }
+            Ok(message) => message,
+            Err(error) => {
+                add(&shared.registry.counters.malformed, 1);
+                log::warn!(peer:% = from, error:%; "frame of a peer is no message");
+                continue;
+            }
+        };
+        add(&shared.registry.counters.messages_in, 1);
+        let address = connection.remote_address();
+        // Waits while the receiver is slow; the peer's queue then fills and drops its oldest.
+        if inbound.send(Inbound { from: from.clone(), address, message }).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-peer/src/sender.rs
@@ -0,0 +1,136 @@
+//! One peer's queue and the connection that empties it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use berylwheel_types::stable_hash;
+use quinn::Connection;
+use quinn::SendStream;
+use quinn::VarInt;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::link::Shared;
+use crate::outbox::Outbox;
+use crate::registry::add;
+use crate::runtime::within;
+
+/// The first wait after a failed connection; each further one doubles it.
+const BACKOFF_BASE: Duration = Duration::from_millis(100);
+
+/// The longest wait, so that a peer that returns is found within seconds.
+const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long a connection may take.
+const CONNECT_TIME: Duration = Duration::from_secs(3);
+
+/// How long the peer may take to let a frame go and to confirm it. Beyond, the peer has restarted
+/// or is cut off, and the connection is made anew.
+const CONFIRM_TIME: Duration = Duration::from_secs(3);
+
+/// A server name for the handshake, which needs one; certificates are checked by their own name.
+const SERVER_NAME: &str = "router";
+
+/// Sends the frames of `outbox` to `peer` until there are none and the connection has timed out.
+pub(crate) async fn send(shared: Arc<Shared>, peer: SocketAddr, outbox: Arc<Outbox>) {
+    let own = shared.endpoint.local_addr().map(|a| a.to_string()).unwrap_or_default();
+    let seed = stable_hash(&[shared.name.as_str(), &own, &peer.to_string()]);
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut backoff = BACKOFF_BASE;
+    loop {
+        let epoch = shared.registry.epoch();
+        match connect(&shared, peer).await {
+            Some(connection) => {
+                shared.registry.open(&connection, None, epoch);
+                let confirmed = Arc::new(AtomicBool::new(false));
+                send_frames(&shared, &connection, &outbox, &confirmed).await;
+                connection.close(VarInt::from_u32(0), b"done");
+                shared.registry.ended(&connection, None);
+                // A peer that refuses the certificate does so after the handshake, so only a
+                // confirmed frame shows that it can be reached.
+                if confirmed.load(Ordering::Relaxed) {
+                    backoff = BACKOFF_BASE;
+                }
+            }
+            None => add(&shared.registry.counters.refused, 1),
+        }
+        if shared.forget_if_idle(peer, &outbox) {
+            return;
+        }
+        // Spread, so that the routers do not all call on one that returns together.
+        Timer::after(backoff.mul_f64(random.random_range(0.5..1.5))).await;
+        backoff = (backoff * 2).min(BACKOFF_LIMIT);
+    }
+}
+
+async fn connect(shared: &Shared, peer: SocketAddr) -> Option<Connection> {
+    let connecting = shared.endpoint.connect_with(shared.client(), peer, SERVER_NAME);
+    let connecting = connecting.map_err(|error| log::warn!(peer:%, error:%; "cannot connect"));
+    match within(CONNECT_TIME, connecting.ok()?).await? {
+        Ok(connection) => Some(connection),
+        Err(error) => {
+            log::debug!(peer:%, error:%; "connection to a peer failed");
+            None
+        }
+    }
+}
+
+/// Sends frames until the connection ends.
+async fn send_frames(
+    shared: &Arc<Shared>,
+    connection: &Connection,
+    outbox: &Outbox,
+    confirmed: &Arc<AtomicBool>,
+) {
+    loop {
+        let closed = async {
+            connection.closed().await;
+            None
+        };
+        let next = async { Some(outbox.next().await) };
+        let Some(frame) = futures_lite::future::or(closed, next).await else { return };
+        match within(CONFIRM_TIME, write(connection, &frame)).await {
+            Some(Ok(stream)) => {
+                let (shared, confirmed) = (Arc::clone(shared), Arc::clone(confirmed));
+                shared.clone().spawn(confirm(shared, connection.clone(), stream, confirmed));
+            }
+            // The stream was not finished, so the peer has no message, and it can go again.
+            _ => {
+                outbox.put_back(frame);
+                return;
+            }
+        }
+    }
+}
+
+async fn write(connection: &Connection, frame: &[u8]) -> Result<SendStream, quinn::WriteError> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(frame).await?;
+    let _ = stream.finish();
+    Ok(stream)
+}
+
+/// Waits until the peer has confirmed all of a frame.
+async fn confirm(
+    shared: Arc<Shared>,
+    connection: Connection,
+    stream: SendStream,
+    confirmed: Arc<AtomicBool>,
+) {
+    match within(CONFIRM_TIME, stream.stopped()).await {
+        Some(Ok(None)) => {
+            confirmed.store(true, Ordering::Relaxed);
+            add(&shared.registry.counters.messages_out, 1);
+        }
+        Some(_) => add(&shared.registry.counters.lost, 1),
+        None => {
+            add(&shared.registry.counters.lost, 1);
+            connection.close(VarInt::from_u32(0), b"not confirmed");
+        }
+    }
+}
