--- a/crates/berylwheel-command/src/demo.rs
+++ b/crates/berylwheel-command/src/demo.rs
@@ -159,7 +159,7 @@
     );
     let settings = Settings::parse(name, &text)?;
     let router = settings.router();
-    let identity = PeerIdentity::from_files(&router.ca, &router.cert, &router.key)?;
+    let identity = PeerIdentity::from_files(&router.cert, &router.key, &router.ca)?;
     start(router, identity).with_context(|| format!("cannot start {name}"))
 }
 
--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -41,7 +41,7 @@
     let settings = read_settings(file)?;
     anyhow::ensure!(settings.has_router(), "{}: no [router] section", file.display());
     let router = settings.router();
-    let identity = PeerIdentity::from_files(&router.ca, &router.cert, &router.key)
+    let identity = PeerIdentity::from_files(&router.cert, &router.key, &router.ca)
         .context("cannot read the certificates of [router]")?;
     let running = start(router, identity).context("cannot start")?;
     let ready = json!({
--- a/crates/berylwheel-config/src/part.rs
+++ b/crates/berylwheel-config/src/part.rs
@@ -28,6 +28,12 @@
     }
 }
 
+impl From<String> for PartDigest {
+    fn from(text: String) -> Self {
+        Self(text)
+    }
+}
+
 /// Names the content of one part.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PartRef {
--- a/crates/berylwheel-router/src/claims.rs
+++ b/crates/berylwheel-router/src/claims.rs
@@ -33,27 +33,6 @@
 }
 
 impl ClaimAnswer {
-    /// Returns the number that stands for the answer in messages.
-    pub const fn number(self) -> u8 {
-        match self {
-            Self::First => 0,
-            Self::Running => 1,
-            Self::Finished => 2,
-            Self::Reused => 3,
-        }
-    }
-
-    /// Returns the answer that `number` stands for.
-    pub const fn from_number(number: u8) -> Option<Self> {
-        match number {
-            0 => Some(Self::First),
-            1 => Some(Self::Running),
-            2 => Some(Self::Finished),
-            3 => Some(Self::Reused),
-            _ => None,
-        }
-    }
-
     /// Returns the refusal that follows, if the attempt may not run.
     pub fn refusal(self) -> Option<Refusal> {
         match self {
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -8,7 +8,9 @@
 use async_io::Timer;
 use berylwheel_config::ConfigAction;
 use berylwheel_config::ConfigState;
+use berylwheel_config::Heartbeat;
 use berylwheel_config::ListedState;
+use berylwheel_config::MemberEntry;
 use berylwheel_config::MemberPolicy;
 use berylwheel_config::Members;
 use berylwheel_config::Part;
@@ -20,6 +22,7 @@
 use berylwheel_peer::Message;
 use berylwheel_peer::PeerIdentity;
 use berylwheel_peer::PeerLink;
+use berylwheel_schedule::Served;
 use berylwheel_settings::RouterSettings;
 use berylwheel_store::Store;
 use berylwheel_types::BillKey;
@@ -46,6 +49,14 @@
 use crate::ledger::Ledger;
 use crate::registry;
 use crate::registry::Registered;
+use crate::translate::claim_answer;
+use crate::translate::claim_state;
+use crate::translate::digests_of;
+use crate::translate::heartbeat_message;
+use crate::translate::member_of;
+use crate::translate::parts_message;
+use crate::translate::parts_of;
+use crate::translate::served_of;
 
 /// Interval between reads of the platform's VM list; a lost message about a leaving server costs at
 /// most this long.
@@ -100,8 +111,9 @@
         admin: SocketAddr,
         effects: &Effects,
     ) -> io::Result<Self> {
-        let (link, inbound) = PeerLink::bind(settings.peer, identity, effects.executor.clone())?;
-        let address = link.address();
+        let (link, inbound) =
+            PeerLink::bind(settings.peer, identity, &effects.executor).map_err(io::Error::other)?;
+        let address = link.address().map_err(io::Error::other)?;
         effects.executor.spawn(forward(inbound, effects.clone())).detach();
         let own = Registered {
             incarnation: me.clone(),
@@ -147,7 +159,16 @@
             "live": self.members.live(),
             "versions": self.members.versions(),
             "reclaiming": self.reclaims.iter().filter(|(_, r)| !r.done).map(|(i, _)| i).collect::<Vec<_>>(),
-            "link": self.link.stats(),
+            "link": self.link_dump(),
+        })
+    }
+
+    fn link_dump(&self) -> Value {
+        let stats = self.link.stats();
+        json!({
+            "bytes_in": stats.bytes_in,
+            "bytes_out": stats.bytes_out,
+            "dropped": stats.dropped,
         })
     }
 
@@ -175,7 +196,7 @@
     /// Stops the link once this router has nothing left.
     pub async fn leave(&self, effects: &Effects) {
         registry::deregister(&effects.store, &self.own.incarnation).await;
-        self.link.close();
+        self.link.close().await;
     }
 }
 
@@ -184,36 +205,54 @@
     pub(crate) fn peer_message(&mut self, now: Timestamp, inbound: Inbound) {
         let Inbound { from, message, .. } = inbound;
         match message {
-            Message::Heartbeat(heartbeat, served) => {
-                // The name comes from the certificate: no router speaks for another.
-                if heartbeat.own.incarnation.router != from {
-                    return;
-                }
-                self.fleet.addresses.insert(from.clone(), heartbeat.own.address);
-                self.fleet.members.heartbeat_received(now, &heartbeat);
-                self.fleet.config.peer_version(now, &from, heartbeat.own.version);
+            Message::Heartbeat {
+                incarnation,
+                counter,
+                address,
+                version,
+                draining,
+                others,
+                served,
+                ..
+            } => {
+                let version = version.unwrap_or_default();
+                let own = MemberEntry {
+                    incarnation: incarnation.clone(),
+                    address,
+                    counter,
+                    version,
+                    leaving: draining,
+                    suspect: false,
+                };
+                let others = others.into_iter().map(member_of).collect();
+                let served: Vec<Served> = served.into_iter().map(served_of).collect();
+                self.fleet.addresses.insert(from.clone(), address);
+                self.fleet.members.heartbeat_received(now, &Heartbeat { own, others });
+                self.fleet.config.peer_version(now, &from, version);
                 self.scheduler.peer_served(now, &from, &served);
-                self.note_run(now, heartbeat.own.incarnation.clone());
+                self.note_run(now, incarnation);
             }
             Message::ConfigVersion { version } => {
                 self.fleet.config.peer_version(now, &from, version);
             }
-            Message::ConfigPull { have } => {
-                if let Some((root, parts)) = self.fleet.config.answer(&have) {
-                    self.fleet.send(&from, Message::ConfigParts { root, parts });
+            Message::ConfigPull { have, .. } => {
+                if let Some((root, parts)) = self.fleet.config.answer(&digests_of(have)) {
+                    self.fleet.send(&from, parts_message(&root, parts));
+                }
+            }
+            Message::ConfigParts { root, parts } => {
+                if let Some((root, parts)) = parts_of(&root, parts) {
+                    self.fleet.config.parts(now, root, parts);
                 }
             }
-            Message::ConfigParts { root, parts } => self.fleet.config.parts(now, root, parts),
             Message::Recall { budget } => self.holder.recall(now, &budget),
             Message::Claim { id, key, attempt, owner, digest } => {
                 let answer = self.claim_here(now, key, &attempt, &owner, digest);
-                self.fleet.send(&from, Message::ClaimAnswer { id, answer: answer.number() });
+                self.fleet.send(&from, Message::ClaimAnswer { id, answer: claim_state(answer) });
             }
             Message::ClaimAnswer { id, answer } => {
-                if let Some(request) = self.fleet.claims.remove(&id)
-                    && let Some(answer) = ClaimAnswer::from_number(answer)
-                {
-                    self.claim_answered(now, &request, answer);
+                if let Some(request) = self.fleet.claims.remove(&id) {
+                    self.claim_answered(now, &request, claim_answer(answer));
                 }
             }
             Message::ClaimEnd { key, attempt, delivered } => {
@@ -231,7 +270,8 @@
         self.fleet.members.set_version(self.fleet.config.advertised());
         let served = self.scheduler.served();
         for (to, heartbeat) in self.fleet.members.poll(now) {
-            self.fleet.send(&to, Message::Heartbeat(heartbeat, served.clone()));
+            let message = heartbeat_message(heartbeat, served.clone(), &self.fleet.own.domain);
+            self.fleet.send(&to, message);
         }
         let live = self.fleet.members.live_count().max(1);
         self.holder.set_routers(live);
@@ -262,7 +302,9 @@
                 self.fleet.send(&to, Message::ConfigVersion { version });
             }
             ConfigAction::Pull { from, parts } => {
-                self.fleet.send(&from, Message::ConfigPull { have: parts });
+                let version = self.fleet.config.version().unwrap_or_default();
+                let have = parts.iter().map(ToString::to_string).collect();
+                self.fleet.send(&from, Message::ConfigPull { version, have });
             }
             ConfigAction::Apply(version, settings) => self.apply(now, version, settings),
             ConfigAction::Unreadable(version, errors) => {
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -20,6 +20,7 @@
 mod snapshot;
 mod ticket;
 mod traffic;
+mod translate;
 
 pub use change::ChangeRequest;
 pub use change::Configuration;
