--- a/crates/berylwheel-settings/src/check.rs
+++ b/crates/berylwheel-settings/src/check.rs
@@ -36,7 +36,8 @@
         Ok(()) => spec.value.to_string(),
         Err(expected) => expected,
     };
-    Some(tree.error(name, key, format!("found `{value}`"), expected))
+    let found = if value.is_empty() { "no value".into() } else { format!("found `{value}`") };
+    Some(tree.error(name, key, found, expected))
 }
 
 fn unknown_key(tree: &Tree, name: &SectionName, key: &str) -> SettingError {
--- a/crates/berylwheel-settings/src/edit.rs
+++ b/crates/berylwheel-settings/src/edit.rs
@@ -37,7 +37,7 @@
             errors.push(tree.error(
                 section,
                 key.escape_debug().to_string().as_str(),
-                "edit",
+                "a key or value that a line cannot hold",
                 expected,
             ));
             continue;
--- a/crates/berylwheel-settings/src/error.rs
+++ b/crates/berylwheel-settings/src/error.rs
@@ -27,11 +27,11 @@
         if self.line > 0 {
             write!(f, ":{}", self.line)?;
         }
-        if !self.section.is_empty() {
-            write!(f, ": [{}]", self.section)?;
-        }
-        if !self.key.is_empty() {
-            write!(f, " {}", self.key)?;
+        match (self.section.as_str(), self.key.as_str()) {
+            ("", "") => {}
+            ("", key) => write!(f, ": {key}")?,
+            (section, "") => write!(f, ": [{section}]")?,
+            (section, key) => write!(f, ": [{section}] {key}")?,
         }
         write!(f, ": {}, expected {}", self.found, self.expected)?;
         if let Some(suggestion) = &self.suggestion {
--- a/crates/berylwheel-settings/src/raw.rs
+++ b/crates/berylwheel-settings/src/raw.rs
@@ -117,7 +117,7 @@
         let name = match text.parse::<SectionName>() {
             Ok(name) => name,
             Err(e) => {
-                let found = "unknown section".to_owned();
+                let found = "no such section".to_owned();
                 let suggestion = crate::check::suggest_section(text);
                 errors
                     .push(SettingError { suggestion, ..error(line, text, "", found, e.expected) });
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -134,8 +134,8 @@
             Self::Fencing => f.write_str("checked or ignored"),
             Self::Name => f.write_str("a name of letters, digits or any of - _ . : /"),
             Self::Budget => f.write_str("a budget name of letters, digits or any of - _ . :"),
-            Self::Names => f.write_str("a list of names, such as a, b"),
-            Self::Budgets => f.write_str("a list of budget names, such as main, trial"),
+            Self::Names => f.write_str("a list of names, each once, such as a, b"),
+            Self::Budgets => f.write_str("a list of budget names, each once, such as main, trial"),
             Self::Listen => f.write_str("an address IP:port, such as 127.0.0.1:8080"),
             Self::Address => {
                 f.write_str("an address IP:port with a port above 0, such as 127.0.0.1:8080")
