--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -66,3 +66,25 @@
     assert_eq!(served.status, 200, "{served:?}");
     assert_eq!(send(fleet.router(2), Outgoing::new(Method::Get, "/healthz")).status, 200);
 }
+
+/// Guards against routers that do not reach each other over their links.
+#[test]
+fn routers_know_each_other_and_take_changes() {
+    let fleet = Fleet::start("membership", 3, &[], 1_000);
+    wait_until("each router sees three live ones", || {
+        (0..3)
+            .all(|i| {
+                let dump = get(fleet.admin(i), "/dump").json();
+                dump["fleet"]["live"].as_array().is_some_and(|live| live.len() == 3)
+            })
+            .then_some(())
+    });
+    let address = fleet.admin(1).to_string();
+    let operator = ["--address", &address, "--operator-key", support::OPERATOR_KEY];
+    support::run_ok(&[&["kind", "set", "chat", "max_tokens=50"][..], &operator].concat());
+    support::run_ok(&[&["config", "wait", "2"][..], &operator].concat());
+    for i in 0..3 {
+        let refused = send(fleet.router(i), chat(100, false, None));
+        assert_eq!(refused.code(), 1102, "{refused:?}");
+    }
+}
