Add bench of fault histories, refusals, stranded tokens and store traffic

Cause: the design's figures for budgets need a run behind them. Ruled out: a second set of histories for the bench; it shares the world of the tests. Change: benches/budgets with the groups faults, refusals, stranded and traffic.

--- /dev/null
+++ b/benches/budgets/fleet.rs
@@ -0,0 +1,342 @@
+//! Routers and a store in simulated time.
+
+use std::collections::BTreeMap;
+
+use berylwheel_budget::Holder;
+use berylwheel_budget::HolderAction;
+use berylwheel_budget::HolderPolicy;
+use berylwheel_budget::LedgerPage;
+use berylwheel_budget::PageId;
+use berylwheel_budget::Reserve;
+use berylwheel_budget::UsageRecord;
+use berylwheel_budget::UsageTag;
+use berylwheel_budget::WriteResult;
+use berylwheel_budget::page_of;
+use berylwheel_types::BudgetId;
+use berylwheel_types::FastMap;
+use berylwheel_types::ManualClock;
+use berylwheel_types::Millis;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+
+use crate::load::Request;
+
+/// One-way latency between a router and the store, and between routers.
+const HOP: u64 = 1;
+/// Time after which a router gives up on a store that does not answer.
+const STORE_TIMEOUT: u64 = 500;
+/// One page in this many is encoded to measure its size.
+const SIZE_SAMPLE: u64 = 16;
+/// Size of a recall with the headers of its stream.
+const RECALL_BYTES: u64 = 120;
+
+enum Event {
+    Arrive(usize),
+    Finish(usize, RequestId),
+    Read(usize, PageId),
+    Write(usize, PageId, u64, LedgerPage),
+    ReadDone(usize, PageId, u64, LedgerPage),
+    ReadFailed(usize, PageId),
+    Written(usize, PageId, WriteResult),
+    Recall(usize, BudgetId),
+    Poll(usize),
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Open,
+    Running { since: u64, tag: Option<UsageTag> },
+    Served,
+    Refused { at: u64, falsely: bool },
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Traffic {
+    pub reads: u64,
+    pub writes: u64,
+    pub bytes: u64,
+}
+
+pub struct Fleet {
+    pub clock: ManualClock,
+    pub holders: Vec<Option<Holder>>,
+    pub store: FastMap<PageId, (u64, LedgerPage)>,
+    pub store_up: bool,
+    pub requests: Vec<Request>,
+    pub fates: Vec<Fate>,
+    pub budgets: Vec<BudgetId>,
+    /// Tokens that no running request has reserved and none has used, by budget.
+    pub unreserved: Vec<u64>,
+    pub traffic: Traffic,
+    pages: u32,
+    revision: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    polls: Vec<Option<u64>>,
+    sequence: u64,
+}
+
+pub fn router_name(slot: usize) -> String {
+    format!("r{slot}@1")
+}
+
+fn slot_of(holder: &berylwheel_types::Incarnation) -> usize {
+    holder.router.as_str()[1..].parse().expect("router name")
+}
+
+fn index_of(request: &RequestId) -> usize {
+    request.as_str()[1..].parse().expect("request name")
+}
+
+impl Fleet {
+    pub fn new(routers: usize, credits: &[u64], policy: HolderPolicy) -> Self {
+        let clock = ManualClock::new(Timestamp::from_millis(1_000_000));
+        let now = clock.now();
+        let mut store: FastMap<PageId, (u64, LedgerPage)> = FastMap::default();
+        let mut budgets = Vec::new();
+        for (n, amount) in credits.iter().enumerate() {
+            let budget: BudgetId = format!("w{n}/main").parse().expect("budget");
+            let (revision, page) = store.entry(page_of(&budget, policy.pages)).or_default();
+            *revision = 1;
+            page.create(&budget, "bench", now).expect("created");
+            let id = "first".parse().expect("credit id");
+            page.credit(&budget, id, Tokens(*amount), "bench", now).expect("credited");
+            budgets.push(budget);
+        }
+        let start = |slot: usize| {
+            let me = router_name(slot).parse().expect("incarnation");
+            let mut holder = Holder::new(me, policy.clone());
+            holder.set_routers(routers);
+            Some(holder)
+        };
+        Self {
+            holders: (0..routers).map(start).collect(),
+            clock,
+            store,
+            store_up: true,
+            requests: Vec::new(),
+            fates: Vec::new(),
+            budgets,
+            unreserved: credits.to_vec(),
+            traffic: Traffic::default(),
+            pages: policy.pages,
+            revision: 1,
+            events: BTreeMap::new(),
+            polls: vec![None; routers],
+            sequence: 0,
+        }
+    }
+
+    /// Returns the milliseconds since the start.
+    pub fn elapsed(&self) -> u64 {
+        self.clock.now().as_millis() - 1_000_000
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at.max(self.elapsed()), self.sequence), event);
+    }
+
+    /// Adds a request and returns its number.
+    pub fn add(&mut self, request: Request) -> usize {
+        self.requests.push(request);
+        self.fates.push(Fate::Open);
+        self.schedule(request.at, Event::Arrive(self.requests.len() - 1));
+        self.requests.len() - 1
+    }
+
+    pub fn add_all(&mut self, requests: Vec<Request>) {
+        requests.into_iter().for_each(|request| {
+            self.add(request);
+        });
+    }
+
+    /// Runs until `until` milliseconds after the start; `ended` sees each request that ends.
+    pub fn run(&mut self, until: u64, ended: &mut dyn FnMut(&mut Self, usize)) {
+        while let Some(entry) = self.events.first_entry() {
+            let (at, _) = *entry.key();
+            if at > until {
+                break;
+            }
+            let event = entry.remove();
+            self.clock.advance(Millis(at - self.elapsed()));
+            self.handle(event, ended);
+        }
+        self.clock.advance(Millis(until.saturating_sub(self.elapsed())));
+    }
+
+    fn handle(&mut self, event: Event, ended: &mut dyn FnMut(&mut Self, usize)) {
+        let (now, at) = (self.clock.now(), self.elapsed());
+        let slot = match event {
+            Event::Arrive(index) => self.arrive(index),
+            Event::Finish(slot, request) => {
+                let index = index_of(&request);
+                let Request { workspace, amount, used, .. } = self.requests[index];
+                if let Some(holder) = &mut self.holders[slot] {
+                    holder.settle(now, &request, Tokens(used));
+                    self.unreserved[workspace] += amount - used;
+                    self.fates[index] = Fate::Served;
+                    ended(self, index);
+                }
+                slot
+            }
+            Event::Read(slot, page) => {
+                if !self.store_up {
+                    return self.schedule(at + STORE_TIMEOUT, Event::ReadFailed(slot, page));
+                }
+                let (revision, content) = self.store.get(&page).cloned().unwrap_or_default();
+                self.traffic.reads += 1;
+                self.count_bytes(&content);
+                return self.schedule(at + HOP, Event::ReadDone(slot, page, revision, content));
+            }
+            Event::Write(slot, page, expected, content) => {
+                if !self.store_up {
+                    let answer = Event::Written(slot, page, WriteResult::Unknown);
+                    return self.schedule(at + STORE_TIMEOUT, answer);
+                }
+                self.traffic.writes += 1;
+                self.count_bytes(&content);
+                let entry = self.store.entry(page).or_default();
+                let mut result = WriteResult::Lost;
+                if entry.0 == expected {
+                    self.revision += 1;
+                    *entry = (self.revision, content);
+                    result = WriteResult::Won(self.revision);
+                }
+                return self.schedule(at + HOP, Event::Written(slot, page, result));
+            }
+            Event::ReadDone(slot, page, revision, content) => {
+                if let Some(holder) = &mut self.holders[slot] {
+                    holder.page_read(now, page, revision, content);
+                }
+                slot
+            }
+            Event::ReadFailed(slot, page) => {
+                if let Some(holder) = &mut self.holders[slot] {
+                    holder.read_failed(now, page);
+                }
+                slot
+            }
+            Event::Written(slot, page, result) => {
+                if let Some(holder) = &mut self.holders[slot] {
+                    holder.page_written(now, page, result);
+                }
+                slot
+            }
+            Event::Recall(slot, budget) => {
+                if let Some(holder) = &mut self.holders[slot] {
+                    holder.recall(now, &budget);
+                }
+                slot
+            }
+            Event::Poll(slot) => {
+                self.polls[slot] = None;
+                slot
+            }
+        };
+        self.poll(slot, ended);
+    }
+
+    fn count_bytes(&mut self, page: &LedgerPage) {
+        if (self.traffic.reads + self.traffic.writes).is_multiple_of(SIZE_SAMPLE) {
+            // The store's gateway carries values as base64.
+            self.traffic.bytes += page.encode().len() as u64 * 4 / 3 * SIZE_SAMPLE;
+        }
+    }
+
+    fn arrive(&mut self, index: usize) -> usize {
+        let Request { router, workspace, amount, .. } = self.requests[index];
+        let now = self.clock.now();
+        let reserve = Reserve {
+            request: format!("q{index}").parse().expect("request name"),
+            budget: self.budgets[workspace].clone(),
+            key: None,
+            amount: Tokens(amount),
+            deadline: now + Millis(60_000),
+        };
+        if let Some(holder) = &mut self.holders[router] {
+            holder.reserve(now, reserve);
+        }
+        router
+    }
+
+    /// Lets a router poll and schedules what it asks for.
+    pub fn poll(&mut self, slot: usize, ended: &mut dyn FnMut(&mut Self, usize)) {
+        let (now, at) = (self.clock.now(), self.elapsed());
+        let Some(holder) = &mut self.holders[slot] else {
+            return;
+        };
+        for action in holder.poll(now) {
+            match action {
+                HolderAction::Read(page) => self.schedule(at + HOP, Event::Read(slot, page)),
+                HolderAction::Write { page, expected, content } => {
+                    self.schedule(at + HOP, Event::Write(slot, page, expected, content));
+                }
+                HolderAction::Recall { holder, budget } => {
+                    self.traffic.bytes += RECALL_BYTES;
+                    self.schedule(at + HOP, Event::Recall(slot_of(&holder), budget));
+                }
+                HolderAction::Reserved(request) => {
+                    let index = index_of(&request);
+                    let Request { workspace, amount, duration, .. } = self.requests[index];
+                    let tag = self.holders[slot].as_ref().and_then(|h| h.tag(&request));
+                    self.unreserved[workspace] -= amount;
+                    self.fates[index] = Fate::Running { since: at, tag };
+                    self.schedule(at + duration, Event::Finish(slot, request));
+                }
+                HolderAction::Refused(request, _) => {
+                    let index = index_of(&request);
+                    let Request { workspace, amount, .. } = self.requests[index];
+                    let falsely = self.unreserved[workspace] >= amount;
+                    self.fates[index] = Fate::Refused { at, falsely };
+                    ended(self, index);
+                }
+            }
+        }
+        let next = self.holders[slot].as_ref().and_then(Holder::next_poll);
+        let Some(next) = next.map(|t| t.as_millis().saturating_sub(1_000_000).max(at + 1)) else {
+            return;
+        };
+        if self.polls[slot].is_none_or(|scheduled| next < scheduled) {
+            self.polls[slot] = Some(next);
+            self.schedule(next, Event::Poll(slot));
+        }
+    }
+
+    /// Stops a router at once. Its streams end with what they have used so far.
+    pub fn crash(&mut self, slot: usize) -> Vec<UsageRecord> {
+        self.holders[slot] = None;
+        let at = self.elapsed();
+        let mut usage = Vec::new();
+        for (request, fate) in self.requests.iter().zip(&self.fates) {
+            if let Fate::Running { since, tag: Some(tag) } = *fate
+                && request.router == slot
+            {
+                let share = (at - since) as f64 / request.duration as f64;
+                usage.push(UsageRecord { tag, used: Tokens((request.used as f64 * share) as u64) });
+            }
+        }
+        usage
+    }
+
+    /// Reclaims the rows of a dead router on every page, as one scan does.
+    pub fn reclaim(&mut self, slot: usize, usage: &[UsageRecord]) {
+        let dead = router_name(slot).parse().expect("incarnation");
+        let now = self.clock.now();
+        for (revision, page) in self.store.values_mut() {
+            page.reclaim(&dead, usage, "bench", now);
+            self.revision += 1;
+            *revision = self.revision;
+        }
+    }
+
+    /// Returns what the row of `slot` holds and what of the budget is unspent.
+    pub fn row_and_unspent(&self, slot: usize, workspace: usize) -> (u64, u64) {
+        let budget = &self.budgets[workspace];
+        let (_, page) = &self.store[&page_of(budget, self.pages)];
+        let account = page.account(budget).expect("account");
+        let holder = router_name(slot).parse().expect("incarnation");
+        (account.held_by(&holder).0, (account.balance + account.outstanding()).0)
+    }
+}
--- a/crates/berylwheel-budget/tests/histories/steps.rs
+++ b/crates/berylwheel-budget/tests/histories/steps.rs
@@ -14,8 +14,8 @@
 /// Which step (weighted by [`STEPS`]), which router or message, and how much.
 pub type Code = (u8, u8, u16);
 
-#[derive(Debug, Clone, Copy)]
-enum Step {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
     Request,
     KeyedRequest,
     Serve,
@@ -44,7 +44,8 @@
 
 use Step::*;
 
-const STEPS: [Step; 49] = [
+/// The steps by code; a frequent step has several codes.
+pub const STEPS: [Step; 49] = [
     Request,
     Request,
     Request,
--- a/crates/berylwheel-budget/tests/holder_histories.rs
+++ b/crates/berylwheel-budget/tests/holder_histories.rs
@@ -3,6 +3,7 @@
 mod histories;
 
 use histories::Code;
+use histories::World;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -16,8 +17,21 @@
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 const CASES: u32 = 2_500;
 
+/// Runs a history up to its first fault.
+fn run(codes: &[Code]) -> World {
+    let mut world = World::new();
+    for code in codes {
+        world.step(*code);
+        if !world.check().is_empty() {
+            return world;
+        }
+    }
+    world.heal();
+    world
+}
+
 fn check(codes: &[Code]) -> Result<(), TestCaseError> {
-    let world = histories::run(codes);
+    let world = run(codes);
     match world.faults.first() {
         None => Ok(()),
         Some(fault) => Err(TestCaseError::fail(fault.clone())),
