Charge work that fails or has no price

Cause: finished() gave the whole charge back for zero tokens. A workspace whose requests all fail, and calls without a price, were charged nothing and served before every other workspace. Ruled out: charging by the time in the slot, since the shares are counted in tokens. Change: zero tokens served keep the charge, and a call without a price counts as one token in the queue. Billing is not affected. Conclusion: failing work cannot push other workspaces back.

--- a/crates/berylwheel-schedule/src/kind.rs
+++ b/crates/berylwheel-schedule/src/kind.rs
@@ -58,9 +58,10 @@
         }
     }
 
-    /// Returns the tokens that `work` is expected to use.
+    /// Returns the tokens that `work` is expected to use. Calls without a price count as one token,
+    /// so that they are queued fairly too.
     pub(crate) fn expected(&self, work: &Work) -> f64 {
-        work.cost.0 as f64 * self.usage.or(1.0)
+        work.cost.0.max(1) as f64 * self.usage.or(1.0)
     }
 
     pub(crate) fn has_room(&self, size: u64) -> bool {
@@ -138,12 +139,12 @@
     /// Learns from a request that ran for `time` and used `served` tokens.
     pub(crate) fn learn(&mut self, work: &Work, time: Millis, served: u64) {
         // A request that failed or timed out says nothing about the time that an answer takes.
-        if served == 0 || work.cost.0 == 0 {
+        if served == 0 {
             return;
         }
         self.service.add(time.0 as f64);
         self.tokens.add(served as f64);
-        self.usage.add((served as f64 / work.cost.0 as f64).min(1.0));
+        self.usage.add((served as f64 / work.cost.0.max(1) as f64).min(1.0));
     }
 
     /// Returns the mean time from start to end in milliseconds, zero if unknown.
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -274,7 +274,9 @@
             kind.stop(&work);
             kind.learn(&work, now.since(since), served.0);
         }
-        let used = served.0 as f64;
+        // What failed or timed out has used its slot and stays charged. Otherwise a workspace whose
+        // requests all fail would be served before the others.
+        let used = if served == Tokens::ZERO { charge } else { served.0 as f64 };
         self.lanes[work.rank.index()].correct(&work.workspace, used - charge);
         self.shares.refund(work.rank, charge - used);
         self.own.add(now, work.workspace, work.rank, served);
--- a/crates/berylwheel-schedule/tests/shares.rs
+++ b/crates/berylwheel-schedule/tests/shares.rs
@@ -136,6 +136,33 @@
     assert!((9..=11).contains(&served), "{served} of 20");
 }
 
+/// Serves two workspaces, of which the first uses no tokens, and returns how many of its requests
+/// are among 40 started.
+fn started_unpaid(cost: u64, used: u64) -> usize {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(200, 1));
+    let now = Timestamp::from_millis(1_000);
+    for (number, workspace) in (0..80).map(|i| (i, ["w0", "w1"][i % 2])) {
+        let name = format!("q{number}");
+        scheduler.offer(now, work(&name, workspace, "k0", Rank::Normal, cost)).unwrap();
+    }
+    let mut start = || {
+        let next = scheduler.next(now, &mut |_| true).unwrap();
+        let unpaid = next.workspace.as_str() == "w0";
+        scheduler.finished(now, &next.request, Tokens(if unpaid { 0 } else { used }));
+        unpaid
+    };
+    (0..40).filter(|_| start()).count()
+}
+
+/// Guards against a workspace that is served more because its requests fail, and against calls
+/// without a price that are all served before another workspace's.
+#[test]
+fn unpaid_work_counts() {
+    assert!((19..=21).contains(&started_unpaid(100, 100)));
+    assert!((19..=21).contains(&started_unpaid(0, 0)));
+}
+
 /// Guards against a rank that loses its minimum share at its servers because work for other
 /// servers starts in between.
 #[test]
