Test the store client against members that misbehave, and its decoders

Cause: the contract table covers a store that keeps to the protocol only. A case that waits for ever fails after 60 s.

--- /dev/null
+++ b/crates/berylwheel-store/tests/client.rs
@@ -0,0 +1,175 @@
+//! The HTTP client: several addresses, what counts as sent, and answers out of protocol.
+
+mod common;
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+
+use berylwheel_store::Compare;
+use berylwheel_store::HttpStore;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::StoreOptions;
+use berylwheel_store::SwapResult;
+use berylwheel_types::Millis;
+use futures_lite::future::block_on;
+
+/// Starts a member that gives each request the next of `answers`, and after them breaks off.
+fn member(answers: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let mut answers = answers.into_iter();
+        loop {
+            let (stream, _) = listener.accept().expect("a caller");
+            let mut reader = BufReader::new(stream);
+            let mut length = 0;
+            loop {
+                let mut line = String::new();
+                reader.read_line(&mut line).expect("a head");
+                if let Some(value) = line.strip_prefix("content-length: ") {
+                    length = value.trim().parse().expect("a length");
+                }
+                if line == "\r\n" || line.is_empty() {
+                    break;
+                }
+            }
+            reader.read_exact(&mut vec![0; length]).expect("a body");
+            let Some(answer) = answers.next() else { continue };
+            reader.get_mut().write_all(answer.as_bytes()).expect("the caller reads");
+        }
+    });
+    address
+}
+
+fn answer(status: u16, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} -\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Returns an address at which nobody listens.
+fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+fn store(addresses: &[SocketAddr]) -> HttpStore {
+    let mut options = StoreOptions::new(addresses.to_vec());
+    (options.read_time, options.write_time) = (Millis(60_000), Millis(60_000));
+    HttpStore::new(options)
+}
+
+fn swap(store: &HttpStore) -> Result<SwapResult, StoreError> {
+    block_on(store.swap(vec![Compare::absent("k")], vec![Put::new("k", "v")]))
+}
+
+const WON: &str = r#"{"header":{"revision":"7"},"succeeded":true}"#;
+
+/// Guards against a write that is repeated after it was sent, or reported without effect.
+#[test]
+fn a_write_is_unknown_unless_the_store_says_otherwise() {
+    let unavailable = r#"{"code":14,"message":"etcdserver: request timed out"}"#;
+    let no_leader = r#"{"code":14,"message":"etcdserver: no leader"}"#;
+    let too_many = r#"{"code":8,"message":"etcdserver: too many requests"}"#;
+    let protocol = |detail: &str| Err(StoreError::Protocol(detail.to_owned()));
+    let cases = [
+        (answer(200, WON), Ok(SwapResult::Won(7))),
+        (answer(200, r#"{"header":{"revision":"7"}}"#), Ok(SwapResult::Lost(Vec::new()))),
+        (String::new(), Err(StoreError::Unknown)),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{".to_owned(), Err(StoreError::Unknown)),
+        (answer(200, "not JSON"), Err(StoreError::Unknown)),
+        (answer(200, r#"{"succeeded":"yes"}"#), Err(StoreError::Unknown)),
+        (answer(503, unavailable), Err(StoreError::Unknown)),
+        (answer(504, "{}"), Err(StoreError::Unknown)),
+        (answer(500, "-"), Err(StoreError::Unknown)),
+        (answer(503, no_leader), Err(StoreError::Unavailable)),
+        (answer(429, too_many), Err(StoreError::Unavailable)),
+        (answer(400, r#"{"code":3,"message":"bad"}"#), protocol("status 400: bad")),
+    ];
+    for (text, expected) in cases {
+        let first = member(vec![text.clone()]);
+        assert_eq!(swap(&store(&[first])), expected, "{text}");
+    }
+}
+
+/// Guards against a write that goes to a second address after the first may have taken it.
+#[test]
+fn a_write_moves_on_only_if_it_was_not_sent() {
+    let won = || member(vec![answer(200, WON)]);
+    assert_eq!(swap(&store(&[closed_address(), won()])), Ok(SwapResult::Won(7)));
+    assert_eq!(swap(&store(&[member(Vec::new()), won()])), Err(StoreError::Unknown));
+    assert_eq!(swap(&store(&[closed_address(), closed_address()])), Err(StoreError::Unavailable));
+    assert_eq!(swap(&store(&[])), Err(StoreError::Unavailable));
+}
+
+/// Guards against a read that gives up while another member could answer.
+#[test]
+fn a_read_tries_all_addresses_and_stays_with_the_one_that_answers() {
+    let range = answer(200, r#"{"header":{},"kvs":[{"key":"aw==","mod_revision":"3"}]}"#);
+    let broken = member(vec![answer(500, "-")]);
+    let good = member(vec![range.clone(), answer(200, WON)]);
+    let store = store(&[closed_address(), broken, good]);
+    let entries = block_on(store.range("k", false, 0)).unwrap();
+    assert_eq!((entries[0].key.as_str(), entries[0].revision), ("k", 3));
+    // The member in front would leave this write unknown.
+    assert_eq!(swap(&store), Ok(SwapResult::Won(7)));
+    assert_eq!(block_on(store.range("k", false, 0)), Err(StoreError::Unavailable));
+}
+
+/// Guards against entries out of protocol that are passed on.
+#[test]
+fn a_read_out_of_protocol_is_an_error() {
+    let cases = ["not JSON", r#"{"kvs":[{"key":"/w=="}]}"#, r#"{"kvs":[{"key":"!"}]}"#, "[]1"];
+    for body in cases {
+        let result = block_on(store(&[member(vec![answer(200, body)])]).range("k", false, 0));
+        assert!(matches!(result, Err(StoreError::Protocol(_))), "{body}: {result:?}");
+    }
+}
+
+/// Guards against an answer over the limit that fills the memory.
+#[test]
+fn an_answer_over_the_limit_is_refused() {
+    let mut options = StoreOptions::new(vec![member(vec![answer(200, &" ".repeat(5_000))])]);
+    options.answer_limit.0 = 4_096;
+    let result = block_on(HttpStore::new(options).range("k", false, 0));
+    assert_eq!(result, Err(StoreError::Unavailable));
+}
+
+/// Guards against a watch that passes over a message, or takes a cancelled watch for a change.
+#[test]
+fn a_watch_reads_up_to_the_first_change() {
+    let created = r#"{"result":{"header":{"revision":"3"},"created":true}}"#;
+    let progress = r#"{"result":{"header":{"revision":"3"}}}"#;
+    let change = r#"{"result":{"events":[{"kv":{"key":"aw==","mod_revision":"4"}}]}}"#;
+    let compacted = r#"{"result":{"canceled":true,"compact_revision":"9"}}"#;
+    let canceled = r#"{"result":{"canceled":true}}"#;
+    let watch = |lines: &[&str]| {
+        let address = member(vec![answer(200, &(lines.join("\n") + "\n"))]);
+        block_on(store(&[address]).watch("k", 1))
+    };
+    assert_eq!(watch(&[created, progress, change, canceled]).unwrap()[0].revision, 4);
+    assert_eq!(watch(&[created, compacted]), Err(StoreError::Compacted(9)));
+    assert_eq!(watch(&[created, canceled, change]), Err(StoreError::Unavailable));
+    assert_eq!(watch(&[created]), Err(StoreError::Unavailable), "broke off");
+    assert!(matches!(watch(&["?"]), Err(StoreError::Protocol(_))));
+}
+
+/// Guards against a watch that waits for ever on a connection whose other end has gone.
+#[test]
+fn a_watch_without_changes_returns_after_its_time() {
+    common::with_server(async |memory, address| {
+        let mut options = StoreOptions::new(vec![address]);
+        options.watch_time = Millis(20);
+        assert_eq!(HttpStore::new(options).watch("k", 0).await, Ok(Vec::new()));
+        let store = store(&[address]);
+        store.swap(Vec::new(), vec![Put::new("k", "v")]).await.unwrap();
+        assert_eq!(store.watch("k", 1).await.map(|entries| entries.len()), Ok(1));
+        assert_eq!(memory.revision(), 2);
+    });
+}
