Test the fault orders of the engine stand-in

Cause: a fault that is not carried out makes a router test pass for nothing. Change: tables for streams that end early, break, hang, repeat an event or carry a wrong id, for refusals, and for faults that wear off; a stopped engine breaks its streams.

--- /dev/null
+++ b/crates/berylwheel-standin/tests/engine_faults.rs
@@ -0,0 +1,132 @@
+//! The engine stand-in: faults on order.
+
+mod common;
+
+use berylwheel_http::EventReader;
+use berylwheel_standin::EngineFaults;
+use berylwheel_standin::EngineOptions;
+use berylwheel_standin::start_engine;
+use common::Peer;
+use common::any_port;
+use common::chat;
+use common::resume;
+use common::run;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use serde_json::Value;
+use serde_json::json;
+
+/// Returns the ids and the tokens of the events, `-` for one without text and `!` for the end.
+fn summary(events: &[String]) -> Vec<String> {
+    let line = |event: &String| {
+        let Ok(event) = serde_json::from_str::<Value>(event) else { return "!".to_owned() };
+        let token = event["choices"][0]["delta"]["content"].as_str().unwrap_or("-").trim();
+        format!("{}:{token}", event["id"].as_str().unwrap_or(""))
+    };
+    events.iter().map(line).collect()
+}
+
+/// Guards against a fault order that is not carried out, and a router that is tested without one.
+#[test]
+fn streams_break_as_ordered() {
+    // Faults, the events of a stream of three tokens, whether the connection breaks.
+    let cases: [(Value, &[&str], bool); 7] = [
+        (json!({}), &["r:t0", "r:t1", "r:t2", "r:-", "!"], false),
+        (json!({ "token_interval_ms": 1 }), &["r:t0", "r:t1", "r:t2", "r:-", "!"], false),
+        (json!({ "truncate_after": 2 }), &["r:t0", "r:t1"], false),
+        (json!({ "truncate_after": 3 }), &["r:t0", "r:t1", "r:t2"], false),
+        (json!({ "disconnect_after": 1 }), &["r:t0"], true),
+        (json!({ "wrong_id": 1 }), &["r:t0", "another:t1", "r:t2", "r:-", "!"], false),
+        (json!({ "duplicate": 1 }), &["r:t0", "r:t1", "r:t1", "r:t2", "r:-", "!"], false),
+    ];
+    for (faults, expected, broke) in cases {
+        run(async |executor| {
+            let (address, _engine) =
+                start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+            let peer = Peer::new(address);
+            peer.order(faults.clone()).await;
+            let (events, broken) = peer.events(&chat("r", 3, true)).await;
+            assert_eq!((summary(&events).as_slice(), broken), (&to_owned(expected)[..], broke));
+            peer.order(json!({ "clear": true })).await;
+            let (rest, _) = peer.events(&resume("r", 2)).await;
+            assert_eq!(summary(&rest), ["r:t2", "r:-", "!"], "resumed after {faults}");
+        });
+    }
+}
+
+fn to_owned(lines: &[&str]) -> Vec<String> {
+    lines.iter().map(|line| line.to_string()).collect()
+}
+
+/// Guards against a refusal that runs, or that a router cannot tell from a failure.
+#[test]
+fn requests_are_refused_as_ordered() {
+    // Faults, status of the answer, whether the refusal says that the engine is draining.
+    let cases = [
+        (json!({ "status": 500 }), 500, Value::Null),
+        (json!({ "status": 503 }), 503, Value::Null),
+        (json!({ "draining": true }), 503, json!(true)),
+    ];
+    for (faults, status, draining) in cases {
+        for stream in [false, true] {
+            run(async |executor| {
+                let (address, _engine) =
+                    start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+                let peer = Peer::new(address);
+                peer.order(faults.clone()).await;
+                let (answered, body) = peer.call(&chat("r", 1, stream)).await.unwrap();
+                assert_eq!((answered, &body["draining"]), (status, &draining), "{faults}");
+                assert_eq!(peer.get("/v1/usage").await, json!([]), "{faults}");
+            });
+        }
+    }
+}
+
+/// Guards against a hanging engine that ends the stream, or answers after all.
+#[test]
+fn a_hanging_engine_sends_no_more_and_keeps_the_connection() {
+    run(async |executor| {
+        let faults = EngineFaults { hang_after: Some(1), ..EngineFaults::default() };
+        let options = EngineOptions { faults, ..EngineOptions::default() };
+        let (address, engine) = start_engine(any_port(), &executor, options).unwrap();
+        let peer = Peer::new(address);
+        let (_, stream) = peer.client.send(address, &chat("r", 3, true)).await.unwrap();
+        let mut events = EventReader::new(stream);
+        assert!(events.next().await.unwrap().unwrap().contains("t0"));
+        let generated = async {
+            // All tokens are generated, yet the stream brings no second event.
+            while peer.get("/v1/usage").await[0]["finished"] != true {
+                future::yield_now().await;
+            }
+            Ok(Some("nothing".to_owned()))
+        };
+        assert_eq!(events.next().or(generated).await.unwrap().unwrap(), "nothing");
+        peer.order(json!({ "clear": true, "hang": true })).await;
+        let call = chat("s", 1, false);
+        let answered = async { Some(peer.call(&call).await) };
+        let other = async {
+            peer.get("/v1/load").await;
+            None
+        };
+        assert!(answered.or(other).await.is_none());
+        drop(engine);
+        assert!(events.next().await.is_err(), "a stopped engine breaks its streams");
+        let refused = peer.call(&call).await.expect_err("stopped");
+        assert!(!refused.sent, "{refused}");
+    });
+}
+
+/// Guards against faults that outlast the number of requests they were ordered for.
+#[test]
+fn faults_wear_off_after_their_number_of_requests() {
+    run(async |executor| {
+        let (address, _engine) =
+            start_engine(any_port(), &executor, EngineOptions::default()).unwrap();
+        let peer = Peer::new(address);
+        peer.order(json!({ "status": 500, "times": 2 })).await;
+        for (id, status) in [("a", 500), ("b", 500), ("c", 200)] {
+            assert_eq!(peer.call(&chat(id, 1, false)).await.unwrap().0, status, "{id}");
+        }
+        assert_eq!(peer.post("/faults", json!({ "truncate": 1 })).await.0, 400);
+    });
+}
