Keep settlements within an allowance of bytes

Cause: at 1,000 budgets on 9 routers settlements every 2 s to 4 s moved 46.9 KB/s per router; a node may use 20 KB/s for control in all. Ruled out: smaller pages by more of them; each page then has fewer budgets, and the writes rise in step. A fixed longer interval would delay settlement where pages are small. Change: the interval also grows with the size of the pages in use, up to settle_limit; HolderPolicy::byte_rate is the allowance.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -53,6 +53,8 @@
     pub(super) pages: BTreeMap<PageId, PageState>,
     pub(super) requests: FastMap<RequestId, (PageId, BudgetId)>,
     pub(super) serial: u64,
+    /// Sum of `PageState::size`.
+    pub(super) page_bytes: u64,
     pub(super) draining: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
@@ -68,6 +70,7 @@
             pages: BTreeMap::new(),
             requests: FastMap::default(),
             serial: 0,
+            page_bytes: 0,
             draining: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
@@ -219,6 +222,9 @@
         page.failures = 0;
         page.revision = revision;
         page.version = content.version();
+        let size = content.rough_size();
+        self.page_bytes = self.page_bytes + size - page.size;
+        page.size = size;
         self.use_page(now, id, content);
         self.reschedule(now, id);
     }
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -49,6 +49,8 @@
     pub(crate) sequence: u64,
     pub(crate) revision: u64,
     pub(crate) version: u64,
+    /// About how many bytes the page takes.
+    pub(crate) size: u64,
     /// When the latest read was asked for.
     pub(crate) read_at: Option<Timestamp>,
     pub(crate) written_at: Timestamp,
@@ -69,6 +71,7 @@
             sequence: 0,
             revision: 0,
             version: 0,
+            size: 0,
             read_at: None,
             written_at: now,
             dirty: None,
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -51,11 +51,15 @@
 impl Holder {
     /// Returns the time between settlements of a page.
     ///
-    /// It grows with routers and pages so that all settlements keep within the fleet's allowance.
+    /// It grows with routers, pages and their size, so that settlements keep within the fleet's
+    /// allowance of writes and the router's allowance of bytes.
     fn settle_interval(&self) -> Millis {
         let writers = self.live as u64 * self.pages.len() as u64;
         let spread = writers * 1_000 / u64::from(self.policy.write_rate.max(1));
-        Millis(spread.min(self.policy.settle_limit.0).max(self.policy.settle_every.0))
+        // A settlement reads the page and writes it.
+        let bytes = 2 * self.page_bytes * 1_000 / u64::from(self.policy.byte_rate.max(1));
+        let longest = self.policy.settle_limit.max(self.policy.settle_every);
+        Millis(spread.max(bytes)).clamp(self.policy.settle_every, longest)
     }
 
     /// Sets the time at which the page is looked at next.
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -14,6 +14,12 @@
 /// The format of an encoded page, its first byte.
 const FORMAT: u8 = 1;
 
+/// Encoded sizes of the parts of a page, in bytes, as [`LedgerPage::rough_size`] takes them.
+const ACCOUNT_SIZE: usize = 32;
+const ROW_SIZE: usize = 48;
+const KEY_SIZE: usize = 24;
+const CREDIT_SIZE: usize = 24;
+
 /// The number of a ledger page.
 ///
 /// ```
@@ -161,6 +167,20 @@
         }
     }
 
+    /// Returns about how many bytes the page takes, without encoding it.
+    pub(crate) fn rough_size(&self) -> u64 {
+        let size = |(budget, account): (&BudgetId, &Account)| {
+            let names = budget.as_str().len() + CREDIT_SIZE * account.credits.len();
+            let rows = ROW_SIZE * account.rows.len();
+            ACCOUNT_SIZE
+                + names
+                + rows
+                + KEY_SIZE * account.keys.len()
+                + CREDIT_SIZE * account.audit.len()
+        };
+        self.accounts.iter().map(size).sum::<usize>() as u64
+    }
+
     /// Starts a write of `holder` and returns the new version of the page.
     pub(crate) fn begin_write(&mut self, holder: &Incarnation, sequence: u64) -> u64 {
         self.version += 1;
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -18,6 +18,8 @@
     pub settle_limit: Millis,
     /// Writes a second that the settlements of all routers together may use.
     pub write_rate: u32,
+    /// Bytes of pages a second that the settlements of this router may read and write.
+    pub byte_rate: u32,
     /// Least time between two reads of a page for urgent need.
     pub urgent_gap: Millis,
     /// Time that other holders have to answer a recall.
@@ -49,6 +51,8 @@
             settle_limit: Millis(60_000),
             // The store takes several hundred writes a second for all purposes.
             write_rate: 150,
+            // A node may use 20 KB/s for control in all, and pages travel as base64.
+            byte_rate: 10_240,
             urgent_gap: Millis(10),
             recall_wait: Millis(300),
             recall_read: Millis(50),
