--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -111,8 +111,15 @@
     }
 
     /// Returns whether `credited = balance + billed + outstanding`.
+    ///
+    /// A row that has returned and settled more than it was granted breaks this as well.
     pub fn is_conserved(&self) -> bool {
-        self.credited == self.balance + self.billed + self.outstanding()
+        // Wide numbers, since a damaged page may hold any value.
+        let wide = |tokens: Tokens| i128::from(tokens.0);
+        let left = |row: &Row| wide(row.granted) - wide(row.returned) - wide(row.settled);
+        let out: i128 = self.rows.values().map(left).sum();
+        self.rows.values().all(|row| left(row) >= 0)
+            && wide(self.credited) == wide(self.balance) + wide(self.billed) + out
     }
 
     /// Moves up to `amount` from the balance to `holder` and returns how much was moved.
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -196,6 +196,8 @@
     }
 
     /// The store has answered a read. Revision 0 and an empty page stand for an absent page.
+    ///
+    /// A page whose tokens do not add up counts as unreadable: writing it would hide the fault.
     pub fn page_read(&mut self, now: Timestamp, id: PageId, revision: u64, content: LedgerPage) {
         let Some(page) = self.pages.get_mut(&id) else {
             return;
@@ -204,6 +206,10 @@
             // A late answer to an earlier read.
             return;
         }
+        if content.check().is_err() {
+            self.read_failed(now, id);
+            return;
+        }
         if let Some(pending) = &page.pending {
             if content.sequence_of(&self.me) == pending.sequence {
                 page.confirm(now);
--- a/crates/berylwheel-budget/tests/holder.rs
+++ b/crates/berylwheel-budget/tests/holder.rs
@@ -146,6 +146,25 @@
     assert_eq!(ledger.billed(), 40 + 1 + 3);
 }
 
+/// Guards against grants out of a page whose tokens do not add up.
+#[test]
+fn uses_no_page_that_breaks_conservation() {
+    let (mut ledger, mut holder) = (Ledger::new(1_000), holder("r1@1", 1));
+    holder.reserve(at(0), ask("q1", 10, None));
+    ledger.serve(at(0), &mut holder);
+    let mut bytes = ledger.page.encode();
+    // The account starts after format, version, count and name, with `credited` (1,000 in two
+    // bytes).
+    let credited = 3 + 1 + budget().as_str().len();
+    bytes[credited] += 1;
+    let broken = LedgerPage::decode(&bytes).expect("decoded");
+    assert!(broken.check().is_err());
+    holder.reserve(at(10), ask("q2", 900, None));
+    assert!(matches!(holder.poll(at(10))[..], [HolderAction::Read(_)]));
+    holder.page_read(at(11), PAGE, ledger.revision, broken);
+    assert!(holder.poll(at(12)).is_empty());
+}
+
 /// Guards against a planned stop that strands tokens or cuts a request.
 #[test]
 fn drains_to_empty() {
