--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -53,6 +53,8 @@
     pub(super) pages: BTreeMap<PageId, PageState>,
     pub(super) requests: FastMap<RequestId, (PageId, BudgetId)>,
     pub(super) serial: u64,
+    /// Sum of `PageState::size`.
+    pub(super) page_bytes: u64,
     pub(super) draining: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
@@ -68,6 +70,7 @@
             pages: BTreeMap::new(),
             requests: FastMap::default(),
             serial: 0,
+            page_bytes: 0,
             draining: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
@@ -193,6 +196,8 @@
     }
 
     /// The store has answered a read. Revision 0 and an empty page stand for an absent page.
+    ///
+    /// A page whose tokens do not add up counts as unreadable: writing it would hide the fault.
     pub fn page_read(&mut self, now: Timestamp, id: PageId, revision: u64, content: LedgerPage) {
         let Some(page) = self.pages.get_mut(&id) else {
             return;
@@ -201,6 +206,10 @@
             // A late answer to an earlier read.
             return;
         }
+        if content.check().is_err() {
+            self.read_failed(now, id);
+            return;
+        }
         if let Some(pending) = &page.pending {
             if content.sequence_of(&self.me) == pending.sequence {
                 page.confirm(now);
@@ -219,6 +228,9 @@
         page.failures = 0;
         page.revision = revision;
         page.version = content.version();
+        let size = content.rough_size();
+        self.page_bytes = self.page_bytes + size - page.size;
+        page.size = size;
         self.use_page(now, id, content);
         self.reschedule(now, id);
     }
