Measure floors against the work that was asked for

Cause: floor_kept compared a rank that asks for less than its minimum with its mean demand, not with the requests of the run. Change: the denominator is the smaller of minimum share and demand in the run. Conclusion: the figure no longer contains the noise of the arrivals.

--- a/benches/overload/figures.rs
+++ b/benches/overload/figures.rs
@@ -57,6 +57,11 @@
     good / all.max(1.0)
 }
 
+/// Returns the time of all engine slots in `span`, in milliseconds.
+fn engine_time(size: &Size, span: &Range<u64>) -> f64 {
+    ((span.end - span.start) * (size.engines * ENGINE_SLOTS) as u64) as f64
+}
+
 /// Returns the share of the engines' time in `span` that went to answers given in time.
 fn engine_use(results: &Results, size: &Size, span: Range<u64>, rank: Option<Rank>) -> f64 {
     let counted = |r: &Request| r.kind().engine && rank.is_none_or(|rank| r.kind().rank == rank);
@@ -69,7 +74,7 @@
             Some(done.min(span.end).saturating_sub(start.max(span.start)))
         })
         .sum();
-    used as f64 / ((span.end - span.start) * (size.engines * ENGINE_SLOTS) as u64) as f64
+    used as f64 / engine_time(size, &span)
 }
 
 /// Returns the seconds after the surge until five seconds in which every rank is served again.
@@ -110,11 +115,18 @@
 fn floors(size: &Size, results: &[Results; 2], report: &Report) {
     let policy = SchedulePolicy::default();
     for rank in [Rank::Normal, Rank::Batch] {
-        let asked: f64 = KINDS.iter().filter(|k| k.engine && k.rank == rank).map(|k| k.share).sum();
+        let span = SURGE + SETTLE_MS..AFTER;
+        // A rank that asks for less than its minimum can keep only what it asks for.
+        let asked: u64 = results[0]
+            .iter()
+            .filter(|(r, _)| r.kind().engine && r.kind().rank == rank && span.contains(&r.at))
+            .map(|(request, _)| request.service_ms())
+            .sum();
+        let asked = asked as f64 / engine_time(size, &span);
         let floor = policy.rank(rank).floor.fraction().min(asked);
-        let values = results.each_ref().map(|results| {
-            (engine_use(results, size, SURGE + SETTLE_MS..AFTER, Some(rank)) / floor).min(1.0)
-        });
+        let values = results
+            .each_ref()
+            .map(|results| (engine_use(results, size, span.clone(), Some(rank)) / floor).min(1.0));
         let name = format!("floor_kept.flood_high.{rank}");
         report.print(&name, "share of the minimum", figure(values, Some(0.9)));
     }
