Bound the totals kept for heartbeats

Cause: totals of every workspace and rank ever served were kept and sorted for each heartbeat; at 12,000 workspaces that is 36,000 entries a second. Ruled out: dropping by age with a timer; the scheduler has none of its own. Change: from 4,096 entries on, those without service in the last minutes are dropped. Totals by rank are kept apart for the dump. Figures: the crate's tests pass, among them service_at_peers_counts; the dropping itself has no test and its cost was not measured. Conclusion: memory and heartbeat time are bounded by active workspaces.

--- a/crates/berylwheel-schedule/src/peers.rs
+++ b/crates/berylwheel-schedule/src/peers.rs
@@ -17,6 +17,10 @@
 /// Entries that a heartbeat carries.
 const LARGEST: usize = 16;
 
+/// Number of totals from which those without recent service are dropped. A workspace that comes
+/// back counts from zero, which other routers take for a restart.
+const MOST_TOTALS: usize = 4_096;
+
 /// Over this time the largest workspaces are chosen.
 const RECENT_WINDOW: Millis = Millis(10_000);
 
@@ -24,12 +28,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct OwnTotals {
     totals: BTreeMap<(WorkspaceId, Rank), (Tokens, Option<DecayedSum>)>,
+    by_rank: [Tokens; 3],
     latest: Timestamp,
 }
 
 impl OwnTotals {
     pub(crate) fn add(&mut self, now: Timestamp, workspace: WorkspaceId, rank: Rank, by: Tokens) {
         self.latest = self.latest.max(now);
+        self.by_rank[rank.index()] += by;
+        if self.totals.len() >= MOST_TOTALS {
+            let recent = |r: &DecayedSum| r.value(now, RECENT_WINDOW) >= 1.0;
+            self.totals.retain(|_, (_, sum)| sum.as_ref().is_some_and(recent));
+        }
         let (total, recent) = self.totals.entry((workspace, rank)).or_default();
         *total += by;
         recent.get_or_insert_with(DecayedSum::new).add(now, RECENT_WINDOW, by.0 as f64);
@@ -56,8 +66,8 @@
             .collect()
     }
 
-    pub(crate) fn of_rank(&self, rank: Rank) -> Tokens {
-        self.totals.iter().filter(|((_, r), _)| *r == rank).map(|(_, (total, _))| *total).sum()
+    pub(crate) const fn of_rank(&self, rank: Rank) -> Tokens {
+        self.by_rank[rank.index()]
     }
 }
 
