Keep preemption and minimum shares apart

Cause: requeue() gave the whole charge of a preempted stream back as credit, although the debt for it was bounded. Several preempted streams made the batch rank start before the urgent work they had given way to. The excess credit hid a second fault: streams that the batch rank started as part of its minimum share were preempted whenever they were a peak in what runs. Ruled out: only bounding the credit. Change: putting work back clears debt and earns no credit, and preemption leaves streams alone that started under the minimum share.

--- a/crates/berylwheel-schedule/src/release.rs
+++ b/crates/berylwheel-schedule/src/release.rs
@@ -94,7 +94,8 @@
     /// has waited for more than half its target. Cancel each, then call [`Scheduler::requeue`].
     ///
     /// A queue slot is kept for each, so that putting it back breaks no limit. Batch work is not
-    /// taken below its minimum share of what runs.
+    /// taken below its minimum share of what runs, and what it started as part of that share is
+    /// left alone: cutting every peak would leave less than the share on average.
     pub fn preempt(&mut self, now: Timestamp) -> Vec<RequestId> {
         let mut chosen = Vec::new();
         for plain in [false, true] {
@@ -142,7 +143,9 @@
             .running(Rank::Batch)
             .filter(|e| e.work.model.is_none() == plain && e.requeues < MOST_PREEMPTIONS)
             .filter_map(|e| match e.state {
-                State::Running { since, answered: false, preempted: false, .. } => Some((since, e)),
+                State::Running {
+                    since, owed: false, answered: false, preempted: false, ..
+                } => Some((since, e)),
                 _ => None,
             })
             .collect();
@@ -199,7 +202,7 @@
         kind.stop(&entry.work);
         let lane = &mut self.lanes[entry.work.rank.index()];
         lane.correct(&entry.work.workspace, -charge);
-        self.shares.refund(entry.work.rank, charge);
+        self.shares.undo(entry.work.rank, charge);
         if !preempted && !kind.has_room(entry.work.size.0) {
             let kind = entry.work.kind.clone();
             let full = self.queue_full(now, &kind);
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -34,8 +34,9 @@
 pub(crate) enum State {
     /// It waits since `since`.
     Queued { since: Timestamp },
-    /// It runs since `since`; `charge` is what its workspace and rank were charged.
-    Running { since: Timestamp, charge: f64, answered: bool, preempted: bool },
+    /// It runs since `since`; `charge` is what its workspace and rank were charged, and `owed`
+    /// tells that it started as part of the minimum share of its rank.
+    Running { since: Timestamp, charge: f64, owed: bool, answered: bool, preempted: bool },
 }
 
 #[derive(Debug)]
@@ -215,7 +216,9 @@
             kind.earn_retry(&self.policy);
         }
         let charge = kind.expected(&work);
-        entry.state = State::Running { since: now, charge, answered: false, preempted: false };
+        let owed = self.shares.credit(rank) > 0.0;
+        entry.state =
+            State::Running { since: now, charge, owed, answered: false, preempted: false };
         self.lanes[rank.index()].start(&work, charge);
         self.shares.started(now, rank, charge, ready, idle);
         Some(work)
--- a/crates/berylwheel-schedule/src/shares.rs
+++ b/crates/berylwheel-schedule/src/shares.rs
@@ -76,6 +76,13 @@
         self.credit[i] = (self.credit[i] - cost).max(-debt);
     }
 
+    /// Gives back the charge of work that is queued again. This clears debt and earns no credit:
+    /// the debt was bounded, so the charges together may be more than what was counted.
+    pub(crate) fn undo(&mut self, rank: Rank, charge: f64) {
+        let credit = &mut self.credit[rank.index()];
+        *credit = (*credit + charge).min(credit.max(0.0));
+    }
+
     /// Gives back tokens that were charged and not used; negative if more were used.
     pub(crate) fn refund(&mut self, rank: Rank, tokens: f64) {
         self.credit[rank.index()] += tokens;
--- a/crates/berylwheel-schedule/tests/release.rs
+++ b/crates/berylwheel-schedule/tests/release.rs
@@ -9,6 +9,7 @@
 use berylwheel_types::Ran;
 use berylwheel_types::Rank;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use common::limits;
 use common::work;
 
@@ -69,6 +70,52 @@
     assert_eq!(scheduler.preempt(late), [], "batch keeps its minimum share");
 }
 
+/// Guards against preempted streams that start again before the urgent work they gave way to.
+#[test]
+fn preempted_work_starts_later() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("bulk".parse().unwrap(), limits(20, 20));
+    scheduler.set_kind("chat".parse().unwrap(), limits(20, 20));
+    let mut now = START;
+    for number in 0..10 {
+        now += Millis(1_000);
+        scheduler.offer(now, work(&format!("b{number}"), "w0", "bulk", Rank::Batch, 100)).unwrap();
+        scheduler.next(now, &mut |_| true).unwrap();
+    }
+    for number in 0..5 {
+        scheduler.offer(now, work(&format!("u{number}"), "w0", "chat", Rank::Urgent, 100)).unwrap();
+    }
+    now += Millis(1_000);
+    let chosen = scheduler.preempt(now);
+    assert_eq!(chosen.len(), 5);
+    chosen.iter().for_each(|request| scheduler.requeue(now, request));
+    let started: Vec<_> =
+        (0..5).map(|_| scheduler.next(now, &mut |_| true).unwrap().rank).collect();
+    assert_eq!(started[0], Rank::Urgent);
+    // The minimum share of the batch rank is one in ten.
+    assert!(started.iter().filter(|rank| **rank == Rank::Batch).count() <= 1, "{started:?}");
+}
+
+/// Guards against preemption of what the batch rank started as part of its minimum share.
+#[test]
+fn minimum_share_not_preempted() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(200, 200));
+    for (rank, number) in [Rank::Urgent, Rank::Batch].into_iter().zip([60, 20]) {
+        for i in 0..number {
+            scheduler.offer(START, work(&format!("{rank}{i}"), "w0", "k0", rank, 100)).unwrap();
+        }
+    }
+    let started: Vec<_> =
+        (0..40).map(|_| scheduler.next(START, &mut |_| true).unwrap().rank).collect();
+    assert_eq!(started.iter().filter(|rank| **rank == Rank::Batch).count(), 4);
+    // Most urgent requests end, so that the share of what runs protects no batch request.
+    for i in 0..34 {
+        scheduler.finished(START, &format!("urgent{i}").parse().unwrap(), Tokens(100));
+    }
+    assert_eq!(scheduler.preempt(START + Millis(500)), []);
+}
+
 /// Guards against preemption that cannot help: the urgent work waits for its own kind's limit.
 #[test]
 fn blocked_kind_preempts_nothing() {
