Test the totals sent with heartbeats

Cause: the dropping of old totals had no test. Ruled out: a test of the module itself; tests see the public interface only. Change: two tests without random input. Conclusion: heartbeats carry the 16 largest and old totals go.

--- /dev/null
+++ b/crates/berylwheel-schedule/tests/peers.rs
@@ -0,0 +1,51 @@
+//! Totals for heartbeats.
+
+mod common;
+
+use berylwheel_schedule::SchedulePolicy;
+use berylwheel_schedule::Scheduler;
+use berylwheel_types::Rank;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use common::limits;
+use common::work;
+
+fn serve(scheduler: &mut Scheduler, at: u64, workspace: &str) {
+    let now = Timestamp::from_millis(at);
+    let name = format!("{workspace}-{at}");
+    scheduler.offer(now, work(&name, workspace, "k0", Rank::Normal, 10)).unwrap();
+    let next = scheduler.next(now, &mut |_| true).unwrap();
+    scheduler.finished(now, &next.request, Tokens(10));
+}
+
+/// Guards against totals that grow with every workspace ever served, and against totals of the
+/// ranks that shrink when those of workspaces are dropped.
+#[test]
+fn old_totals_dropped() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(10, 1));
+    serve(&mut scheduler, 1_000, "w0");
+    for number in 1..=4_096 {
+        serve(&mut scheduler, 600_000, &format!("w{number}"));
+    }
+    serve(&mut scheduler, 700_000, "w0");
+    let served = scheduler.served();
+    assert_eq!(served[0].workspace.as_str(), "w0");
+    assert_eq!(served[0].tokens, Tokens(10), "the old total is dropped");
+    assert_eq!(scheduler.dump().ranks[Rank::Normal.index()].served, Tokens(4_098 * 10));
+}
+
+/// Guards against a heartbeat that outgrows its size or leaves out the largest workspaces.
+#[test]
+fn largest_sent() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(10, 1));
+    for number in 0..40 {
+        for time in 0..=number {
+            serve(&mut scheduler, 1_000 + time, &format!("w{number}"));
+        }
+    }
+    let served = scheduler.served();
+    assert_eq!(served.len(), 16);
+    assert!(served.iter().all(|s| s.tokens >= Tokens(250)), "{served:?}");
+}
