Add examples to the scheduler's methods

Cause: house style asks for a runnable example on public functions. Ruled out: repeating the example of the type for each method; it covers new, set_kind, offer, next, first_token, finished and served. Change: examples for the other methods except withdraw. Conclusion: the interface can be read from its examples.

--- a/crates/berylwheel-schedule/src/release.rs
+++ b/crates/berylwheel-schedule/src/release.rs
@@ -61,6 +61,28 @@
 
     /// Returns queued requests that ended without a start since the last call: their deadline can
     /// no longer be met, or they made room for a smaller workspace.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{KindLimits, SchedulePolicy, Scheduler, Work};
+    /// use berylwheel_types::{ByteSize, Code, Rank, Timestamp, Tokens};
+    /// # let limits = KindLimits { queue: 8, queue_bytes: ByteSize(1 << 20), concurrency: 4 };
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_kind("bulk".parse().unwrap(), limits);
+    /// # let work = Work {
+    /// #     request: "q1".parse().unwrap(),
+    /// #     workspace: "w1".parse().unwrap(),
+    /// #     kind: "bulk".parse().unwrap(),
+    /// #     model: None,
+    /// #     rank: Rank::Batch,
+    /// #     cost: Tokens(100),
+    /// #     size: ByteSize(512),
+    /// #     deadline: Timestamp::from_millis(5_000),
+    /// # };
+    /// scheduler.offer(Timestamp::from_millis(0), work.clone()).unwrap();
+    /// let expired = scheduler.expired(Timestamp::from_millis(5_000));
+    /// assert_eq!(expired[0].0, work.request);
+    /// assert_eq!(expired[0].1.code, Code::DeadlineUnmet);
+    /// ```
     pub fn expired(&mut self, now: Timestamp) -> Vec<(RequestId, Refusal)> {
         for kind in self.kinds.values_mut() {
             kind.tick(now);
@@ -96,6 +118,16 @@
     /// A queue slot is kept for each, so that putting it back breaks no limit. Batch work is not
     /// taken below its minimum share of what runs, and what it started as part of that share is
     /// left alone: cutting every peak would leave less than the share on average.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// use berylwheel_types::Timestamp;
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// for request in scheduler.preempt(Timestamp::from_millis(0)) {
+    ///     // Cancel the stream at its server, then:
+    ///     scheduler.requeue(Timestamp::from_millis(0), &request);
+    /// }
+    /// ```
     pub fn preempt(&mut self, now: Timestamp) -> Vec<RequestId> {
         let mut chosen = Vec::new();
         for plain in [false, true] {
@@ -187,6 +219,30 @@
     /// [`Scheduler::expired`] instead.
     ///
     /// The caller must have had no part of the answer.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{KindLimits, SchedulePolicy, Scheduler, Work};
+    /// use berylwheel_types::{ByteSize, Rank, Timestamp, Tokens};
+    /// # let limits = KindLimits { queue: 8, queue_bytes: ByteSize(1 << 20), concurrency: 4 };
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_kind("bulk".parse().unwrap(), limits);
+    /// # let work = Work {
+    /// #     request: "q1".parse().unwrap(),
+    /// #     workspace: "w1".parse().unwrap(),
+    /// #     kind: "bulk".parse().unwrap(),
+    /// #     model: None,
+    /// #     rank: Rank::Batch,
+    /// #     cost: Tokens(100),
+    /// #     size: ByteSize(512),
+    /// #     deadline: Timestamp::from_millis(5_000),
+    /// # };
+    /// scheduler.offer(Timestamp::from_millis(0), work.clone()).unwrap();
+    /// let now = Timestamp::from_millis(10);
+    /// scheduler.next(now, &mut |_| true).unwrap();
+    /// // The server could not be reached.
+    /// scheduler.requeue(now, &work.request);
+    /// assert_eq!(scheduler.next(now, &mut |_| true), Some(work));
+    /// ```
     pub fn requeue(&mut self, now: Timestamp, request: &RequestId) {
         let Some(entry) = self.entries.get_mut(request) else {
             return;
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -108,6 +108,13 @@
     }
 
     /// Replaces the settings. Queued and running work stays.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// use berylwheel_types::Millis;
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_policy(SchedulePolicy { share_window: Millis(500), ..Default::default() });
+    /// ```
     pub fn set_policy(&mut self, policy: SchedulePolicy) {
         self.policy = policy;
         self.shares.set_policy(&policy);
@@ -124,6 +131,12 @@
     ///
     /// The limit counts per kind, so that a kind that hangs does not use up what the workspace
     /// may have in its other kinds.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_workspace("w1".parse().unwrap(), Some(20));
+    /// ```
     pub fn set_workspace(&mut self, workspace: WorkspaceId, limit: Option<usize>) {
         match limit {
             Some(limit) => self.limits.insert(workspace, limit),
@@ -286,6 +299,17 @@
     }
 
     /// Takes a retry out of the kind's budget and returns whether there was one.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{KindLimits, SchedulePolicy, Scheduler};
+    /// use berylwheel_types::{ByteSize, Timestamp};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// let kind = "lookup".parse().unwrap();
+    /// let limits = KindLimits { queue: 8, queue_bytes: ByteSize(1 << 20), concurrency: 4 };
+    /// assert!(!scheduler.try_retry(Timestamp::from_millis(0), &kind));
+    /// scheduler.set_kind("lookup".parse().unwrap(), limits);
+    /// assert!(scheduler.try_retry(Timestamp::from_millis(0), &kind));
+    /// ```
     pub fn try_retry(&mut self, _now: Timestamp, kind: &KindId) -> bool {
         self.kinds.get_mut(kind).is_some_and(Kind::take_retry)
     }
@@ -296,6 +320,15 @@
     }
 
     /// Weighs the queues by what the router `from` has served since its last heartbeat.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler, Served};
+    /// use berylwheel_types::{Rank, Timestamp, Tokens};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// let workspace = "w1".parse().unwrap();
+    /// let served = [Served { workspace, rank: Rank::Normal, tokens: Tokens(500) }];
+    /// scheduler.peer_served(Timestamp::from_millis(0), &"r2".parse().unwrap(), &served);
+    /// ```
     pub fn peer_served(&mut self, _now: Timestamp, from: &RouterId, served: &[Served]) {
         let lead = self.policy.peer_lead;
         for Served { workspace, rank, tokens } in self.peers.update(from, served) {
@@ -304,6 +337,12 @@
     }
 
     /// Returns the state for operators.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// let scheduler = Scheduler::new(SchedulePolicy::default());
+    /// assert_eq!(scheduler.dump().ranks.len(), 3);
+    /// ```
     pub fn dump(&self) -> ScheduleDump {
         let rank = |rank: Rank| RankDump {
             rank,
