Bound what unused tokens give back

Cause: requests start at the charge of their upper bound until a kind has learnt its use. The debt of a rank and the lead of a workspace are bounded or forgotten meanwhile, but the whole unused part was given back. After a start of the router a rank or a workspace was then served before all others. Change: credit and debt from corrections are bounded by the tokens of the window, less those given back; a workspace gets no further ahead than the lane's clock. Conclusion: wrong upper bounds cannot invert ranks for long.

--- a/crates/berylwheel-schedule/src/lane.rs
+++ b/crates/berylwheel-schedule/src/lane.rs
@@ -134,9 +134,12 @@
     }
 
     /// Adds the difference between the tokens charged and used.
+    ///
+    /// The charge may have been forgotten with its busy period, so what is given back brings no
+    /// flow ahead of the lane's clock.
     pub(crate) fn correct(&mut self, workspace: &WorkspaceId, difference: f64) {
         if let Some(flow) = self.flows.get_mut(workspace) {
-            flow.tag += difference;
+            flow.tag = (flow.tag + difference).max(flow.tag.min(self.clock));
         }
     }
 
--- a/crates/berylwheel-schedule/src/meter.rs
+++ b/crates/berylwheel-schedule/src/meter.rs
@@ -20,8 +20,9 @@
         self.sum * (-age / window.0.max(1) as f64).exp()
     }
 
+    /// Adds `amount`, or takes it off as far as the sum reaches.
     pub(crate) fn add(&mut self, now: Timestamp, window: Millis, amount: f64) {
-        self.sum = self.value(now, window) + amount;
+        self.sum = (self.value(now, window) + amount).max(0.0);
         self.at = self.at.max(now);
     }
 }
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -294,7 +294,7 @@
         // requests all fail would be served before the others.
         let used = if served == Tokens::ZERO { charge } else { served.0 as f64 };
         self.lanes[work.rank.index()].correct(&work.workspace, used - charge);
-        self.shares.refund(work.rank, charge - used);
+        self.shares.refund(now, work.rank, charge - used);
         self.own.add(now, work.workspace, work.rank, served);
     }
 
--- a/crates/berylwheel-schedule/src/shares.rs
+++ b/crates/berylwheel-schedule/src/shares.rs
@@ -84,7 +84,15 @@
     }
 
     /// Gives back tokens that were charged and not used; negative if more were used.
-    pub(crate) fn refund(&mut self, rank: Rank, tokens: f64) {
-        self.credit[rank.index()] += tokens;
+    ///
+    /// Debt is bounded, so the tokens given back may be more than what was counted. Credit and debt
+    /// that arise here are therefore bounded in the same way, by the tokens of the window without
+    /// those given back.
+    pub(crate) fn refund(&mut self, now: Timestamp, rank: Rank, tokens: f64) {
+        let i = rank.index();
+        self.recent.add(now, self.window, -tokens);
+        let most = self.floors[i] * self.recent.value(now, self.window);
+        let credit = self.credit[i];
+        self.credit[i] = (credit + tokens).clamp(credit.min(-most), credit.max(most));
     }
 }
--- a/crates/berylwheel-schedule/tests/shares.rs
+++ b/crates/berylwheel-schedule/tests/shares.rs
@@ -163,6 +163,39 @@
     assert!((19..=21).contains(&started_unpaid(0, 0)));
 }
 
+/// Starts 20 requests with an upper bound of 40 times their use, lets two callers queue, ends the
+/// first ones, and returns how many of the next 40 starts are the first caller's.
+fn started_after_refund(first: (&str, Rank), second: (&str, Rank)) -> usize {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    scheduler.set_kind("k0".parse().unwrap(), limits(200, 200));
+    scheduler.set_kind("k1".parse().unwrap(), limits(200, 200));
+    let mut now = Timestamp::from_millis(1_000);
+    let early: Vec<_> =
+        (0..20).map(|i| work(&format!("e{i}"), first.0, "k0", first.1, 4_000)).collect();
+    for work in &early {
+        now += Millis(500);
+        scheduler.offer(now, work.clone()).unwrap();
+        scheduler.next(now, &mut |_| true).unwrap();
+    }
+    for i in 0..60 {
+        scheduler.offer(now, work(&format!("f{i}"), first.0, "k0", first.1, 4_000)).unwrap();
+        scheduler.offer(now, work(&format!("s{i}"), second.0, "k1", second.1, 100)).unwrap();
+    }
+    early.iter().for_each(|work| scheduler.finished(now, &work.request, Tokens(100)));
+    let mut start = || scheduler.next(now, &mut |_| true).unwrap();
+    (0..40).filter(|_| start().request.as_str().starts_with('f')).count()
+}
+
+/// Guards against work served ahead of more urgent work, or of another workspace, because its
+/// upper bounds were far above its use and were given back at once.
+#[test]
+fn refunds_bounded() {
+    let batch = started_after_refund(("w0", Rank::Batch), ("w1", Rank::Urgent));
+    assert!(batch <= 8, "{batch} of 40 starts were batch work");
+    let first = started_after_refund(("w0", Rank::Normal), ("w1", Rank::Normal));
+    assert!((18..=22).contains(&first), "{first} of 40 starts were the first workspace's");
+}
+
 /// Guards against a rank that loses its minimum share at its servers because work for other
 /// servers starts in between.
 #[test]
