--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -34,8 +34,9 @@
 pub(crate) enum State {
     /// It waits since `since`.
     Queued { since: Timestamp },
-    /// It runs since `since`; `charge` is what its workspace and rank were charged.
-    Running { since: Timestamp, charge: f64, answered: bool, preempted: bool },
+    /// It runs since `since`; `charge` is what its workspace and rank were charged, and `owed`
+    /// tells that it started as part of the minimum share of its rank.
+    Running { since: Timestamp, charge: f64, owed: bool, answered: bool, preempted: bool },
 }
 
 #[derive(Debug)]
@@ -107,6 +108,13 @@
     }
 
     /// Replaces the settings. Queued and running work stays.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// use berylwheel_types::Millis;
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_policy(SchedulePolicy { share_window: Millis(500), ..Default::default() });
+    /// ```
     pub fn set_policy(&mut self, policy: SchedulePolicy) {
         self.policy = policy;
         self.shares.set_policy(&policy);
@@ -123,6 +131,12 @@
     ///
     /// The limit counts per kind, so that a kind that hangs does not use up what the workspace
     /// may have in its other kinds.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// scheduler.set_workspace("w1".parse().unwrap(), Some(20));
+    /// ```
     pub fn set_workspace(&mut self, workspace: WorkspaceId, limit: Option<usize>) {
         match limit {
             Some(limit) => self.limits.insert(workspace, limit),
@@ -215,7 +229,9 @@
             kind.earn_retry(&self.policy);
         }
         let charge = kind.expected(&work);
-        entry.state = State::Running { since: now, charge, answered: false, preempted: false };
+        let owed = self.shares.credit(rank) > 0.0;
+        entry.state =
+            State::Running { since: now, charge, owed, answered: false, preempted: false };
         self.lanes[rank.index()].start(&work, charge);
         self.shares.started(now, rank, charge, ready, idle);
         Some(work)
@@ -278,11 +294,22 @@
         // requests all fail would be served before the others.
         let used = if served == Tokens::ZERO { charge } else { served.0 as f64 };
         self.lanes[work.rank.index()].correct(&work.workspace, used - charge);
-        self.shares.refund(work.rank, charge - used);
+        self.shares.refund(now, work.rank, charge - used);
         self.own.add(now, work.workspace, work.rank, served);
     }
 
     /// Takes a retry out of the kind's budget and returns whether there was one.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{KindLimits, SchedulePolicy, Scheduler};
+    /// use berylwheel_types::{ByteSize, Timestamp};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// let kind = "lookup".parse().unwrap();
+    /// let limits = KindLimits { queue: 8, queue_bytes: ByteSize(1 << 20), concurrency: 4 };
+    /// assert!(!scheduler.try_retry(Timestamp::from_millis(0), &kind));
+    /// scheduler.set_kind("lookup".parse().unwrap(), limits);
+    /// assert!(scheduler.try_retry(Timestamp::from_millis(0), &kind));
+    /// ```
     pub fn try_retry(&mut self, _now: Timestamp, kind: &KindId) -> bool {
         self.kinds.get_mut(kind).is_some_and(Kind::take_retry)
     }
@@ -293,6 +320,15 @@
     }
 
     /// Weighs the queues by what the router `from` has served since its last heartbeat.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler, Served};
+    /// use berylwheel_types::{Rank, Timestamp, Tokens};
+    /// let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    /// let workspace = "w1".parse().unwrap();
+    /// let served = [Served { workspace, rank: Rank::Normal, tokens: Tokens(500) }];
+    /// scheduler.peer_served(Timestamp::from_millis(0), &"r2".parse().unwrap(), &served);
+    /// ```
     pub fn peer_served(&mut self, _now: Timestamp, from: &RouterId, served: &[Served]) {
         let lead = self.policy.peer_lead;
         for Served { workspace, rank, tokens } in self.peers.update(from, served) {
@@ -301,6 +337,12 @@
     }
 
     /// Returns the state for operators.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// let scheduler = Scheduler::new(SchedulePolicy::default());
+    /// assert_eq!(scheduler.dump().ranks.len(), 3);
+    /// ```
     pub fn dump(&self) -> ScheduleDump {
         let rank = |rank: Rank| RankDump {
             rank,
