Match answers of fence writes and keep-alives to their calls

A late answer to a keep-alive could in the same way extend a lease that was not extended. Change: written() takes the number, kept() the time of the call. A write that is sent again keeps the time of the first, whose lease it may turn out to have.

--- a/crates/berylwheel-config/src/fence.rs
+++ b/crates/berylwheel-config/src/fence.rs
@@ -54,10 +54,10 @@
     Read(BackendId),
     /// In one transaction, put the record if the revision of the fence key is still `expected`, and
     /// with a lease also the lease key, attached to a new lease of that time, if it is absent.
-    /// Answer with `written`.
+    /// Answer with `written` and the number in the record.
     Write { server: BackendId, expected: u64, record: FenceRecord, lease: Option<Millis> },
-    /// Keep the lease alive; answer with `kept`.
-    KeepAlive(BackendId),
+    /// Keep the lease alive; answer with `kept` and the same time.
+    KeepAlive { server: BackendId, asked: Timestamp },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,8 +75,6 @@
     hold: Option<Hold>,
     /// The write under way, when it was asked for, and whether another run held the server before.
     write: Option<(FenceRecord, Timestamp, bool)>,
-    /// When a keep-alive under way was asked for.
-    keep: Option<Timestamp>,
     next: Timestamp,
 }
 
@@ -97,11 +95,10 @@
 
     /// Starts to acquire the right to send orders to `server`.
     pub fn want(&mut self, now: Timestamp, server: &BackendId, fencing: Fencing) {
-        let next = now;
-        let empty = Server { fencing, hold: None, write: None, keep: None, next };
-        let place = self.servers.entry(server.clone()).or_insert(empty);
+        let empty = || Server { fencing, hold: None, write: None, next: now };
+        let place = self.servers.entry(server.clone()).or_insert_with(empty);
         if place.fencing != fencing {
-            *place = Server { fencing, hold: None, write: None, keep: None, next };
+            *place = empty();
         }
     }
 
@@ -128,9 +125,8 @@
                 }
                 Some(Hold { until: Some(until), .. }) if now >= until => server.hold = None,
                 Some(Hold { until: Some(_), .. }) => {
-                    server.keep = Some(now);
                     server.next = now + Millis(self.policy.lease.0 / 4);
-                    self.actions.push(FenceAction::KeepAlive(id.clone()));
+                    self.actions.push(FenceAction::KeepAlive { server: id.clone(), asked: now });
                 }
                 None | Some(Hold { until: None, .. }) => {}
             }
@@ -154,7 +150,7 @@
         let mut earlier = None;
         if let Some((wanted, asked, other)) = server.write.take() {
             let won = record.as_ref().is_some_and(|(found, _)| *found == wanted);
-            if won && (!leased || holder == Some(&self.me)) {
+            if won {
                 server.hold = Some(hold(&wanted, asked, now, other, leased, self.policy.lease));
                 return;
             }
@@ -185,12 +181,20 @@
         }
     }
 
-    /// Takes the result of a write.
-    pub fn written(&mut self, now: Timestamp, id: &BackendId, result: FenceResult) {
+    /// Takes the result of the write of `number`.
+    pub fn written(
+        &mut self,
+        now: Timestamp,
+        id: &BackendId,
+        number: FenceNumber,
+        result: FenceResult,
+    ) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        match (result, &server.write) {
+        // A late answer to an earlier write says nothing of the present one.
+        let current = server.write.as_ref().filter(|(record, ..)| record.number == number);
+        match (result, current) {
             (FenceResult::Won, Some((record, asked, other))) => {
                 let leased = server.fencing == Fencing::Ignored;
                 server.hold = Some(hold(record, *asked, now, *other, leased, self.policy.lease));
@@ -201,23 +205,23 @@
                 self.actions.push(FenceAction::Read(id.clone()));
                 server.next = now + self.policy.retry;
             }
-            (FenceResult::Won | FenceResult::Lost | FenceResult::Unknown, _) => {
+            (FenceResult::Lost, Some(_)) => {
                 server.write = None;
                 server.next = now + self.policy.retry;
             }
+            (FenceResult::Won | FenceResult::Lost | FenceResult::Unknown, None) => {}
         }
     }
 
-    /// Takes the answer to a keep-alive: whether the lease still exists.
-    pub fn kept(&mut self, id: &BackendId, alive: bool) {
+    /// Takes the answer to the keep-alive that was asked for at `asked`: whether the lease exists.
+    pub fn kept(&mut self, id: &BackendId, asked: Timestamp, alive: bool) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let asked = server.keep.take();
         if !alive {
             server.hold = None;
         }
-        if let (Some(hold), Some(asked)) = (&mut server.hold, asked) {
+        if let Some(hold) = &mut server.hold {
             hold.until = hold.until.map(|until| until.max(asked + self.policy.lease));
         }
     }
@@ -271,7 +275,7 @@
 
 const fn server_of(action: &FenceAction) -> &BackendId {
     match action {
-        FenceAction::Read(server) | FenceAction::KeepAlive(server) => server,
-        FenceAction::Write { server, .. } => server,
+        FenceAction::Read(server) => server,
+        FenceAction::Write { server, .. } | FenceAction::KeepAlive { server, .. } => server,
     }
 }
