Spread suspicions by the ring and test membership

Cause: with 8 entries in each of 4 heartbeats a second, a router of a fleet of 340 gets news of 36 others a second, so the counters of all cannot arrive within 5 s. Ruled out: more entries in a heartbeat, which the limit of 20 KB/s would allow but the design does not; fixed targets only, which left news to the ring. Change: half of the targets follow on the ring and watch a router, the others are drawn each time. A router is suspect if it has been watched for 5 s without progress, and the suspicion travels as news. Routers that the settings name count as live until they could have been heard of. A run that the platform listed as gone stays gone when another run of the name is heard of. Conclusion: safe and quick up to 150 routers in the test.

--- a/crates/berylwheel-config/src/member.rs
+++ b/crates/berylwheel-config/src/member.rs
@@ -10,63 +10,12 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
 use berylwheel_types::stable_hash;
-use serde::Serialize;
 
 use crate::Heartbeat;
+use crate::ListedState;
 use crate::MemberEntry;
-
-/// How membership is kept.
-#[derive(Debug, Clone, Copy)]
-pub struct MemberPolicy {
-    /// How often heartbeats are sent.
-    pub every: Millis,
-    /// How long a router may show no progress before it is suspect.
-    pub suspect_after: Millis,
-    /// How many peers get a heartbeat each time.
-    pub targets: usize,
-    /// News of how many other routers a heartbeat carries.
-    pub others: usize,
-    /// How long the platform's list may lag. A router known for less time than that may be a new
-    /// run whose predecessor the list means.
-    pub list_lag: Millis,
-}
-
-impl Default for MemberPolicy {
-    fn default() -> Self {
-        Self {
-            every: Millis(1_000),
-            suspect_after: Millis(5_000),
-            targets: 4,
-            others: 8,
-            list_lag: Millis(60_000),
-        }
-    }
-}
-
-/// What one router takes another one to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum MemberState {
-    /// It makes progress.
-    Live,
-    /// It has made no progress for a while. It may be paused or cut off and still spend its grants.
-    Suspect,
-    /// It is shutting down.
-    Leaving,
-    /// The platform lists it as gone.
-    Gone,
-}
-
-/// What the platform's list says of a VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListedState {
-    /// It runs.
-    Live,
-    /// It is about to be stopped.
-    Leaving,
-    /// It does not exist any more.
-    Gone,
-}
+use crate::MemberPolicy;
+use crate::MemberState;
 
 #[derive(Debug)]
 struct Member {
@@ -76,6 +25,9 @@
     first: Timestamp,
     /// When it last made progress.
     progress: Timestamp,
+    /// Since when this router should hear from it; its peers learn later than this one that the
+    /// ring has changed.
+    watched: Option<Timestamp>,
     /// In how many more heartbeats to pass this entry on.
     news: u32,
     /// When this router last passed the entry on, in heartbeats sent.
@@ -99,6 +51,9 @@
     /// Routers that should hear from this one out of turn, since they suspect it.
     doubters: FastSet<RouterId>,
     next: Timestamp,
+    /// When routers of which nothing was heard stop to count as live.
+    settles: Option<Timestamp>,
+    settled: bool,
 }
 
 impl Members {
@@ -120,6 +75,8 @@
             replaced: FastSet::default(),
             doubters: FastSet::default(),
             next: Timestamp::from_millis(0),
+            settles: None,
+            settled: false,
         }
     }
 
@@ -141,11 +98,14 @@
 
     /// Returns the heartbeats that are due, and the peers to send them to.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(RouterId, Heartbeat)> {
-        self.suspect(now);
         if now < self.next {
             return Vec::new();
         }
         self.next = now + self.policy.every;
+        let MemberPolicy { settle, suspect_after, .. } = self.policy;
+        let wait = Millis(suspect_after.0 + settle.0 * self.configured.len() as u64);
+        self.settled = now >= *self.settles.get_or_insert(now + wait);
+        self.suspect(now);
         self.own.counter += 1;
         let targets = self.targets();
         targets.into_iter().map(|to| (to, self.heartbeat())).collect()
@@ -204,21 +164,27 @@
         listed || self.replaced.contains(run)
     }
 
-    /// Returns the routers that are live, this one included, by name.
+    /// Returns the routers that are live, this one included, by name. Soon after the start these
+    /// include the routers that the settings name and that were not heard of yet: a router that
+    /// knows few others would take too large a share of budgets and servers.
     pub fn live(&self) -> Vec<RouterId> {
-        let live = self.members.iter().filter(|(_, member)| member.state == MemberState::Live);
-        let mut live: Vec<RouterId> = live.map(|(id, _)| id.clone()).collect();
-        if !self.own.leaving {
-            live.push(self.own.incarnation.router.clone());
-        }
+        let members = self.members.iter().filter(|(_, m)| m.state == MemberState::Live);
+        let own = Some(&self.own.incarnation.router).filter(|_| !self.own.leaving);
+        let live = members.map(|(id, _)| id).chain(self.unheard()).chain(own);
+        let mut live: Vec<RouterId> = live.cloned().collect();
         live.sort();
         live
     }
 
-    /// Returns the number of live routers, this one included.
+    /// Returns the number of routers in [`Members::live`].
     pub fn live_count(&self) -> usize {
-        let live = self.members.values().filter(|member| member.state == MemberState::Live).count();
-        live + usize::from(!self.own.leaving)
+        let live = self.members.values().filter(|member| member.state == MemberState::Live);
+        live.count() + self.unheard().count() + usize::from(!self.own.leaving)
+    }
+
+    fn unheard(&self) -> impl Iterator<Item = &RouterId> {
+        let unheard = |id: &&RouterId| !self.settled && !self.members.contains_key(*id);
+        self.configured.iter().filter(unheard)
     }
 
     /// Returns the version of the configuration that each known router serves with.
@@ -237,6 +203,7 @@
             state: state_of(entry),
             first: now,
             progress: now,
+            watched: None,
             news,
             told: 0,
         };
@@ -249,7 +216,7 @@
             return;
         }
         if heard > known {
-            if member.entry.address == entry.address {
+            if member.entry.address == entry.address || member.state == MemberState::Gone {
                 self.replaced.insert(member.entry.incarnation.clone());
             }
             *member = fresh;
@@ -284,17 +251,16 @@
     /// Suspects the routers that should have been heard of.
     fn suspect(&mut self, now: Timestamp) {
         let limit = self.policy.suspect_after;
-        let silent = |member: &Member| {
-            matches!(member.state, MemberState::Live | MemberState::Leaving)
-                && now.since(member.progress) >= limit
-        };
-        if !self.members.values().any(silent) {
-            return;
-        }
         let watched: FastSet<RouterId> = self.watched().into_iter().collect();
         let news = self.news();
         for (id, member) in &mut self.members {
-            if silent(member) && watched.contains(id) {
+            if !watched.contains(id) {
+                member.watched = None;
+                continue;
+            }
+            let since = (*member.watched.get_or_insert(now)).max(member.progress);
+            let up = matches!(member.state, MemberState::Live | MemberState::Leaving);
+            if up && now.since(since) >= limit {
                 member.state = MemberState::Suspect;
                 member.entry.suspect = true;
                 member.news = news;
@@ -302,11 +268,18 @@
         }
     }
 
-    /// Returns in how many heartbeats news are passed on: enough to reach every router with a
-    /// fanout of [`MemberPolicy::targets`], three times over.
+    /// Returns in how many heartbeats each router passes news on. A message that every router
+    /// passes to `ln n + c` random others misses one with a chance of `e^-c`.
     fn news(&self) -> u32 {
-        let size = self.members.len().max(1) as u32;
-        3 * (size.ilog2() / 2 + 1) * self.policy.targets as u32
+        (self.members.len().max(1) as u32).ilog2() + 3
+    }
+
+    /// Returns whether the router `id` takes part in the ring.
+    fn in_ring(&self, id: &RouterId) -> bool {
+        match self.state(id) {
+            Some(state) => state != MemberState::Suspect,
+            None => !self.settled,
+        }
     }
 
     /// Returns the routers in the order of the ring, starting after this one.
@@ -324,42 +297,41 @@
         ring.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Returns the peers that get a heartbeat now: those that follow on the ring, and one of the
-    /// rest in turn, which heals a partition after which each side suspects the other.
+    /// Returns the peers that get a heartbeat now. Half of them follow on the ring and watch this
+    /// router. The others change each time: they spread news, and heal a partition after which each
+    /// side suspects the other.
     fn targets(&mut self) -> Vec<RouterId> {
         let ring = self.ring();
         let count = self.policy.targets;
-        let mut targets: Vec<RouterId> = Vec::new();
         if ring.len() <= count {
-            self.doubters.clear();
             return ring;
         }
-        let live = |id: &&RouterId| self.state(id) != Some(MemberState::Suspect);
-        targets.extend(ring.iter().filter(live).take(count - 1).cloned());
+        let next = ring.iter().filter(|id| self.in_ring(id)).take(count / 2);
+        let mut targets: Vec<RouterId> = next.cloned().collect();
         let rest: Vec<&RouterId> = ring.iter().filter(|id| !targets.contains(id)).collect();
-        let turn = self.own.counter as usize % rest.len().max(1);
-        let next = rest.get(turn).map(|id| (*id).clone());
+        let turn = self.own.counter.to_string();
+        let own = self.own.incarnation.router.as_str();
+        let score = |id: &&&RouterId| stable_hash(&["turn", own, id.as_str(), &turn]);
+        let mut drawn: Vec<&&RouterId> = rest.iter().collect();
+        drawn.sort_by_key(score);
+        let drawn = drawn.into_iter().take(count - targets.len()).map(|id| (*id).clone());
         let doubters = self.doubters.drain().filter(|id| ring.contains(id)).take(count);
-        for id in next.into_iter().chain(doubters) {
-            if !targets.contains(&id) {
-                targets.push(id);
-            }
-        }
+        let more: FastSet<RouterId> = drawn.chain(doubters).collect();
+        targets.extend(more.into_iter().filter(|id| !targets.contains(id)).collect::<Vec<_>>());
         targets
     }
 
-    /// Returns the routers that should send heartbeats to this one.
+    /// Returns the routers that should send heartbeats to this one each time.
     fn watched(&self) -> Vec<RouterId> {
         let mut ring = self.ring();
         if ring.len() <= self.policy.targets {
             return ring;
         }
         ring.reverse();
-        let live = |id: &RouterId| self.state(id) != Some(MemberState::Suspect);
         let mut between = 0;
         ring.retain(|id| {
-            let watched = between < self.policy.targets - 1;
-            between += usize::from(live(id));
+            let watched = between < self.policy.targets / 2;
+            between += usize::from(self.in_ring(id));
             watched
         });
         ring
--- /dev/null
+++ b/crates/berylwheel-config/tests/common/mod.rs
@@ -0,0 +1,352 @@
+//! A few routers and a store in memory, with messages that are lost, late or doubled.
+//!
+//! The benchmark `control` uses the same fakes.
+#![allow(dead_code, unused_imports, reason = "each test file uses some of it")]
+
+mod net;
+mod operator;
+mod store;
+
+use std::net::SocketAddr;
+
+use berylwheel_config::ConfigAction;
+use berylwheel_config::ConfigState;
+use berylwheel_config::ListedState;
+use berylwheel_config::MemberPolicy;
+use berylwheel_config::Members;
+use berylwheel_config::Root;
+use berylwheel_config::SpreadPolicy;
+use berylwheel_settings::Settings;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+
+pub use net::Event;
+pub use net::Faults;
+pub use net::Message;
+pub use net::Net;
+pub use net::Sender;
+pub use operator::Operator;
+pub use store::FakeStore;
+
+/// Between two looks at the timers of all routers.
+const TICK: Millis = Millis(50);
+
+/// One router's process.
+pub struct Life {
+    pub config: ConfigState,
+    pub members: Members,
+    /// The versions that serving peers told, as the messages were delivered.
+    answers: FastMap<RouterId, Version>,
+    /// The highest root that the store answered with.
+    stored: Option<Version>,
+    served: bool,
+}
+
+pub struct Node {
+    pub id: RouterId,
+    pub domain: FailureDomain,
+    pub life: Option<Life>,
+    pub lives: u64,
+    /// Until when the process stands still; what arrives in the meantime is lost.
+    pub paused: Timestamp,
+    /// When the process started and stopped.
+    pub changes: Vec<(Timestamp, bool)>,
+    /// The highest version in force in this life.
+    highest: Option<Version>,
+}
+
+pub struct Fleet {
+    pub now: Timestamp,
+    pub nodes: Vec<Node>,
+    pub store: FakeStore,
+    pub net: Net,
+    pub operators: Vec<Operator>,
+    /// What must never happen and did.
+    pub violations: Vec<String>,
+    pub policy: SpreadPolicy,
+    /// Every 50 ms, whether something is due or not.
+    next_tick: Timestamp,
+    /// Measures the time of decision code; tests do not.
+    pub stopwatch: fn() -> u64,
+    /// Nanoseconds spent in decision code.
+    pub spent: u64,
+}
+
+impl Fleet {
+    /// Returns `count` running routers in three domains and an empty store.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let nodes = (0..count).map(|i| Node {
+            id: format!("r{i}").parse().unwrap(),
+            domain: format!("d{}", i % 3).parse().unwrap(),
+            life: None,
+            lives: 0,
+            paused: Timestamp::from_millis(0),
+            changes: Vec::new(),
+            highest: None,
+        });
+        let mut fleet = Self {
+            now: Timestamp::from_millis(1_000_000),
+            nodes: nodes.collect(),
+            store: FakeStore::default(),
+            net: Net::new(seed),
+            operators: Vec::new(),
+            violations: Vec::new(),
+            policy: SpreadPolicy::default(),
+            next_tick: Timestamp::from_millis(0),
+            stopwatch: || 0,
+            spent: 0,
+        };
+        (0..count).for_each(|i| fleet.start(i));
+        fleet
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let all = self.nodes.iter().map(|n| (n.id.clone(), n.domain.clone())).collect::<Vec<_>>();
+        let node = &mut self.nodes[index];
+        if node.life.is_some() {
+            return;
+        }
+        node.lives += 1;
+        node.changes.push((self.now, true));
+        node.highest = None;
+        let run = Incarnation { router: node.id.clone(), number: node.lives };
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+        let mut config = ConfigState::new(node.id.clone(), node.domain.clone(), self.policy);
+        let mut members = Members::new(run, address, MemberPolicy::default());
+        members.set_peers(all.iter().map(|(id, _)| id.clone()));
+        config.set_peers(all);
+        node.life = Some(Life {
+            config,
+            members,
+            answers: FastMap::default(),
+            stored: None,
+            served: false,
+        });
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        if self.nodes[index].life.take().is_some() {
+            self.nodes[index].changes.push((self.now, false));
+        }
+    }
+
+    /// Returns the list of VMs as it was `lag` ago.
+    pub fn platform_list(&self, lag: Millis) -> Vec<(RouterId, ListedState)> {
+        let state = |node: &Node| {
+            let seen = node.changes.iter().rev().find(|(at, _)| *at + lag <= self.now);
+            Some(if seen?.1 { ListedState::Live } else { ListedState::Gone })
+        };
+        self.nodes.iter().filter_map(|node| Some((node.id.clone(), state(node)?))).collect()
+    }
+
+    fn is_paused(&self, index: usize) -> bool {
+        self.now < self.nodes[index].paused
+    }
+
+    /// Lets `span` go by.
+    pub fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        loop {
+            let due = self.net.due().filter(|at| *at <= self.next_tick);
+            self.now = due.unwrap_or(self.next_tick).min(end).max(self.now);
+            if self.now >= end {
+                return;
+            }
+            if let Some(event) = self.net.pop(self.now) {
+                self.handle(event);
+            }
+            if self.now >= self.next_tick {
+                self.next_tick = self.now + TICK;
+                (0..self.nodes.len()).for_each(|i| self.poll(i));
+            }
+        }
+    }
+
+    fn timed<T>(&mut self, work: impl FnOnce(&mut Self) -> T) -> T {
+        let start = (self.stopwatch)();
+        let result = work(self);
+        self.spent += (self.stopwatch)() - start;
+        result
+    }
+
+    pub fn poll(&mut self, index: usize) {
+        if self.is_paused(index) {
+            return;
+        }
+        let now = self.now;
+        let (actions, heartbeats) = self.timed(|fleet| match &mut fleet.nodes[index].life {
+            Some(life) => {
+                life.members.set_version(life.config.advertised());
+                (life.config.poll(now), life.members.poll(now))
+            }
+            None => (Vec::new(), Vec::new()),
+        });
+        for action in actions {
+            match action {
+                ConfigAction::ReadRoot => self.net.call(now, Event::ReadRoot(self.call_of(index))),
+                ConfigAction::ReadParts(parts) => {
+                    self.net.call(now, Event::ReadParts(self.call_of(index), parts));
+                }
+                ConfigAction::Push { to, version } => {
+                    self.send(index, &to, Message::Version(version));
+                }
+                ConfigAction::Pull { from, parts } => {
+                    self.send(index, &from, Message::Pull(parts));
+                }
+                ConfigAction::Apply(version, settings) => self.applied(index, version, &settings),
+                ConfigAction::Unreadable(version, errors) => {
+                    self.violations.push(format!("version {version} unreadable: {errors}"));
+                }
+            }
+        }
+        for (to, heartbeat) in heartbeats {
+            self.send(index, &to, Message::Heartbeat(heartbeat));
+        }
+        self.check(index);
+    }
+
+    /// Returns the node and its life, which an answer of the store must still find.
+    fn call_of(&self, index: usize) -> (usize, u64) {
+        (index, self.nodes[index].lives)
+    }
+
+    fn index(&self, id: &RouterId) -> usize {
+        self.nodes.iter().position(|node| node.id == *id).unwrap()
+    }
+
+    fn send(&mut self, from: usize, to: &RouterId, message: Message) {
+        let to = self.index(to);
+        let serves = self.nodes[from].life.as_ref().is_some_and(|life| life.config.may_serve());
+        self.net.send(self.now, (from, serves), to, message);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Peer(from, to, message) => self.receive(from, to, message),
+            Event::ReadRoot(call) if self.store.up => {
+                self.store.reads += 1;
+                self.net.call(now, Event::Root(call, self.store.root.clone()));
+            }
+            Event::ReadParts(call, parts) if self.store.up => {
+                self.store.reads += 1;
+                if let Some((root, parts)) = self.store.parts(&parts) {
+                    self.net.call(now, Event::Parts(call, root, parts));
+                }
+            }
+            Event::ReadRoot(call) | Event::ReadParts(call, _) => {
+                self.net.call(now, Event::Failed(call));
+            }
+            Event::Root(call, root) => self.answered(call, |life| {
+                life.stored = life.stored.max(root.as_ref().map(|root| root.version));
+                life.config.root_read(now, root);
+            }),
+            Event::Parts(call, root, parts) => {
+                self.answered(call, |life| life.config.parts(now, root, parts));
+            }
+            Event::Failed(call) => self.answered(call, |life| life.config.read_failed(now)),
+            Event::Write(operator) => self.write(operator),
+            Event::Written(operator, won) => self.written(operator, won),
+            Event::Resolve(operator) => self.resolve(operator),
+        }
+    }
+
+    fn answered(&mut self, (index, lives): (usize, u64), take: impl FnOnce(&mut Life)) {
+        let node = &self.nodes[index];
+        if node.lives == lives && node.life.is_some() && !self.is_paused(index) {
+            self.timed(|fleet| fleet.nodes[index].life.as_mut().map(take));
+            self.poll(index);
+        }
+    }
+
+    fn receive(&mut self, (from, serves): Sender, to: usize, message: Message) {
+        let (now, sender) = (self.now, (self.nodes[from].id.clone(), serves));
+        if self.nodes[to].life.is_none() || self.is_paused(to) {
+            return;
+        }
+        let reply = self.timed(|fleet| {
+            let life = fleet.nodes[to].life.as_mut()?;
+            match message {
+                Message::Version(version) => {
+                    life.hear(now, &sender, version);
+                    None
+                }
+                Message::Heartbeat(heartbeat) => {
+                    life.members.heartbeat_received(now, &heartbeat);
+                    life.hear(now, &sender, heartbeat.own.version);
+                    None
+                }
+                Message::Pull(parts) => life.config.answer(&parts),
+                Message::Parts(root, parts) => {
+                    life.config.parts(now, root, parts);
+                    None
+                }
+            }
+        });
+        if let Some((root, parts)) = reply {
+            self.send(to, &sender.0, Message::Parts(root, parts));
+        }
+        self.poll(to);
+    }
+
+    fn applied(&mut self, index: usize, version: Version, settings: &Settings) {
+        let node = &mut self.nodes[index];
+        if node.highest >= Some(version) {
+            let text = format!("{} went from {:?} to {version}", node.id, node.highest);
+            self.violations.push(text);
+        }
+        node.highest = Some(version);
+        match self.store.log.get(version.0 as usize - 1) {
+            Some((_, text)) if *text == settings.to_ini() => {}
+            _ => self.violations.push(format!("{} applied another version {version}", node.id)),
+        }
+    }
+
+    /// Checks the rule of when a router may start to serve.
+    fn check(&mut self, index: usize) {
+        let domains: FastMap<&RouterId, &FailureDomain> =
+            self.nodes.iter().map(|node| (&node.id, &node.domain)).collect();
+        let peers = self.nodes.len() - 1;
+        let Some(life) = &self.nodes[index].life else {
+            return;
+        };
+        if life.config.may_serve() && !life.served {
+            let version = life.config.version();
+            let heard: FastSet<_> = life.answers.keys().map(|id| domains[id]).collect();
+            let enough = heard.len() >= 2 || life.answers.len() == peers && peers > 0;
+            let newest = life.answers.values().copied().max();
+            let stored = life.stored.is_some() && version >= life.stored;
+            if version.is_none() || !(stored || enough && version >= newest) {
+                self.violations.push(format!("r{index} serves {version:?} without confirmation"));
+            }
+        }
+        let served = life.config.may_serve();
+        if let Some(life) = &mut self.nodes[index].life {
+            life.served = served;
+        }
+    }
+
+    /// Returns whether all running routers serve with the store's version.
+    pub fn converged(&self) -> bool {
+        let wanted = self.store.root.as_ref().map(|root: &Root| root.version);
+        let mut lives = self.nodes.iter().filter_map(|node| node.life.as_ref());
+        lives.all(|life| life.config.version() == wanted && life.config.may_serve())
+    }
+}
+
+impl Life {
+    fn hear(&mut self, now: Timestamp, (from, serves): &(RouterId, bool), version: Version) {
+        // What a router says that may not serve itself confirms nothing.
+        if *serves {
+            let answer = self.answers.entry(from.clone()).or_default();
+            *answer = (*answer).max(version);
+        }
+        self.config.peer_version(now, from, version);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-config/tests/common/net.rs
@@ -0,0 +1,126 @@
+//! Messages under way.
+
+use std::collections::BTreeMap;
+
+use berylwheel_config::Heartbeat;
+use berylwheel_config::Part;
+use berylwheel_config::PartDigest;
+use berylwheel_config::PartRef;
+use berylwheel_config::Root;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+use berylwheel_types::stable_hash;
+use serde::Serialize;
+
+/// What routers send each other.
+#[derive(Clone, Serialize)]
+pub enum Message {
+    Version(Version),
+    Pull(Vec<PartDigest>),
+    Parts(Root, Vec<Part>),
+    Heartbeat(Heartbeat),
+}
+
+/// The router that sent a message, and whether it served then.
+pub type Sender = (usize, bool);
+
+/// What arrives somewhere. A store call names the router and its life.
+#[derive(Clone)]
+pub enum Event {
+    Peer(Sender, usize, Message),
+    ReadRoot((usize, u64)),
+    ReadParts((usize, u64), Vec<PartRef>),
+    Root((usize, u64), Option<Root>),
+    Parts((usize, u64), Root, Vec<Part>),
+    Failed((usize, u64)),
+    Write(usize),
+    Written(usize, bool),
+    Resolve(usize),
+}
+
+/// How messages between routers go astray, in thousandths.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    pub lost: u64,
+    pub doubled: u64,
+    pub late: u64,
+}
+
+pub struct Net {
+    seed: u64,
+    drawn: u64,
+    queue: BTreeMap<(Timestamp, u64), Event>,
+    pub faults: Faults,
+    /// The routers on each side of a partition; empty if there is none.
+    pub cut: Vec<bool>,
+    /// Bytes that routers sent, and how to count them.
+    pub bytes: u64,
+    pub size: fn(&Message) -> usize,
+}
+
+impl Net {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            drawn: 0,
+            queue: BTreeMap::new(),
+            faults: Faults::default(),
+            cut: Vec::new(),
+            bytes: 0,
+            size: |_| 0,
+        }
+    }
+
+    /// Returns a number below `limit`.
+    pub fn draw(&mut self, limit: u64) -> u64 {
+        self.drawn += 1;
+        stable_hash(&[&self.seed.to_string(), &self.drawn.to_string()]) % limit
+    }
+
+    pub fn due(&self) -> Option<Timestamp> {
+        self.queue.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    pub fn pop(&mut self, now: Timestamp) -> Option<Event> {
+        if self.due()? > now {
+            return None;
+        }
+        self.queue.pop_first().map(|(_, event)| event)
+    }
+
+    pub fn at(&mut self, at: Timestamp, event: Event) {
+        self.drawn += 1;
+        self.queue.insert((at, self.drawn), event);
+    }
+
+    fn delay(&mut self, late: u64) -> Millis {
+        let late = self.draw(1_000) < late;
+        Millis(1 + if late { self.draw(4_000) } else { 0 })
+    }
+
+    /// Sends a message between routers.
+    pub fn send(&mut self, now: Timestamp, from: Sender, to: usize, message: Message) {
+        self.bytes += (self.size)(&message) as u64;
+        if !self.cut.is_empty() && self.cut[from.0] != self.cut[to] {
+            return;
+        }
+        let Faults { lost, doubled, late } = self.faults;
+        if self.draw(1_000) < lost {
+            return;
+        }
+        if self.draw(1_000) < doubled {
+            let at = now + self.delay(900);
+            self.at(at, Event::Peer(from, to, message.clone()));
+        }
+        let at = now + self.delay(late);
+        self.at(at, Event::Peer(from, to, message));
+    }
+
+    /// Sends a call to the store, or an answer of it. The store may be slow.
+    pub fn call(&mut self, now: Timestamp, event: Event) {
+        let late = self.faults.late;
+        let at = now + self.delay(late);
+        self.at(at, event);
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-config/tests/common/operator.rs
@@ -0,0 +1,91 @@
+//! Operators who make one change each, through one router.
+
+use berylwheel_config::Change;
+use berylwheel_config::Outcome;
+use berylwheel_config::Proposal;
+use berylwheel_config::Transaction;
+use berylwheel_config::outcome;
+use berylwheel_config::propose;
+use berylwheel_types::Millis;
+use berylwheel_types::Version;
+
+use super::Event;
+use super::Fleet;
+
+/// One change under way.
+pub struct Operator {
+    node: usize,
+    pub change: Change,
+    transaction: Transaction,
+    /// What the operator was told in the end.
+    pub told: Option<Outcome>,
+}
+
+impl Fleet {
+    /// Starts `change` at the router `node`, on what that router knows, or on nothing at the start.
+    /// Returns the number of the operator unless the change is refused at once.
+    pub fn change(&mut self, node: usize, change: Change) -> Option<usize> {
+        let life = self.nodes[node].life.as_ref()?;
+        let current = life.config.root().zip(life.config.settings());
+        let now = self.now;
+        let Ok(Proposal::Write(transaction)) = propose(current, &change, now) else {
+            return None;
+        };
+        let operator = self.operators.len();
+        let transaction = *transaction;
+        self.operators.push(Operator { node, change, transaction, told: None });
+        self.send_write(operator);
+        Some(operator)
+    }
+
+    /// Returns the version that the router `node` holds.
+    pub fn version(&self, node: usize) -> Version {
+        let life = self.nodes[node].life.as_ref();
+        life.and_then(|life| life.config.version()).unwrap_or_default()
+    }
+
+    fn send_write(&mut self, operator: usize) {
+        self.net.call(self.now, Event::Write(operator));
+        // A client that gets no answer asks what became of the change.
+        self.net.at(self.now + Millis(1_000), Event::Resolve(operator));
+    }
+
+    pub(super) fn write(&mut self, operator: usize) {
+        if !self.store.up {
+            return;
+        }
+        let won = self.store.swap(&self.operators[operator].transaction);
+        if !self.store.loses_answers {
+            self.net.call(self.now, Event::Written(operator, won));
+        }
+    }
+
+    pub(super) fn written(&mut self, operator: usize, won: bool) {
+        let Operator { node, transaction, told, .. } = &mut self.operators[operator];
+        let (node, now) = (*node, self.now);
+        if !won || told.is_some() {
+            return;
+        }
+        *told = Some(Outcome::Accepted(transaction.root.version));
+        if let Some(life) = &mut self.nodes[node].life {
+            life.config.accepted(now, transaction);
+            life.stored = life.stored.max(Some(transaction.root.version));
+            self.poll(node);
+        }
+    }
+
+    pub(super) fn resolve(&mut self, operator: usize) {
+        let known = &mut self.operators[operator];
+        if known.told.is_some() {
+            return;
+        }
+        if !self.store.up {
+            self.net.at(self.now + Millis(1_000), Event::Resolve(operator));
+            return;
+        }
+        match outcome(self.store.root.as_ref(), &known.change) {
+            Outcome::Open => self.send_write(operator),
+            told => known.told = Some(told),
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-config/tests/members.rs
@@ -0,0 +1,237 @@
+//! Guards against a router that is taken for gone while it runs, and against views that stay apart.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use berylwheel_config::Heartbeat;
+use berylwheel_config::ListedState;
+use berylwheel_config::MemberEntry;
+use berylwheel_config::MemberPolicy;
+use berylwheel_config::MemberState;
+use berylwheel_config::Members;
+use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+use common::Faults;
+use common::Fleet;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+const SEED: [u8; 32] = *b"berylwheel config members test 1";
+
+#[derive(Debug, Clone)]
+enum Step {
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Cut(u16),
+    Heal,
+    Faults(u64, u64, u64),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..12usize).prop_map(Step::Kill),
+        4 => (0..12usize).prop_map(Step::Start),
+        2 => (0..12usize, 1..30_000u64).prop_map(|(node, span)| Step::Pause(node, span)),
+        1 => any::<u16>().prop_map(Step::Cut),
+        2 => Just(Step::Heal),
+        1 => (0..300u64, 0..300u64, 0..300u64).prop_map(|(a, b, c)| Step::Faults(a, b, c)),
+        3 => (1..90_000u64).prop_map(Step::Wait),
+    ]
+}
+
+/// What each view has said so far: it must neither take it back nor contradict the truth.
+#[derive(Default)]
+struct Said {
+    runs: FastMap<(usize, u64, RouterId), u64>,
+    gone: FastSet<(usize, u64, Incarnation)>,
+}
+
+impl Said {
+    fn check(&mut self, fleet: &Fleet) -> Result<(), TestCaseError> {
+        for (index, viewer) in fleet.nodes.iter().enumerate() {
+            let Some(life) = &viewer.life else {
+                continue;
+            };
+            let live = life.members.live();
+            prop_assert_eq!(live.len(), life.members.live_count());
+            for node in fleet.nodes.iter().filter(|node| node.id != viewer.id) {
+                let gone = life.members.state(&node.id) == Some(MemberState::Gone);
+                prop_assert!(!gone || !live.contains(&node.id), "{} is live and gone", node.id);
+                if let Some(run) = life.members.incarnation(&node.id) {
+                    let key = (index, viewer.lives, node.id.clone());
+                    let before = self.runs.insert(key, run.number);
+                    prop_assert!(before <= Some(run.number), "{} fell from {:?}", run, before);
+                }
+                for number in 1..=node.lives {
+                    let run = Incarnation { router: node.id.clone(), number };
+                    let runs = node.life.is_some() && number == node.lives;
+                    let gone = life.members.is_gone(&run);
+                    prop_assert!(!gone || !runs, "{} runs, but is gone for {}", run, viewer.id);
+                    let key = (index, viewer.lives, run);
+                    prop_assert!(gone || !self.gone.contains(&key), "{:?} came back", key);
+                    if gone {
+                        self.gone.insert(key);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(fleet: &mut Fleet, span: u64, said: &mut Said) -> Result<(), TestCaseError> {
+    for _ in 0..span.div_ceil(1_000) {
+        fleet.run(Millis(1_000));
+        let (now, list) = (fleet.now, fleet.platform_list(Millis(30_000)));
+        for life in fleet.nodes.iter_mut().filter_map(|node| node.life.as_mut()) {
+            life.members.platform_list(now, &list);
+        }
+        said.check(fleet)?;
+    }
+    Ok(())
+}
+
+#[test]
+fn views_are_safe_and_come_together() {
+    println!("seed {}", String::from_utf8_lossy(&SEED));
+    let config = Config { cases: 100, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let steps = prop::collection::vec(step(), 1..20);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(2..13usize, any::<u64>(), steps), |(count, seed, steps)| {
+            let mut fleet = Fleet::new(count, seed);
+            let mut said = Said::default();
+            for step in steps {
+                match step {
+                    Step::Kill(node) => fleet.kill(node % count),
+                    Step::Start(node) => fleet.start(node % count),
+                    Step::Pause(node, span) => {
+                        fleet.nodes[node % count].paused = fleet.now + Millis(span);
+                    }
+                    Step::Cut(sides) => {
+                        fleet.net.cut = (0..count).map(|i| sides >> i & 1 == 1).collect();
+                    }
+                    Step::Heal => fleet.net.cut.clear(),
+                    Step::Faults(lost, doubled, late) => {
+                        fleet.net.faults = Faults { lost, doubled, late };
+                    }
+                    Step::Wait(span) => run(&mut fleet, span, &mut said)?,
+                }
+                run(&mut fleet, 1_000, &mut said)?;
+            }
+            fleet.net.cut.clear();
+            fleet.net.faults = Faults::default();
+            fleet.nodes.iter_mut().for_each(|node| node.paused = fleet.now);
+            run(&mut fleet, 30_000, &mut said)?;
+            let up: Vec<RouterId> = {
+                let up = fleet.nodes.iter().filter(|node| node.life.is_some());
+                let mut up: Vec<_> = up.map(|node| node.id.clone()).collect();
+                up.sort();
+                up
+            };
+            for life in fleet.nodes.iter().filter_map(|node| node.life.as_ref()) {
+                prop_assert_eq!(&life.members.live(), &up);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn many_routers_are_not_suspected_and_a_dead_one_is_by_all() {
+    let mut fleet = Fleet::new(150, 1);
+    let counts = |fleet: &Fleet| -> FastSet<usize> {
+        let lives = fleet.nodes.iter().filter_map(|node| node.life.as_ref());
+        lives.map(|life| life.members.live_count()).collect()
+    };
+    fleet.run(Millis(60_000));
+    for _ in 0..20 {
+        fleet.run(Millis(1_000));
+        assert_eq!(counts(&fleet), FastSet::from_iter([150]), "a healthy router is suspected");
+    }
+    fleet.kill(7);
+    for _ in 0..15 {
+        fleet.run(Millis(1_000));
+        assert!(
+            !counts(&fleet).contains(&148),
+            "the change of the ring makes a healthy one suspect"
+        );
+    }
+    assert_eq!(counts(&fleet), FastSet::from_iter([149]));
+    fleet.start(7);
+    fleet.run(Millis(15_000));
+    assert_eq!(counts(&fleet), FastSet::from_iter([150]));
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+fn beat(number: u64, counter: u64, port: u16) -> Heartbeat {
+    let own = MemberEntry {
+        incarnation: Incarnation { router: "r2".parse().unwrap(), number },
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        counter,
+        version: Version(1),
+        leaving: false,
+        suspect: false,
+    };
+    Heartbeat { own, others: Vec::new() }
+}
+
+fn members() -> Members {
+    let me = Incarnation { router: "r1".parse().unwrap(), number: 1 };
+    Members::new(me, SocketAddr::from(([127, 0, 0, 1], 1)), MemberPolicy::default())
+}
+
+#[test]
+fn a_list_that_lags_does_not_bury_a_new_run() {
+    let (mut members, id) = (members(), "r2".parse::<RouterId>().unwrap());
+    let run = |number| Incarnation { router: id.clone(), number };
+    let gone = [(id.clone(), ListedState::Gone)];
+    members.heartbeat_received(at(0), &beat(1, 1, 2));
+    members.heartbeat_received(at(100), &beat(2, 1, 3));
+    // Another address is no proof that the first run has ended.
+    assert!(!members.is_gone(&run(1)));
+    // The list means the first run; the second one is cut off.
+    members.platform_list(at(110), &gone);
+    assert_ne!(members.state(&id), Some(MemberState::Gone));
+    members.heartbeat_received(at(161), &beat(2, 2, 3));
+    members.platform_list(at(162), &gone);
+    assert_eq!(members.state(&id), Some(MemberState::Live), "it makes progress");
+    members.platform_list(at(167), &gone);
+    assert!(members.is_gone(&run(2)));
+    members.heartbeat_received(at(168), &beat(2, 3, 3));
+    assert_eq!(members.state(&id), Some(MemberState::Gone), "a late message");
+    members.heartbeat_received(at(169), &beat(3, 1, 4));
+    assert_eq!(members.state(&id), Some(MemberState::Live));
+    assert!(members.is_gone(&run(2)) && !members.is_gone(&run(3)));
+    members.heartbeat_received(at(170), &beat(2, 9, 3));
+    assert_eq!(members.incarnation(&id), Some(&run(3)), "a lower run replaces nothing");
+}
+
+#[test]
+fn a_second_run_at_the_same_address_proves_the_first_gone() {
+    let mut members = members();
+    members.heartbeat_received(at(0), &beat(1, 1, 2));
+    for second in 0..7 {
+        members.poll(at(second));
+    }
+    let id = "r2".parse::<RouterId>().unwrap();
+    assert_eq!(members.state(&id), Some(MemberState::Suspect));
+    let first = Incarnation { router: id, number: 1 };
+    assert!(!members.is_gone(&first), "silence is no evidence");
+    members.heartbeat_received(at(7), &beat(2, 1, 2));
+    assert!(members.is_gone(&first));
+}
