Test changes and their spread between routers

Cause: nothing showed that versions only rise and reach every router under faults. Change: routers and a store in memory with lost, late and doubled messages, partitions, pauses, restarts, outages and lost answers; 300 cases of up to 40 steps on 2 to 7 routers. Ruled out: telling an operator that a change is lost for good by its id alone, since the command may be started again on a newer base.

--- /dev/null
+++ b/crates/berylwheel-config/tests/spread.rs
@@ -0,0 +1,172 @@
+//! Guards against a configuration that falls back, forks, or does not reach every router.
+
+mod common;
+
+use berylwheel_config::Change;
+use berylwheel_config::ChangeAction;
+use berylwheel_config::ConfigAction;
+use berylwheel_config::Outcome;
+use berylwheel_settings::Edit;
+use berylwheel_settings::Settings;
+use berylwheel_types::FastSet;
+use berylwheel_types::Millis;
+use berylwheel_types::Version;
+use common::Faults;
+use common::Fleet;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+const SEED: [u8; 32] = *b"berylwheel config spread tests 1";
+
+#[derive(Debug, Clone)]
+enum Step {
+    Change(usize, u32),
+    Race(usize, usize),
+    Again(usize),
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Cut(u8),
+    Heal,
+    Store(bool),
+    LoseAnswers(bool),
+    Faults(u64, u64, u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..7usize, 0..1_000u32).prop_map(|(node, value)| Step::Change(node, value)),
+        2 => (0..7usize, 0..7usize).prop_map(|(a, b)| Step::Race(a, b)),
+        1 => (0..7usize).prop_map(Step::Again),
+        3 => (0..7usize).prop_map(Step::Kill),
+        4 => (0..7usize).prop_map(Step::Start),
+        2 => (0..7usize, 1..20_000u64).prop_map(|(node, span)| Step::Pause(node, span)),
+        2 => any::<u8>().prop_map(Step::Cut),
+        2 => Just(Step::Heal),
+        3 => any::<bool>().prop_map(Step::Store),
+        1 => any::<bool>().prop_map(Step::LoseAnswers),
+        2 => (0..400u64, 0..300u64, 0..500u64).prop_map(|(a, b, c)| Step::Faults(a, b, c)),
+    ]
+}
+
+fn edit(fleet: &Fleet, node: usize, id: usize, value: u32) -> Change {
+    let section = format!("kind k{}", value % 5).parse().unwrap();
+    let edit = Edit { section, key: "queue".to_owned(), value: Some(value.to_string()) };
+    Change {
+        id: format!("c{id}").parse().unwrap(),
+        base: fleet.version(node),
+        author: format!("operator{node}"),
+        action: ChangeAction::Edit(vec![edit]),
+    }
+}
+
+fn first() -> Change {
+    let kinds = (0..5).map(|i| format!("[kind k{i}]\nservice = plain\nrepeat = never\n"));
+    Change {
+        id: "first".parse().unwrap(),
+        base: Version(0),
+        author: "ana".to_owned(),
+        action: ChangeAction::Replace(Settings::parse("a", &kinds.collect::<String>()).unwrap()),
+    }
+}
+
+fn take(fleet: &mut Fleet, step: &Step, number: usize) {
+    let count = fleet.nodes.len();
+    match *step {
+        Step::Change(node, value) => {
+            let change = edit(fleet, node % count, number, value);
+            fleet.change(node % count, change);
+        }
+        Step::Race(a, b) => {
+            for (i, node) in [a % count, b % count].into_iter().enumerate() {
+                let change = edit(fleet, node, 1_000 + 2 * number + i, number as u32 + i as u32);
+                fleet.change(node, change);
+            }
+        }
+        Step::Again(node) => {
+            // The command is started once more, with the same id, at a router that may know more.
+            if let Some(mut change) = fleet.operators.last().map(|known| known.change.clone()) {
+                change.base = fleet.version(node % count);
+                fleet.change(node % count, change);
+            }
+        }
+        Step::Kill(node) => fleet.kill(node % count),
+        Step::Start(node) => fleet.start(node % count),
+        Step::Pause(node, span) => fleet.nodes[node % count].paused = fleet.now + Millis(span),
+        Step::Cut(sides) => fleet.net.cut = (0..count).map(|i| sides >> i & 1 == 1).collect(),
+        Step::Heal => fleet.net.cut.clear(),
+        Step::Store(up) => fleet.store.up = up,
+        Step::LoseAnswers(loses) => fleet.store.loses_answers = loses,
+        Step::Faults(lost, doubled, late) => fleet.net.faults = Faults { lost, doubled, late },
+    }
+}
+
+fn heal(fleet: &mut Fleet) {
+    fleet.net.cut.clear();
+    fleet.net.faults = Faults::default();
+    fleet.store.up = true;
+    fleet.store.loses_answers = false;
+    (0..fleet.nodes.len()).for_each(|i| fleet.start(i));
+    fleet.nodes.iter_mut().for_each(|node| node.paused = fleet.now);
+    fleet.run(Millis(20_000));
+}
+
+fn check(fleet: &Fleet) -> Result<(), TestCaseError> {
+    prop_assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+    let ids: FastSet<_> = fleet.store.log.iter().map(|(id, _)| id).collect();
+    prop_assert_eq!(ids.len(), fleet.store.log.len(), "a change id changed twice");
+    Ok(())
+}
+
+#[test]
+fn versions_only_rise_and_reach_every_router() {
+    println!("seed {}", String::from_utf8_lossy(&SEED));
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let steps = prop::collection::vec((step(), 0..4_000u64), 1..40);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(2..8usize, any::<u64>(), steps), |(count, seed, steps)| {
+            let mut fleet = Fleet::new(count, seed);
+            fleet.change(0, first());
+            fleet.run(Millis(3_000));
+            prop_assert!(fleet.converged(), "the first version is not in force everywhere");
+            for (number, (step, wait)) in steps.iter().enumerate() {
+                take(&mut fleet, step, number);
+                fleet.run(Millis(*wait));
+                check(&fleet)?;
+            }
+            heal(&mut fleet);
+            check(&fleet)?;
+            prop_assert!(fleet.converged(), "not converged after healing");
+            prop_assert!(fleet.store.keeps_history(), "an earlier version cannot be read");
+            for operator in &fleet.operators {
+                let Change { id, base, .. } = &operator.change;
+                let made = fleet.store.log.iter().position(|(known, _)| known == id);
+                let made = made.map(|index| Version(index as u64 + 1));
+                match &operator.told {
+                    Some(Outcome::Accepted(version)) => prop_assert_eq!(Some(*version), made),
+                    // The same id on a newer base may have made another version since.
+                    Some(Outcome::Lost(_)) => prop_assert_ne!(made, Some(base.next()), "{}", id),
+                    told => return Err(TestCaseError::fail(format!("{id} was told {told:?}"))),
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_router_that_asks_is_answered_without_waiting_for_a_heartbeat() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.change(0, first());
+    fleet.run(Millis(3_000));
+    let (now, asking) = (fleet.now, fleet.nodes[1].id.clone());
+    let config = &mut fleet.nodes[0].life.as_mut().unwrap().config;
+    config.peer_version(now, &asking, Version(0));
+    let pushes = config.poll(now);
+    let answers = |a: &ConfigAction| matches!(a, ConfigAction::Push { to, version: Version(1) } if *to == asking);
+    assert!(pushes.iter().any(answers), "{pushes:?}");
+}
