Measure the spread and the cost of the configuration

Cause: the design promises changes in force within 2 s on 9 routers and 20 s on 340, and bounds the control work of a node; nothing measured them. Ruled out: a fleet of 340 with the target's 12,000 workspaces each, which takes too much memory; the cost of one change at that size is measured on one router and added.

--- a/benches/control/main.rs
+++ b/benches/control/main.rs
@@ -1,1 +1,143 @@
-fn main() {}
+//! How fast a change is in force on all routers, and what the control work costs.
+//!
+//! Routers and store are fakes in memory with a manual clock; messages take 1 ms one way. Each line is
+//! one JSON object. The baseline is a fleet in which every router reads the root from the store each
+//! second. Processor time is measured, all other figures follow from the seed.
+
+#[path = "../../crates/berylwheel-config/tests/common/mod.rs"]
+mod common;
+mod figure;
+mod work;
+
+use berylwheel_config::MemberState;
+use berylwheel_config::Root;
+use berylwheel_types::Millis;
+use common::Fleet;
+use figure::baseline_in_force;
+use figure::nanos;
+use figure::percentile;
+use figure::print;
+use work::SEED;
+use work::faulty_changes;
+use work::first;
+use work::next;
+use work::target_size;
+
+/// The target size: changes a day, and routers.
+const CHANGES_A_DAY: f64 = 2_200.0;
+const DAY: f64 = 86_400.0;
+const TARGET_ROUTERS: usize = 340;
+
+fn main() {
+    // `cargo test --benches` runs the binary without measuring.
+    if !std::env::args().any(|arg| arg == "--bench") {
+        return;
+    }
+    for count in [3, 9, 27, TARGET_ROUTERS] {
+        fleet(count);
+    }
+    let (changes, reverts) = faulty_changes(9, 1_000);
+    print("changes", changes as f64, "1", None, Some(1_000.0));
+    print("reverts", reverts as f64, "1", None, Some(0.0));
+}
+
+/// Prints the figures of a fleet of `count` routers without faults.
+fn fleet(count: usize) {
+    let large = count == TARGET_ROUTERS;
+    let mut fleet = Fleet::new(count, SEED);
+    fleet.net.size = |message| postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
+    fleet.stopwatch = nanos;
+    fleet.change(0, first(10));
+    fleet.run(Millis(if large { 130_000 } else { 30_000 }));
+
+    let changes = if large { 40 } else { 400 };
+    let mut times = Vec::new();
+    for number in 0..changes {
+        let pause = 500 + fleet.net.draw(1_500);
+        fleet.run(Millis(pause));
+        let node = fleet.net.draw(count as u64) as usize;
+        let change = next(&fleet, node, number);
+        fleet.change(node, change);
+        let start = fleet.now;
+        let wanted = fleet.version(node).next();
+        while fleet.store.root.as_ref().map(|root| root.version) != Some(wanted)
+            || !fleet.converged()
+        {
+            fleet.run(Millis(1));
+        }
+        times.push(fleet.now.since(start).0 as f64 / 1_000.0);
+    }
+    let baseline = baseline_in_force(&mut fleet.net, count, changes);
+    let target = match count {
+        9 => Some(2.0),
+        TARGET_ROUTERS => Some(20.0),
+        _ => None,
+    };
+    let name = |figure: &str| format!("{figure}.{count}");
+    print(&name("in_force_s.p99"), percentile(&mut times, 0.99), "s", Some(baseline), target);
+    costs(&mut fleet, count);
+    noticed(&mut fleet, count);
+    if let Some(text) = fleet.violations.first() {
+        eprintln!("{count} routers: {text}");
+    }
+}
+
+/// Prints what the control work costs one router in a time with the target's rate of changes.
+fn costs(fleet: &mut Fleet, count: usize) {
+    let name = |figure: &str| format!("{figure}.{count}");
+    let node = count - 1;
+    let (reads, writes, bytes, spent) =
+        (fleet.store.reads, fleet.store.writes, fleet.net.bytes, fleet.spent);
+    for number in 0..2 {
+        let change = next(fleet, node, 10_000 + number);
+        fleet.change(node, change);
+        fleet.run(Millis((DAY / CHANGES_A_DAY * 1_000.0) as u64));
+    }
+    let share =
+        |now: u64, before: u64| (now - before) as f64 / count as f64 / (2.0 * DAY / CHANGES_A_DAY);
+    let root = fleet.store.root.as_ref().map(Root::to_json).unwrap_or_default();
+    let start = nanos();
+    let parsed = Root::from_json(&root).is_ok();
+    let read = (nanos() - start) as f64 / 1e9;
+    assert!(parsed, "the root is not JSON");
+
+    let mut sent = share(fleet.net.bytes, bytes);
+    let mut core = share(fleet.spent, spent) / 1e9;
+    if count == TARGET_ROUTERS {
+        // The fleet above has 10 workspaces, since 340 copies of the target's settings do not fit
+        // into memory. What one change costs at the target size is measured on one router.
+        let (apply, part) = target_size();
+        print("apply_s.target", apply, "s", None, None);
+        print("part_bytes.target", part, "B", None, Some(20_000.0));
+        sent += part * CHANGES_A_DAY / DAY;
+        core += apply * CHANGES_A_DAY / DAY;
+    }
+    let root_bytes = root.len() as f64;
+    print(&name("control_bytes_s"), sent, "B/s", Some(root_bytes), Some(20_000.0));
+    print(&name("store_reads_s"), share(fleet.store.reads, reads), "1/s", Some(1.0), None);
+    print(&name("store_writes_s"), share(fleet.store.writes, writes), "1/s", Some(0.0), None);
+    print(&name("control_core_share"), core, "cores", Some(read), Some(0.031));
+}
+
+/// Prints the time until all routers suspect one that was killed. The baseline has no heartbeats.
+fn noticed(fleet: &mut Fleet, count: usize) {
+    let mut times = Vec::new();
+    for round in 0..if count == TARGET_ROUTERS { 3 } else { 20 } {
+        let killed = (round * 7 + 1) % count;
+        let id = fleet.nodes[killed].id.clone();
+        fleet.kill(killed);
+        let start = fleet.now;
+        let suspected = |fleet: &Fleet| {
+            let mut lives = fleet.nodes.iter().filter_map(|node| node.life.as_ref());
+            lives.all(|life| life.members.state(&id) == Some(MemberState::Suspect))
+        };
+        while !suspected(fleet) {
+            fleet.run(Millis(10));
+        }
+        times.push(fleet.now.since(start).0 as f64 / 1_000.0);
+        fleet.start(killed);
+        let pause = 20_000 + fleet.net.draw(1_000);
+        fleet.run(Millis(pause));
+    }
+    print(&format!("noticed_s.{count}"), percentile(&mut times, 0.99), "s", None, None);
+}
--- /dev/null
+++ b/benches/control/work.rs
@@ -0,0 +1,158 @@
+//! The changes that the benchmark makes.
+
+use std::fmt::Write;
+
+use berylwheel_config::Change;
+use berylwheel_config::ChangeAction;
+use berylwheel_config::ConfigState;
+use berylwheel_config::Proposal;
+use berylwheel_config::SpreadPolicy;
+use berylwheel_config::Transaction;
+use berylwheel_config::propose;
+use berylwheel_config::split;
+use berylwheel_settings::Edit;
+use berylwheel_settings::Settings;
+use berylwheel_types::FastSet;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+
+use crate::common::Faults;
+use crate::common::Fleet;
+use crate::figure::nanos;
+
+pub const SEED: u64 = 20_261_204;
+
+/// Returns settings with `workspaces` workspaces of two callers each.
+fn settings(workspaces: usize) -> Settings {
+    let mut text = "[kind chat]\nservice = engine\nmodels = m1\n".to_owned();
+    for i in 0..workspaces {
+        let _ = write!(
+            text,
+            "[workspace w{i}]\nin_flight = 100\nkey.a = {:064x}\nkey.b = {:064x}\n",
+            2 * i,
+            2 * i + 1
+        );
+    }
+    Settings::parse("bench", &text).unwrap_or_else(|errors| panic!("{errors}"))
+}
+
+/// Returns the change that puts the first settings in place.
+pub fn first(workspaces: usize) -> Change {
+    let action = ChangeAction::Replace(settings(workspaces));
+    change("first".to_owned(), Version(0), action)
+}
+
+fn change(id: String, base: Version, action: ChangeAction) -> Change {
+    Change {
+        id: id.parse().unwrap_or_else(|e| panic!("{id}: {e}")),
+        base,
+        author: "bench".to_owned(),
+        action,
+    }
+}
+
+fn edit(number: usize) -> ChangeAction {
+    let section = format!("workspace w{}", number % 10);
+    ChangeAction::Edit(vec![Edit {
+        section: section.parse().unwrap_or_else(|e| panic!("{section}: {e}")),
+        key: "in_flight".to_owned(),
+        value: Some((number + 101).to_string()),
+    }])
+}
+
+/// Returns a change on what the router `node` knows.
+pub fn next(fleet: &Fleet, node: usize, number: usize) -> Change {
+    change(format!("c{number}"), fleet.version(node), edit(number))
+}
+
+/// Makes changes through `count` routers while everything goes wrong, until `wanted` are accepted.
+/// Returns how many were, and how often a rule was broken: a version fell, forked or came twice, or
+/// a router still had another one 20 s after all was healed.
+pub fn faulty_changes(count: usize, wanted: usize) -> (usize, usize) {
+    let mut fleet = Fleet::new(count, SEED);
+    fleet.change(0, first(10));
+    fleet.run(Millis(3_000));
+    let mut number = 0;
+    let mut apart = 0;
+    while fleet.store.log.len() <= wanted {
+        number += 1;
+        let node = fleet.net.draw(count as u64) as usize;
+        match fleet.net.draw(20) {
+            0 => fleet.kill(node),
+            1 | 2 => fleet.start(node),
+            3 => fleet.nodes[node].paused = fleet.now + Millis(8_000),
+            4 => fleet.net.cut = (0..count).map(|i| i % (node + 2) == 0).collect(),
+            5 | 6 => fleet.net.cut.clear(),
+            7 => fleet.store.up = false,
+            8..=10 => fleet.store.up = true,
+            11 => fleet.store.loses_answers = !fleet.store.loses_answers,
+            12 => fleet.net.faults = Faults { lost: 200, doubled: 200, late: 300 },
+            13 => fleet.net.faults = Faults::default(),
+            _ => {
+                let change = next(&fleet, node, number);
+                fleet.change(node, change);
+            }
+        }
+        let pause = fleet.net.draw(1_500);
+        fleet.run(Millis(pause));
+        if number % 500 == 0 {
+            heal(&mut fleet);
+            apart += usize::from(!fleet.converged());
+        }
+    }
+    heal(&mut fleet);
+    apart += usize::from(!fleet.converged());
+    for violation in &fleet.violations {
+        eprintln!("{violation}");
+    }
+    let ids: FastSet<_> = fleet.store.log.iter().map(|(id, _)| id).collect();
+    let twice = fleet.store.log.len() - ids.len();
+    // The first version is not a change.
+    (fleet.store.log.len() - 1, fleet.violations.len() + apart + twice)
+}
+
+fn heal(fleet: &mut Fleet) {
+    fleet.net.cut.clear();
+    fleet.net.faults = Faults::default();
+    fleet.store.up = true;
+    fleet.store.loses_answers = false;
+    for index in 0..fleet.nodes.len() {
+        fleet.nodes[index].paused = fleet.now;
+        fleet.start(index);
+    }
+    fleet.run(Millis(20_000));
+}
+
+/// Returns the seconds that one router needs to take a change of one workspace among 12,000, the
+/// median of 9, and the bytes of the largest part.
+pub fn target_size() -> (f64, f64) {
+    let now = Timestamp::from_millis(0);
+    let write = |current: Option<&Transaction>, change: &Change| match propose(
+        current.map(|c| (&c.root, &c.settings)),
+        change,
+        now,
+    ) {
+        Ok(Proposal::Write(transaction)) => *transaction,
+        other => panic!("{other:?}"),
+    };
+    let mut current = write(None, &first(12_000));
+    let id = "r0".parse().unwrap_or_else(|e| panic!("{e}"));
+    let domain = "d0".parse().unwrap_or_else(|e| panic!("{e}"));
+    let mut state = ConfigState::new(id, domain, SpreadPolicy::default());
+    state.parts(now, current.root.clone(), current.parts.clone());
+    let mut times: Vec<f64> = (0..9)
+        .map(|number| {
+            let base = current.root.version;
+            current = write(Some(&current), &change(format!("c{number}"), base, edit(number)));
+            let (root, parts) = (current.root.clone(), current.parts.clone());
+            let start = nanos();
+            state.parts(now, root, parts);
+            let time = nanos() - start;
+            assert_eq!(state.version(), Some(current.root.version));
+            time as f64 / 1e9
+        })
+        .collect();
+    let largest = split(&current.settings).iter().map(|part| part.text.len()).max();
+    (crate::figure::percentile(&mut times, 0.5), largest.unwrap_or(0) as f64)
+}
