--- a/crates/berylwheel-route/src/routes.rs
+++ b/crates/berylwheel-route/src/routes.rs
@@ -369,7 +369,7 @@
         let mut groups = self.ejection_groups();
         groups.retain(|group| group.iter().any(|s| s.server.id == *server));
         let out = |group: &[&State]| group.iter().filter(|s| s.health.is_ejected(now)).count();
-        !groups.is_empty() && groups.iter().all(|group| out(group) < group.len() / 3)
+        !groups.is_empty() && groups.iter().all(|group| out(group) < ejection_limit(group.len()))
     }
 
     /// Readmits servers, those that are due first, while more than a third of a group is out. A
@@ -379,7 +379,7 @@
             let mut surplus = None;
             for group in self.ejection_groups() {
                 let out = group.iter().filter(|s| s.health.is_ejected(now));
-                if out.clone().count() > group.len() / 3 {
+                if out.clone().count() > ejection_limit(group.len()) {
                     let first = out.min_by_key(|s| (s.health.until(), &s.server.id));
                     surplus = first.map(|s| s.server.id.clone());
                     break;
@@ -390,3 +390,9 @@
         }
     }
 }
+
+/// Returns how many servers of a group may be out: a third, and one of two. Of two servers a failing
+/// one would otherwise stay in use until the retry budget is spent on it.
+const fn ejection_limit(group: usize) -> usize {
+    if group == 2 { 1 } else { group / 3 }
+}
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -26,6 +26,8 @@
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
+use serde_json::Value;
+use serde_json::json;
 
 use crate::chat::ChatRequest;
 use crate::chat::EngineEvent;
@@ -282,7 +284,9 @@
             let estimate = Tokens(job.chat.prompt.0 / BYTES_PER_TOKEN + progress.tokens);
             ticket.set_used(progress.usage.unwrap_or(estimate));
             if !send(&sender, encode_event(&data)).await {
-                self.cancel(&start, &id).await;
+                if let Some(usage) = self.cancel(&start, &id).await {
+                    ticket.set_used(usage);
+                }
                 log::info!(request = job.call.id.as_str(), tokens = progress.tokens; "caller left");
                 ticket.finish(Outcome::Cancelled, false);
                 return;
@@ -294,7 +298,7 @@
         let refusal = Refusal::unknown(Code::AnswerTruncated, failure);
         self.metrics.refused(refusal.code);
         let problem = problem_body(&refusal, job.call.id.as_str());
-        let event = format!("event: error\ndata: {}\n\n", serde_json::json!({ "error": problem }));
+        let event = format!("event: error\ndata: {}\n\n", json!({ "error": problem }));
         let _ = send(&sender, event.into_bytes()).await;
         let _ = sender.try_send(Err(io::Error::other("answer truncated")));
         ticket.finish(Outcome::Failed, false);
@@ -378,12 +382,20 @@
         }
     }
 
-    /// Cancels an attempt at its engine; best effort, since the engine may be gone.
-    async fn cancel(&self, start: &Start, id: &RequestId) {
+    /// Cancels an attempt at its engine, and returns the usage that the engine reports. It may be
+    /// gone, and then there is none.
+    async fn cancel(&self, start: &Start, id: &RequestId) -> Option<Tokens> {
         let outgoing = Outgoing::new(Method::Delete, format!("/v1/requests/{id}"));
         let done = self.client.fetch(start.server.address, &outgoing, 4_096, CANCEL_TIME).await;
-        if let Err(error) = done {
-            log::debug!(request = id.as_str(); "cancellation failed: {error}");
+        match done {
+            Ok((_, bytes)) => {
+                let value: Value = serde_json::from_slice(&bytes).ok()?;
+                value.get("tokens").and_then(Value::as_u64).map(Tokens)
+            }
+            Err(error) => {
+                log::debug!(request = id.as_str(); "cancellation failed: {error}");
+                None
+            }
         }
     }
 }
--- /dev/null
+++ b/tests/input.rs
@@ -0,0 +1,129 @@
+//! Bad input and bad callers: each gets its numbered refusal, and none is charged.
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use berylwheel_http::Outgoing;
+use http_types::Method;
+use serde_json::json;
+use support::CALLER_KEY;
+use support::Fleet;
+use support::call;
+use support::chat;
+use support::get;
+use support::send;
+use support::wait_until;
+
+fn chat_body(body: &str) -> Outgoing {
+    call(Method::Post, "/v1/chat/completions", None, body)
+}
+
+fn without_key(value: Option<&str>) -> Outgoing {
+    let outgoing = Outgoing::new(Method::Post, "/v1/chat/completions").body("{}");
+    match value {
+        Some(value) => outgoing.header("authorization", value),
+        None => outgoing,
+    }
+}
+
+/// Guards against input that is charged, that leaves a reservation, or that ends a router.
+#[test]
+fn each_bad_request_gets_its_code_and_costs_nothing() {
+    let fleet = Fleet::start("input", 1, &[], 100_000);
+    let messages = r#""messages":[{"role":"user","content":"hi"}]"#;
+    let body = |fields: &str| chat_body(&format!("{{{fields},{messages}}}"));
+    let large = "x".repeat(9 << 20);
+    let model = r#""model":"m1""#;
+    let with =
+        |name: &str, value: &str| body(&format!("{model},\"max_tokens\":5")).header(name, value);
+    let booking = |key| call(Method::Post, "/services/booking/book", key, "{}");
+    let path = |method, path| call(method, path, None, "");
+    let table = [
+        ("no key", without_key(None), 1111),
+        ("not a bearer", without_key(Some("Basic abc")), 1111),
+        ("wrong key", without_key(Some("Bearer nobody")), 1111),
+        ("not JSON", chat_body("{"), 1101),
+        ("not an object", chat_body("[]"), 1101),
+        ("no messages", chat_body(&format!("{{{model}}}")), 1102),
+        ("no model", chat_body(&format!("{{{messages}}}")), 1102),
+        ("unknown model", body(r#""model":"m9""#), 1114),
+        ("model not a name", body(r#""model":"a b""#), 1114),
+        ("negative max_tokens", body(&format!("{model},\"max_tokens\":-1")), 1102),
+        ("zero max_tokens", body(&format!("{model},\"max_tokens\":0")), 1102),
+        ("fractional max_tokens", body(&format!("{model},\"max_tokens\":1.5")), 1102),
+        ("huge max_tokens", body(&format!("{model},\"max_tokens\":18446744073709551615")), 1102),
+        ("stream not a boolean", body(&format!("{model},\"stream\":\"yes\"")), 1102),
+        ("body too large", chat_body(&large), 1104),
+        ("bad deadline", with("x-deadline-ms", "soon"), 1102),
+        ("bad idempotency key", with("idempotency-key", "a b"), 1102),
+        ("unknown path", path(Method::Get, "/nothing"), 1113),
+        ("unknown service", path(Method::Get, "/services/none/x"), 1113),
+        ("engine kind as a service", path(Method::Get, "/services/chat/x"), 1113),
+        ("booking without key", booking(None), 1301),
+        ("booking with a path in its key", booking(Some("a/../b c")), 1102),
+    ];
+    for (name, outgoing, code) in table {
+        let answer = send(fleet.router(0), outgoing);
+        assert_eq!((answer.code(), answer.ran().as_str()), (code, "not-run"), "{name}: {answer:?}");
+    }
+    let dump = get(fleet.admin(0), "/dump").json();
+    assert_eq!(dump["requests"], 0);
+    assert_eq!(fleet.account()["billed"], 0);
+    assert_eq!(send(fleet.router(0), chat(1, false, None)).status, 200);
+}
+
+/// Guards against a reservation and an engine's work that outlive their caller.
+#[test]
+fn caller_that_leaves_mid_stream_frees_its_reservation() {
+    let fleet = Fleet::start("leaving_caller", 1, &["--token-interval-ms", "5"], 100_000);
+    let body = json!({
+        "model": "m1", "stream": true, "max_tokens": 4_000,
+        "messages": [{ "role": "user", "content": "hi" }],
+    })
+    .to_string();
+    let mut stream = TcpStream::connect(fleet.router(0)).expect("the router accepts");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    let mut first = [0; 512];
+    assert!(stream.read(&mut first).expect("an answer") > 0);
+    drop(stream);
+    wait_until("the request ends", || {
+        let dump = get(fleet.admin(0), "/dump").json();
+        (dump["requests"] == 0).then_some(())
+    });
+    let billed = wait_until("what was generated is billed", || {
+        fleet.account()["billed"].as_u64().filter(|billed| *billed > 0)
+    });
+    assert!(billed < 4_000, "the engine was cancelled: {billed}");
+}
+
+/// Guards against a revoked key that still works, and an operator's interface without a key.
+#[test]
+fn revoked_and_missing_keys_are_refused() {
+    let fleet = Fleet::start("keys", 2, &[], 100_000);
+    let address = fleet.admin(0).to_string();
+    let operator = ["--address", &address, "--operator-key", support::OPERATOR_KEY];
+    let key = support::run_ok(&[&["key", "create", "w", "second"][..], &operator].concat());
+    let outgoing = || {
+        Outgoing::new(Method::Get, "/v1/models")
+            .header("authorization", format!("Bearer {}", key.trim()))
+    };
+    wait_until("the new key works at both routers", || {
+        (0..2).all(|i| send(fleet.router(i), outgoing()).status == 200).then_some(())
+    });
+    support::run_ok(&[&["key", "revoke", "w", "second"][..], &operator].concat());
+    wait_until("the revoked key is refused at both routers", || {
+        (0..2).all(|i| send(fleet.router(i), outgoing()).code() == 1111).then_some(())
+    });
+    for path in ["/admin/config", "/admin/budgets/w/main"] {
+        let denied = get(fleet.admin(0), path);
+        assert_eq!(denied.code(), 1115, "{denied:?}");
+    }
+}
