Bound a grant by the router's part of the spend

Cause: with callers that keep to three of nine routers, each router was bounded by a ninth of the budget and ran short in an outage. Ruled out: a larger share for everyone; the first routers would take what the others need. Change: rows carry the holder's estimate of its hourly spend, and a holding may reach the router's part of the sum if that is more than an equal part.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -36,6 +36,8 @@
     pub returned: Tokens,
     /// Tokens billed out of the grant.
     pub settled: Tokens,
+    /// The holder's estimate of what it spends in an hour.
+    pub hourly: Tokens,
     /// The page version known when the holder's oldest unsettled request was admitted.
     pub floor: u64,
     /// When the holder's oldest unsettled request was admitted.
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -23,6 +23,9 @@
 /// others asked for.
 const SPARE_PAUSE: Millis = Millis(5_000);
 
+/// The span of `Row::hourly`.
+const HOUR: Millis = Millis(3_600_000);
+
 /// Reservations held beyond the expected spend.
 const MARGIN: u64 = 3;
 
@@ -36,7 +39,7 @@
 struct Sizing<'a> {
     now: Timestamp,
     policy: &'a HolderPolicy,
-    live: u64,
+    live: usize,
     draining: bool,
     me: &'a Incarnation,
 }
@@ -61,7 +64,14 @@
             return bare;
         }
         let unspent = (account.balance + account.outstanding()).saturating_sub(account.owed);
-        let bound = (unspent.0 as f64 * self.policy.share.fraction()) as u64 / self.live;
+        let shared = unspent.0 as f64 * self.policy.share.fraction();
+        // Callers that keep their connections reach few routers, so a router may hold its part of
+        // the spend if that is more than an equal part.
+        let own = grant.rate.over(self.now, HOUR).0 as f64;
+        let others = account.rows.iter().filter(|(holder, _)| *holder != self.me);
+        let total = own + others.map(|(_, row)| row.hourly.0 as f64).sum::<f64>();
+        let part = (own / total.max(1.0)).max(1.0 / self.live as f64);
+        let bound = (shared * part) as u64;
         let largest = grant.largest().0;
         if bound < 2 * largest {
             return bare;
@@ -152,7 +162,7 @@
         let sizing = Sizing {
             now,
             policy: &self.policy,
-            live: self.live as u64,
+            live: self.live,
             draining: self.draining,
             me: &self.me,
         };
@@ -170,6 +180,7 @@
             self.ready.extend(verdict.recalled.into_iter().map(recall));
             let open: Vec<_> = grant.unsettled_after(change.covered).collect();
             if let Some(row) = account.rows.get_mut(&self.me) {
+                row.hourly = grant.rate.over(now, HOUR);
                 row.floor = open.iter().map(|a| a.version).min().unwrap_or(version);
                 row.since = open.iter().map(|a| a.at).min().unwrap_or(now);
                 row.serial = open.iter().map(|a| a.serial).min().unwrap_or(self.serial + 1);
