Bound received messages that wait to 128

Cause: 1,024 waiting messages of 1 MB are 1 GB, four times what a node may use. Ruled out: a budget in bytes, which needs a lock per message for a case that only large configuration parts reach. Change: 128 messages wait; beyond, streams are not read and peers drop their oldest. Measured: cargo test -p berylwheel-peer passes. Conclusion: the queue takes at most 128 MB.

--- a/crates/berylwheel-peer/src/link.rs
+++ b/crates/berylwheel-peer/src/link.rs
@@ -33,8 +33,8 @@
 use crate::runtime::ExecutorRuntime;
 use crate::sender;
 
-/// Messages received that wait for the control thread.
-const INBOUND_LIMIT: usize = 1_024;
+/// Messages received that wait for the control thread. All of the largest size, they take 128 MB.
+const INBOUND_LIMIT: usize = 128;
 
 /// Sends messages to peers and receives theirs, on one UDP port.
 ///
