Test the link between routers

Cause: the link carries claims and configuration, so strangers, false frames, restarts and reloads must not break it. Ruled out: sending once after a reload and waiting for the refusal.

--- /dev/null
+++ b/crates/berylwheel-peer/tests/link.rs
@@ -0,0 +1,285 @@
+//! Links between routers over mutual TLS.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylwheel_peer::FRAME_LIMIT;
+use berylwheel_peer::Message;
+use futures_lite::future;
+use quinn::ClientConfig;
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::EndpointConfig;
+use quinn::SmolRuntime;
+use quinn::WriteError;
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::RootCertStore;
+use rustls::crypto::ring;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::pem::PemObject;
+use support::Authority;
+use support::Executors;
+use support::Node;
+use support::any_port;
+use support::until;
+use support::version;
+
+/// Returns an endpoint that keeps to the handshake but to none of the link's own bounds.
+fn raw(authority: &Authority, name: Option<&str>) -> Endpoint {
+    let mut roots = RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_slice(authority.pem().as_bytes()).unwrap()).unwrap();
+    let tls = rustls::ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots);
+    let mut tls = match name {
+        None => tls.with_no_client_auth(),
+        Some(name) => {
+            let (certificate, key) = authority.issue(&[name]);
+            let chain = vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
+            let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
+            tls.with_client_auth_cert(chain, key).unwrap()
+        }
+    };
+    tls.alpn_protocols = vec![b"berylwheel-peer/1".to_vec()];
+    let socket = std::net::UdpSocket::bind(any_port()).unwrap();
+    let mut endpoint =
+        Endpoint::new(EndpointConfig::default(), None, socket, Arc::new(SmolRuntime)).unwrap();
+    let crypto = QuicClientConfig::try_from(tls).unwrap();
+    endpoint.set_default_client_config(ClientConfig::new(Arc::new(crypto)));
+    endpoint
+}
+
+async fn connect(endpoint: &Endpoint, to: &Node) -> Connection {
+    endpoint.connect(to.address, "b").unwrap().await.unwrap()
+}
+
+async fn send_raw(connection: &Connection, frame: &[u8]) {
+    let mut stream = connection.open_uni().await.unwrap();
+    stream.write_all(frame).await.unwrap();
+    stream.finish().unwrap();
+    let _ = stream.stopped().await;
+}
+
+/// Guards against messages that are lost, reordered on an idle link, or under a wrong name.
+#[test]
+fn messages_arrive_with_the_name_of_the_certificate() {
+    let (authority, executor) = (Authority::new(), Executors::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let b = Node::new(authority.identity("b"), &executor);
+    executor.run(async {
+        for n in 0..50 {
+            a.link.send(b.address, version(n));
+        }
+        for n in 0..50 {
+            let inbound = b.inbound.recv().await.unwrap();
+            assert_eq!((inbound.from.as_str(), inbound.message), ("a", version(n)));
+            assert_eq!(inbound.address, a.address);
+        }
+        let large = Message::ConfigParts { root: vec![7; FRAME_LIMIT - 64], parts: vec![] };
+        b.link.send(a.address, large.clone());
+        assert_eq!(a.inbound.recv().await.unwrap().message, large);
+        until(|| a.link.stats().messages_out == 50).await;
+        let stats = a.link.stats();
+        assert_eq!((stats.messages_in, stats.dropped, stats.lost), (1, 0, 0));
+        assert!(stats.bytes_in > FRAME_LIMIT as u64, "{stats:?}");
+        a.link.close().await;
+        b.link.close().await;
+        assert!(a.inbound.recv().await.is_err(), "the link still receives");
+        a.link.send(b.address, version(1));
+        assert_eq!(a.link.stats().dropped, 1, "the link still takes messages");
+    });
+}
+
+/// Guards against strangers that send messages, with a foreign certificate or none.
+#[test]
+fn a_peer_without_a_certificate_of_the_ca_is_refused() {
+    let (authority, foreign, executor) = (Authority::new(), Authority::new(), Executors::new());
+    let b = Node::new(authority.identity("b"), &executor);
+    let stranger = Node::new(foreign.identity_for("a", &authority), &executor);
+    executor.run(async {
+        stranger.link.send(b.address, version(1));
+        until(|| b.link.stats().refused >= 1).await;
+
+        let endpoint = raw(&authority, None);
+        let connecting = endpoint.connect(b.address, "b").unwrap();
+        if let Ok(connection) = connecting.await {
+            connection.closed().await;
+        }
+        until(|| b.link.stats().refused >= 2).await;
+
+        let named = Node::new(authority.identity("a"), &executor);
+        assert_eq!(named.reach(&b).await.from.as_str(), "a");
+        assert!(b.link.stats().messages_in >= 1);
+        assert_eq!(stranger.link.stats().messages_out, 0);
+    });
+}
+
+/// Guards against messages that go to a stranger at a router's address.
+#[test]
+fn a_server_without_a_certificate_of_the_ca_gets_nothing() {
+    let (authority, foreign, executor) = (Authority::new(), Authority::new(), Executors::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let stranger = Node::new(foreign.identity_for("b", &authority), &executor);
+    executor.run(async {
+        a.link.send(stranger.address, version(1));
+        until(|| a.link.stats().refused >= 2).await;
+        assert!(stranger.inbound.is_empty());
+        assert_eq!(a.link.stats().messages_out, 0);
+    });
+}
+
+/// Guards against frames over 1 MB and against false messages that stop the true ones.
+#[test]
+fn bad_frames_are_counted_and_skipped() {
+    let (authority, executor) = (Authority::new(), Executors::new());
+    let b = Node::new(authority.identity("b"), &executor);
+    executor.run(async {
+        let endpoint = raw(&authority, Some("a"));
+        let connection = connect(&endpoint, &b).await;
+        let mut endless = connection.open_uni().await.unwrap();
+        let stopped = endless.write_all(&vec![0; 8 * FRAME_LIMIT]).await;
+        assert!(matches!(stopped, Err(WriteError::Stopped(_))), "{stopped:?}");
+        send_raw(&connection, &[255; 40]).await;
+        let heartbeat = Message::Heartbeat {
+            incarnation: "c@1".parse().unwrap(),
+            counter: 1,
+            domain: "d1".parse().unwrap(),
+            address: any_port(),
+            version: None,
+            draining: false,
+            others: vec![],
+            served: vec![],
+        };
+        send_raw(&connection, &heartbeat.encode().unwrap()).await;
+        send_raw(&connection, &version(5).encode().unwrap()).await;
+        assert_eq!(b.inbound.recv().await.unwrap().message, version(5));
+        assert_eq!(b.link.stats().malformed, 3);
+
+        let large = Message::ConfigParts { root: vec![0; FRAME_LIMIT], parts: vec![] };
+        b.link.send(any_port(), large);
+        assert_eq!(b.link.stats().dropped, 1);
+    });
+}
+
+/// Guards against a peer that uses up memory with streams or connections.
+#[test]
+fn streams_and_connections_of_a_peer_are_bounded() {
+    let (authority, executor) = (Authority::new(), Executors::new());
+    let b = Node::new(authority.identity("b"), &executor);
+    executor.run(async {
+        let endpoint = raw(&authority, Some("a"));
+        let first = connect(&endpoint, &b).await;
+        let mut streams = Vec::new();
+        while let Some(stream) = future::poll_once(first.open_uni()).await {
+            streams.push(stream.unwrap());
+        }
+        assert_eq!(streams.len(), 32);
+        assert!(future::poll_once(first.open_bi()).await.is_none());
+        let _second = connect(&endpoint, &b).await;
+        let third = connect(&endpoint, &b).await;
+        let reason = first.closed().await;
+        assert!(reason.to_string().contains("replaced"), "{reason}");
+        b.link.close().await;
+        let reason = third.closed().await;
+        assert!(reason.to_string().contains("closed"), "{reason}");
+    });
+}
+
+/// Guards against a sender that waits, or a queue that grows, when a peer does not answer.
+#[test]
+fn a_full_queue_drops_its_oldest() {
+    let (authority, executor) = (Authority::new(), Executors::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let silent = std::net::UdpSocket::bind(any_port()).unwrap();
+    let to = silent.local_addr().unwrap();
+    (0..1_000).for_each(|n| a.link.send(to, version(n)));
+    assert_eq!(a.link.stats().dropped, 1_000 - 256);
+    let large = Message::ConfigParts { root: vec![0; FRAME_LIMIT - 64], parts: vec![] };
+    (0..10).for_each(|_| a.link.send(any_port(), large.clone()));
+    assert_eq!(a.link.stats().dropped, 744 + 6);
+    for n in 1..600 {
+        a.link.send(SocketAddr::from(([127, 1, 0, 1], n)), version(1));
+    }
+    assert_eq!(a.link.stats().dropped, 744 + 6 + 601 - 512, "more than 512 peers");
+    drop(silent);
+    let b = Node::bind(to, authority.identity("b"), &executor);
+    executor.run(async {
+        assert_eq!(b.inbound.recv().await.unwrap().message, version(744));
+    });
+}
+
+/// Guards against frames that are lost although their peer cannot have received them whole.
+#[test]
+fn frames_that_a_stalled_peer_has_not_taken_go_again() {
+    let (authority, executor, stalled) = (Authority::new(), Executors::new(), Executors::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let b = Node::new(authority.identity("b"), &stalled);
+    executor.run(stalled.0.run(a.reach(&b)));
+    let large = |n| Message::ConfigParts { root: vec![n; FRAME_LIMIT - 64], parts: vec![] };
+    // The first fits the peer's window and is lost with the connection; the second does not.
+    (1..=3).for_each(|n| a.link.send(b.address, large(n)));
+    executor.run(until(|| a.link.stats().connections == 0));
+    let next = executor.run(stalled.0.run(async {
+        loop {
+            match b.inbound.recv().await.unwrap().message {
+                Message::ConfigParts { root, .. } if root[0] >= 2 => return root[0],
+                _ => {}
+            }
+        }
+    }));
+    assert_eq!(next, 2);
+}
+
+/// Guards against a link that stays down after the peer has stopped, in order or not, and come back
+/// at its old address.
+#[test]
+fn a_restarted_peer_is_reached_again() {
+    for orderly in [true, false] {
+        let (authority, executor) = (Authority::new(), Executors::new());
+        let a = Node::new(authority.identity("a"), &executor);
+        let old_process = Executors::new();
+        let b = Node::new(authority.identity("b"), &old_process);
+        let address = b.address;
+        executor.run(old_process.0.run(async {
+            a.reach(&b).await;
+            if orderly {
+                b.link.close().await;
+            }
+        }));
+        // Without an orderly stop the tasks vanish and the peer is told nothing.
+        drop((b, old_process));
+        executor.run(async {
+            until(|| std::net::UdpSocket::bind(address).is_ok()).await;
+            let b = Node::bind(address, authority.identity("b"), &executor);
+            assert_eq!(a.reach(&b).await.from.as_str(), "a", "orderly: {orderly}");
+        });
+    }
+}
+
+/// Guards against a withdrawn CA that stays trusted, and against a reload that needs a restart.
+#[test]
+fn a_reload_replaces_certificates_and_trust() {
+    let (before, after, executor) = (Authority::new(), Authority::new(), Executors::new());
+    let a = Node::new(before.identity("a"), &executor);
+    let b = Node::new(before.identity("b"), &executor);
+    executor.run(async {
+        a.reach(&b).await;
+        b.link.reload(after.identity("b")).unwrap();
+        a.send_until(&b, until(|| b.link.stats().connections == 0)).await;
+        let messages = b.link.stats().messages_in;
+        // First the sender does not trust the peer, then the peer does not trust the sender.
+        a.send_until(&b, until(|| a.link.stats().refused >= 2)).await;
+        a.link.reload(before.identity_for("a", &after)).unwrap();
+        let refused = b.link.stats().refused;
+        a.send_until(&b, until(|| b.link.stats().refused > refused + 1)).await;
+        assert_eq!(b.link.stats().messages_in, messages);
+
+        while b.inbound.try_recv().is_ok() {}
+        a.link.reload(after.identity("a2")).unwrap();
+        assert_eq!(a.reach(&b).await.from.as_str(), "a2");
+    });
+}
--- /dev/null
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -0,0 +1,198 @@
+//! Encoding of messages, and what false frames may do.
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::cell::Cell;
+
+use berylwheel_peer::ClaimState;
+use berylwheel_peer::DecodeError;
+use berylwheel_peer::FRAME_LIMIT;
+use berylwheel_peer::Message;
+use berylwheel_peer::PeerState;
+use berylwheel_peer::ServedShare;
+use berylwheel_types::BillKey;
+use berylwheel_types::Rank;
+use berylwheel_types::Tokens;
+use berylwheel_types::Version;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SEED: u64 = 20_260_107;
+
+/// What decoding may hold at a time: the message, which is at most twice its frame while its last
+/// list grows, and a reserve that `serde` makes before it reads, at most 1 MB a level.
+const MEMORY_LIMIT: usize = 4 * FRAME_LIMIT;
+
+thread_local! {
+    static USED: Cell<usize> = const { Cell::new(0) };
+    static PEAK: Cell<usize> = const { Cell::new(0) };
+}
+
+/// Counts the memory of each thread.
+struct Counting;
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let used = USED.get() + layout.size();
+        USED.set(used);
+        PEAK.set(PEAK.get().max(used));
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        USED.set(USED.get().saturating_sub(layout.size()));
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+/// Decodes a frame and returns the memory that it took beside the result.
+fn decode(frame: &[u8]) -> (Result<Message, DecodeError>, usize) {
+    let before = USED.get();
+    PEAK.set(before);
+    let result = Message::decode(frame);
+    (result, PEAK.get() - before)
+}
+
+fn heartbeat(others: usize, served: usize) -> Message {
+    let other = |n: usize| PeerState {
+        incarnation: format!("r{n}@1767225600000{n:06}").parse().unwrap(),
+        counter: 1_000_000,
+        domain: "gujarat-west-2".parse().unwrap(),
+        address: "10.20.30.40:7400".parse().unwrap(),
+        version: Some(Version(2_200)),
+        draining: false,
+    };
+    let share = |n: usize| ServedShare {
+        workspace: format!("workspace-{n}").parse().unwrap(),
+        rank: Rank::Urgent,
+        tokens: Tokens(1_000_000),
+    };
+    let own = other(0);
+    Message::Heartbeat {
+        incarnation: own.incarnation,
+        counter: own.counter,
+        domain: own.domain,
+        address: own.address,
+        version: own.version,
+        draining: own.draining,
+        others: (0..others).map(other).collect(),
+        served: (0..served).map(share).collect(),
+    }
+}
+
+fn messages() -> Vec<Message> {
+    let key = BillKey::new(&"w1".parse().unwrap(), "k");
+    vec![
+        heartbeat(8, 48),
+        Message::ConfigVersion { version: Version(9) },
+        Message::ConfigPull { version: Version(9), have: vec!["d1".into(), "d2".into()] },
+        Message::ConfigParts { root: vec![1, 2], parts: vec![("d1".into(), vec![3; 500])] },
+        Message::Recall { budget: "w1/main".parse().unwrap() },
+        Message::Claim { id: 7, key, attempt: "a1".parse().unwrap() },
+        Message::ClaimAnswer { id: 7, answer: ClaimState::Running },
+        Message::ClaimEnd { key },
+        Message::Leaving { server: "e1".parse().unwrap() },
+    ]
+}
+
+/// Guards against a field that does not survive the way, and against a changed order of variants.
+#[test]
+fn every_message_survives_the_way() {
+    for (n, message) in messages().into_iter().enumerate() {
+        let frame = message.encode().unwrap();
+        assert_eq!(usize::from(frame[0]), n, "{message:?}");
+        assert_eq!(Message::decode(&frame), Ok(message));
+    }
+}
+
+/// Guards against a heartbeat that outgrows the control traffic of the design: four a second, each
+/// with 8 states and 48 shares, stay under 20 KB/s.
+#[test]
+fn a_heartbeat_is_small() {
+    let sizes = [(8, 0), (8, 48)].map(|(o, s)| heartbeat(o, s).encode().unwrap().len());
+    println!("heartbeat with 8 states: {} bytes, with 48 shares as well: {}", sizes[0], sizes[1]);
+    assert!(4 * sizes[1] < 20_000 / 2, "{sizes:?}");
+}
+
+/// Guards against frames that claim more entries or bytes than they hold, or hold many tiny ones.
+#[test]
+fn false_lengths_are_refused_within_bounds() {
+    let most = [255, 255, 255, 255, 255, 255, 255, 255, 255, 1];
+    let state = {
+        let (one, two) = (heartbeat(1, 0).encode().unwrap(), heartbeat(2, 0).encode().unwrap());
+        let size = two.len() - one.len();
+        one[one.len() - 1 - size..one.len() - 1].to_vec()
+    };
+    let empty = heartbeat(0, 0).encode().unwrap();
+    let mut states = empty[..empty.len() - 2].to_vec();
+    states.extend([255, 255, 3]);
+    while states.len() + state.len() <= FRAME_LIMIT {
+        states.extend(&state);
+    }
+    let table: [(&str, Vec<u8>); 5] = [
+        ("empty strings", [vec![2, 9, 255, 255, 63], vec![0; 1_000_000]].concat()),
+        ("empty parts", [vec![3, 0, 255, 255, 31], vec![0; 1_000_000]].concat()),
+        ("states", states),
+        ("length of a root", [vec![3], most.to_vec()].concat()),
+        ("length of a list", [vec![2, 9], most.to_vec()].concat()),
+    ];
+    for (name, frame) in table {
+        let (result, memory) = decode(&frame);
+        assert!(result.is_err(), "{name}");
+        assert!(memory <= MEMORY_LIMIT, "{name}: {memory} bytes");
+    }
+    assert_eq!(Message::decode(&vec![1; FRAME_LIMIT + 1]), Err(DecodeError::TooLarge));
+    let mut trailing = messages()[1].encode().unwrap();
+    trailing.push(0);
+    assert_eq!(Message::decode(&trailing), Err(DecodeError::Trailing(1)));
+}
+
+fn config() -> ProptestConfig {
+    println!("seed {SEED}");
+    ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against frames that stop the process or use up its memory.
+    #[test]
+    fn no_frame_panics_or_takes_too_much(
+        variant in 0..12_u8,
+        mut bytes in prop::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        bytes.insert(0, variant);
+        let (result, memory) = decode(&bytes);
+        prop_assert!(memory <= MEMORY_LIMIT, "{memory} bytes");
+        if let Ok(message) = result {
+            prop_assert!(message.encode().is_ok());
+        }
+    }
+
+    /// Guards against frames that are nearly right.
+    #[test]
+    fn no_damaged_frame_panics_or_takes_too_much(
+        index in 0..9_usize,
+        changes in prop::collection::vec((any::<usize>(), any::<u8>()), 1..6),
+        cut in any::<usize>(),
+    ) {
+        let mut frame = messages()[index].encode().unwrap();
+        for (place, byte) in changes {
+            let place = place % frame.len();
+            frame[place] = byte;
+        }
+        frame.truncate(1 + cut % frame.len());
+        let (_, memory) = decode(&frame);
+        prop_assert!(memory <= MEMORY_LIMIT, "{memory} bytes");
+    }
+}
