--- /dev/null
+++ b/crates/berylwheel-config/src/member.rs
@@ -0,0 +1,367 @@
+//! Which routers are live, as one router sees it.
+
+use std::net::SocketAddr;
+
+use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Version;
+use berylwheel_types::stable_hash;
+
+use crate::Heartbeat;
+use crate::ListedState;
+use crate::MemberEntry;
+use crate::MemberPolicy;
+use crate::MemberState;
+
+#[derive(Debug)]
+struct Member {
+    entry: MemberEntry,
+    state: MemberState,
+    /// When this run was first heard of.
+    first: Timestamp,
+    /// When it last made progress.
+    progress: Timestamp,
+    /// Since when this router should hear from it; its peers learn later than this one that the
+    /// ring has changed.
+    watched: Option<Timestamp>,
+    /// In how many more heartbeats to pass this entry on.
+    news: u32,
+    /// When this router last passed the entry on, in heartbeats sent.
+    told: u64,
+}
+
+/// The routers that one router knows of.
+///
+/// A router sends heartbeats to the routers that follow it on a ring, and those watch it. What they
+/// find travels in the heartbeats of all. At 340 routers the counters of all do not fit into the
+/// heartbeats of five seconds, so a router judges the progress of those only that it should hear
+/// from, and takes the word of others for the rest.
+#[derive(Debug)]
+pub struct Members {
+    own: MemberEntry,
+    policy: MemberPolicy,
+    configured: FastSet<RouterId>,
+    members: FastMap<RouterId, Member>,
+    /// The runs that a higher incarnation at the same address has replaced.
+    replaced: FastSet<Incarnation>,
+    /// Routers that should hear from this one out of turn, since they suspect it.
+    doubters: FastSet<RouterId>,
+    next: Timestamp,
+    /// When routers of which nothing was heard stop to count as live.
+    settles: Option<Timestamp>,
+    settled: bool,
+}
+
+impl Members {
+    /// Returns the view of a router that has just started and listens to its peers at `address`.
+    pub fn new(me: Incarnation, address: SocketAddr, policy: MemberPolicy) -> Self {
+        let own = MemberEntry {
+            incarnation: me,
+            address,
+            counter: 0,
+            version: Version(0),
+            leaving: false,
+            suspect: false,
+        };
+        Self {
+            own,
+            policy,
+            configured: FastSet::default(),
+            members: FastMap::default(),
+            replaced: FastSet::default(),
+            doubters: FastSet::default(),
+            next: Timestamp::from_millis(0),
+            settles: None,
+            settled: false,
+        }
+    }
+
+    /// Sets the other routers that the settings name.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = RouterId>) {
+        self.configured =
+            peers.into_iter().filter(|id| *id != self.own.incarnation.router).collect();
+    }
+
+    /// Sets the version that this router serves with.
+    pub fn set_version(&mut self, version: Version) {
+        self.own.version = version;
+    }
+
+    /// Tells the others that this router is shutting down.
+    pub fn set_leaving(&mut self) {
+        self.own.leaving = true;
+    }
+
+    /// Returns the heartbeats that are due, and the peers to send them to.
+    pub fn poll(&mut self, now: Timestamp) -> Vec<(RouterId, Heartbeat)> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now + self.policy.every;
+        let MemberPolicy { settle, suspect_after, .. } = self.policy;
+        let wait = Millis(suspect_after.0 + settle.0 * self.configured.len() as u64);
+        self.settled = now >= *self.settles.get_or_insert(now + wait);
+        self.suspect(now);
+        self.own.counter += 1;
+        let targets = self.targets();
+        targets.into_iter().map(|to| (to, self.heartbeat())).collect()
+    }
+
+    /// Takes a heartbeat.
+    pub fn heartbeat_received(&mut self, now: Timestamp, heartbeat: &Heartbeat) {
+        self.learn(now, &heartbeat.own, true);
+        for entry in &heartbeat.others {
+            if entry.incarnation.router != self.own.incarnation.router {
+                self.learn(now, entry, false);
+            } else if entry.incarnation == self.own.incarnation && entry.suspect {
+                self.doubters.insert(heartbeat.own.incarnation.router.clone());
+            }
+        }
+    }
+
+    /// Takes the platform's list. A router that is missing from it stays what it is.
+    pub fn platform_list(&mut self, now: Timestamp, list: &[(RouterId, ListedState)]) {
+        for (id, listed) in list {
+            let Some(member) = self.members.get_mut(id) else {
+                continue;
+            };
+            let quiet = now.since(member.progress) >= self.policy.suspect_after;
+            let known = now.since(member.first) >= self.policy.list_lag;
+            match listed {
+                ListedState::Gone if quiet && known => member.state = MemberState::Gone,
+                ListedState::Leaving if member.state == MemberState::Live => {
+                    member.state = MemberState::Leaving;
+                }
+                ListedState::Live | ListedState::Leaving | ListedState::Gone => {}
+            }
+        }
+    }
+
+    /// Returns what the router `id` is taken to be.
+    pub fn state(&self, id: &RouterId) -> Option<MemberState> {
+        if *id == self.own.incarnation.router {
+            let leaving = self.own.leaving;
+            return Some(if leaving { MemberState::Leaving } else { MemberState::Live });
+        }
+        self.members.get(id).map(|member| member.state)
+    }
+
+    /// Returns the run of the router `id` that was heard of last.
+    pub fn incarnation(&self, id: &RouterId) -> Option<&Incarnation> {
+        self.members.get(id).map(|member| &member.entry.incarnation)
+    }
+
+    /// Returns whether there is evidence that the process of `run` does not exist any more: the
+    /// platform lists it as gone, or a later run listens at its address. Silence is no evidence.
+    pub fn is_gone(&self, run: &Incarnation) -> bool {
+        let listed = self.members.get(&run.router).is_some_and(|member| {
+            member.state == MemberState::Gone && member.entry.incarnation == *run
+        });
+        listed || self.replaced.contains(run)
+    }
+
+    /// Returns the routers that are live, this one included, by name. Soon after the start these
+    /// include the routers that the settings name and that were not heard of yet: a router that
+    /// knows few others would take too large a share of budgets and servers.
+    pub fn live(&self) -> Vec<RouterId> {
+        let members = self.members.iter().filter(|(_, m)| m.state == MemberState::Live);
+        let own = Some(&self.own.incarnation.router).filter(|_| !self.own.leaving);
+        let live = members.map(|(id, _)| id).chain(self.unheard()).chain(own);
+        let mut live: Vec<RouterId> = live.cloned().collect();
+        live.sort();
+        live
+    }
+
+    /// Returns the number of routers in [`Members::live`].
+    pub fn live_count(&self) -> usize {
+        let live = self.members.values().filter(|member| member.state == MemberState::Live);
+        live.count() + self.unheard().count() + usize::from(!self.own.leaving)
+    }
+
+    fn unheard(&self) -> impl Iterator<Item = &RouterId> {
+        let unheard = |id: &&RouterId| !self.settled && !self.members.contains_key(*id);
+        self.configured.iter().filter(unheard)
+    }
+
+    /// Returns the version of the configuration that each known router serves with.
+    pub fn versions(&self) -> Vec<(RouterId, Version)> {
+        let versions = self.members.iter().map(|(id, member)| (id.clone(), member.entry.version));
+        let mut versions: Vec<_> = versions.collect();
+        versions.sort();
+        versions
+    }
+
+    fn learn(&mut self, now: Timestamp, entry: &MemberEntry, direct: bool) {
+        let id = &entry.incarnation.router;
+        let news = self.news();
+        let fresh = Member {
+            entry: entry.clone(),
+            state: state_of(entry),
+            first: now,
+            progress: now,
+            watched: None,
+            news,
+            told: 0,
+        };
+        let Some(member) = self.members.get_mut(id) else {
+            self.members.insert(id.clone(), fresh);
+            return;
+        };
+        let (known, heard) = (member.entry.incarnation.number, entry.incarnation.number);
+        if heard < known {
+            return;
+        }
+        if heard > known {
+            if member.entry.address == entry.address || member.state == MemberState::Gone {
+                self.replaced.insert(member.entry.incarnation.clone());
+            }
+            *member = fresh;
+            return;
+        }
+        if member.state == MemberState::Gone || entry.counter < member.entry.counter {
+            return;
+        }
+        let progress = entry.counter > member.entry.counter;
+        if !progress {
+            // Another router's suspicion counts if it has seen as much as this one.
+            if entry.suspect && !direct && member.state == MemberState::Live {
+                member.state = MemberState::Suspect;
+                member.entry.suspect = true;
+                member.news = news;
+            }
+            return;
+        }
+        let before = member.state;
+        member.entry = entry.clone();
+        member.progress = now;
+        member.state = match state_of(entry) {
+            // The list may know of a stop that the router itself has not been told yet.
+            MemberState::Live if before == MemberState::Leaving => before,
+            state => state,
+        };
+        if member.state != before {
+            member.news = news;
+        }
+    }
+
+    /// Suspects the routers that should have been heard of.
+    fn suspect(&mut self, now: Timestamp) {
+        let limit = self.policy.suspect_after;
+        let watched: FastSet<RouterId> = self.watched().into_iter().collect();
+        let news = self.news();
+        for (id, member) in &mut self.members {
+            if !watched.contains(id) {
+                member.watched = None;
+                continue;
+            }
+            let since = (*member.watched.get_or_insert(now)).max(member.progress);
+            let up = matches!(member.state, MemberState::Live | MemberState::Leaving);
+            if up && now.since(since) >= limit {
+                member.state = MemberState::Suspect;
+                member.entry.suspect = true;
+                member.news = news;
+            }
+        }
+    }
+
+    /// Returns in how many heartbeats each router passes news on. A message that every router
+    /// passes to `ln n + c` random others misses one with a chance of `e^-c`.
+    fn news(&self) -> u32 {
+        (self.members.len().max(1) as u32).ilog2() + 3
+    }
+
+    /// Returns whether the router `id` takes part in the ring.
+    fn in_ring(&self, id: &RouterId) -> bool {
+        match self.state(id) {
+            Some(state) => state != MemberState::Suspect,
+            None => !self.settled,
+        }
+    }
+
+    /// Returns the routers in the order of the ring, starting after this one.
+    fn ring(&self) -> Vec<RouterId> {
+        let score = |id: &RouterId| stable_hash(&["ring", id.as_str()]);
+        let own = score(&self.own.incarnation.router);
+        let gone = |id: &RouterId| self.state(id) == Some(MemberState::Gone);
+        let known = self.members.keys().chain(&self.configured).collect::<FastSet<_>>();
+        let mut ring: Vec<(u64, RouterId)> = known
+            .into_iter()
+            .filter(|id| !gone(id))
+            .map(|id| (score(id).wrapping_sub(own), id.clone()))
+            .collect();
+        ring.sort();
+        ring.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns the peers that get a heartbeat now. Half of them follow on the ring and watch this
+    /// router. The others change each time: they spread news, and heal a partition after which each
+    /// side suspects the other.
+    fn targets(&mut self) -> Vec<RouterId> {
+        let ring = self.ring();
+        let count = self.policy.targets;
+        if ring.len() <= count {
+            return ring;
+        }
+        let next = ring.iter().filter(|id| self.in_ring(id)).take(count / 2);
+        let mut targets: Vec<RouterId> = next.cloned().collect();
+        let rest: Vec<&RouterId> = ring.iter().filter(|id| !targets.contains(id)).collect();
+        let turn = self.own.counter.to_string();
+        let own = self.own.incarnation.router.as_str();
+        let score = |id: &&&RouterId| stable_hash(&["turn", own, id.as_str(), &turn]);
+        let mut drawn: Vec<&&RouterId> = rest.iter().collect();
+        drawn.sort_by_key(score);
+        let drawn = drawn.into_iter().take(count - targets.len()).map(|id| (*id).clone());
+        let doubters = self.doubters.drain().filter(|id| ring.contains(id)).take(count);
+        let more: FastSet<RouterId> = drawn.chain(doubters).collect();
+        targets.extend(more.into_iter().filter(|id| !targets.contains(id)).collect::<Vec<_>>());
+        targets
+    }
+
+    /// Returns the routers that should send heartbeats to this one each time.
+    fn watched(&self) -> Vec<RouterId> {
+        let mut ring = self.ring();
+        if ring.len() <= self.policy.targets {
+            return ring;
+        }
+        ring.reverse();
+        let mut between = 0;
+        ring.retain(|id| {
+            let watched = between < self.policy.targets / 2;
+            between += usize::from(self.in_ring(id));
+            watched
+        });
+        ring
+    }
+
+    fn heartbeat(&mut self) -> Heartbeat {
+        let turn = self.own.counter;
+        let mut members: Vec<&mut Member> = self.members.values_mut().collect();
+        // News first, then what was passed on longest ago.
+        members.sort_by(|a, b| {
+            let key = |m: &Member| (std::cmp::Reverse(m.news), m.told);
+            key(a).cmp(&key(b)).then_with(|| a.entry.incarnation.cmp(&b.entry.incarnation))
+        });
+        let mut others = Vec::new();
+        for member in members.into_iter().filter(|m| m.state != MemberState::Gone) {
+            if others.len() == self.policy.others {
+                break;
+            }
+            member.news = member.news.saturating_sub(1);
+            member.told = turn;
+            others.push(member.entry.clone());
+        }
+        Heartbeat { own: self.own.clone(), others }
+    }
+}
+
+const fn state_of(entry: &MemberEntry) -> MemberState {
+    match entry {
+        MemberEntry { suspect: true, .. } => MemberState::Suspect,
+        MemberEntry { leaving: true, .. } => MemberState::Leaving,
+        MemberEntry { .. } => MemberState::Live,
+    }
+}
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -81,9 +81,9 @@
     ConfigParts {
         /// The encoded root.
         root: Vec<u8>,
-        /// Digest and content of each part.
+        /// Number and content of each part.
         #[serde(deserialize_with = "bounded::list::<_, _, PART_LIMIT>")]
-        parts: Vec<(String, Vec<u8>)>,
+        parts: Vec<(u32, Vec<u8>)>,
     },
     /// The sender asks for what is not reserved of a budget.
     Recall {
@@ -98,6 +98,10 @@
         key: BillKey,
         /// The attempt that would run.
         attempt: RequestId,
+        /// The run of the router that would run it.
+        owner: Incarnation,
+        /// Digest of the request's content.
+        digest: u64,
     },
     /// The answer to a claim.
     ClaimAnswer {
@@ -110,6 +114,10 @@
     ClaimEnd {
         /// The request.
         key: BillKey,
+        /// The attempt that ended.
+        attempt: RequestId,
+        /// Whether the caller was sent the whole answer.
+        delivered: bool,
     },
     /// A backend server leaves and takes no new work.
     Leaving {
@@ -125,8 +133,10 @@
     First,
     /// Another attempt runs.
     Running,
-    /// Another attempt has ended.
+    /// Another attempt has delivered its answer.
     Finished,
+    /// The key was used for a different request.
+    Reused,
 }
 
 /// What one router knows of another.
@@ -144,6 +154,8 @@
     pub version: Option<Version>,
     /// Whether it is about to stop.
     pub draining: bool,
+    /// Whether the sender suspects that it has failed.
+    pub suspect: bool,
 }
 
 /// Tokens that a router has served to a workspace in one priority class.
--- /dev/null
+++ b/crates/berylwheel-router/src/translate.rs
@@ -0,0 +1,111 @@
+//! Messages between routers in the terms of the slices that make and take them.
+
+use berylwheel_config::Heartbeat;
+use berylwheel_config::MemberEntry;
+use berylwheel_config::Part;
+use berylwheel_config::PartDigest;
+use berylwheel_config::Root;
+use berylwheel_peer::ClaimState;
+use berylwheel_peer::Message;
+use berylwheel_peer::PeerState;
+use berylwheel_peer::ServedShare;
+use berylwheel_schedule::Served;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::Version;
+
+use crate::claims::ClaimAnswer;
+
+/// Returns the message for a heartbeat of a router in `domain`.
+pub fn heartbeat_message(
+    heartbeat: Heartbeat,
+    served: Vec<Served>,
+    domain: &FailureDomain,
+) -> Message {
+    let Heartbeat { own, others } = heartbeat;
+    let others = others.into_iter().map(|entry| PeerState {
+        incarnation: entry.incarnation,
+        counter: entry.counter,
+        domain: domain.clone(),
+        address: entry.address,
+        version: known(entry.version),
+        draining: entry.leaving,
+        suspect: entry.suspect,
+    });
+    let served = served.into_iter().map(|served| ServedShare {
+        workspace: served.workspace,
+        rank: served.rank,
+        tokens: served.tokens,
+    });
+    Message::Heartbeat {
+        incarnation: own.incarnation,
+        counter: own.counter,
+        domain: domain.clone(),
+        address: own.address,
+        version: known(own.version),
+        draining: own.leaving,
+        others: others.collect(),
+        served: served.collect(),
+    }
+}
+
+/// Returns what a peer says of another router.
+pub fn member_of(state: PeerState) -> MemberEntry {
+    MemberEntry {
+        incarnation: state.incarnation,
+        address: state.address,
+        counter: state.counter,
+        version: state.version.unwrap_or_default(),
+        leaving: state.draining,
+        suspect: state.suspect,
+    }
+}
+
+/// Returns what a peer has served.
+pub fn served_of(share: ServedShare) -> Served {
+    Served { workspace: share.workspace, rank: share.rank, tokens: share.tokens }
+}
+
+/// Returns the message with a root and parts of it.
+pub fn parts_message(root: &Root, parts: Vec<Part>) -> Message {
+    let parts = parts.into_iter().map(|part| (part.index, part.text.into_bytes()));
+    Message::ConfigParts { root: root.to_json(), parts: parts.collect() }
+}
+
+/// Returns the root and the parts of a message, or `None` if it holds something else.
+pub fn parts_of(root: &[u8], parts: Vec<(u32, Vec<u8>)>) -> Option<(Root, Vec<Part>)> {
+    let root = Root::from_json(root).ok()?;
+    let parts = parts
+        .into_iter()
+        .map(|(index, text)| Some(Part { index, text: String::from_utf8(text).ok()? }))
+        .collect::<Option<_>>()?;
+    Some((root, parts))
+}
+
+/// Returns the digests that a peer names.
+pub fn digests_of(have: Vec<String>) -> Vec<PartDigest> {
+    have.into_iter().map(PartDigest::from).collect()
+}
+
+/// Returns the answer to a claim as it is sent.
+pub fn claim_state(answer: ClaimAnswer) -> ClaimState {
+    match answer {
+        ClaimAnswer::First => ClaimState::First,
+        ClaimAnswer::Running => ClaimState::Running,
+        ClaimAnswer::Finished => ClaimState::Finished,
+        ClaimAnswer::Reused => ClaimState::Reused,
+    }
+}
+
+/// Returns the answer to a claim as it was received.
+pub fn claim_answer(state: ClaimState) -> ClaimAnswer {
+    match state {
+        ClaimState::First => ClaimAnswer::First,
+        ClaimState::Running => ClaimAnswer::Running,
+        ClaimState::Finished => ClaimAnswer::Finished,
+        ClaimState::Reused => ClaimAnswer::Reused,
+    }
+}
+
+fn known(version: Version) -> Option<Version> {
+    (version > Version(0)).then_some(version)
+}
