Contain panics of the HTTP decoder in the client

Cause: http-types panics on a header value or a trailer that is not ASCII, and the panic ended the thread that ran the caller's executor. Ruled out: checking the bytes before the decoder, which needs a parser of our own to find the end of the head. Change: the client turns such a panic into an error that counts as sent. Conclusion: a backend server cannot end a thread by what it answers.

--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,6 +16,7 @@
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
+use futures_lite::FutureExt;
 use http_types::Body;
 use http_types::Method;
 use http_types::Request;
@@ -22,6 +24,8 @@
 use http_types::Url;
 
 use crate::Connection;
+use crate::contain::contain;
+use crate::contain::undecodable;
 use crate::timeout;
 
 /// Idle connections kept per address.
@@ -190,7 +194,12 @@
             detail: format!("{address}: {detail}"),
         };
         let request = build(address, outgoing).map_err(|detail| failed(false, detail))?;
-        let answer = async_h1::connect(connection.clone(), request);
+        // The library panics on a header that is not ASCII.
+        let answer = AssertUnwindSafe(async_h1::connect(connection.clone(), request));
+        let answer = async {
+            let answer = answer.catch_unwind().await;
+            answer.unwrap_or_else(|_| Err(undecodable().into()))
+        };
         let mut response = match timeout(outgoing.head_time, answer).await {
             None => return Err(failed(true, format!("no answer in {}", outgoing.head_time))),
             Some(Err(error)) => return Err(failed(false, error.to_string())),
@@ -255,7 +264,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        let n = ready!(contain(|| Pin::new(&mut self.body).poll_read(cx, buf)))?;
         if n == 0 && !buf.is_empty() {
             self.at_end()?;
         }
@@ -267,7 +276,9 @@
 impl AsyncBufRead for ResponseStream {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
-        if ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?.is_empty() {
+        let body = &mut this.body;
+        let empty = contain(|| Pin::new(body).poll_fill_buf(cx).map_ok(|bytes| bytes.is_empty()));
+        if ready!(empty)? {
             this.at_end()?;
         }
         Pin::new(&mut this.body).poll_fill_buf(cx)
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -3,6 +3,7 @@
 mod body;
 mod client;
 mod connection;
+mod contain;
 mod event;
 mod problem;
 mod server;
--- a/crates/berylwheel-http/tests/client.rs
+++ b/crates/berylwheel-http/tests/client.rs
@@ -66,3 +66,17 @@
     let error = fetch(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", 4);
     assert!(error.expect_err("over the limit").sent);
 }
+
+/// Guards against a backend server that crashes the client by what it sends.
+#[test]
+fn an_answer_that_is_not_ascii_is_an_error() {
+    let cases: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nname: \xc3\xa9\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nname: \xff\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nname: \xc3\xa9\r\n\r\n",
+    ];
+    for answer in cases {
+        let error = fetch(answer, 100).expect_err("not ASCII");
+        assert!(error.sent && !error.timed_out, "{error}");
+    }
+}
