Refuse bad input with its number and without harm to the server

Change: Inbound bounds reads by the stage of the request; panics in decoding become refusals, panics in handlers still reach the executor; connections close their sending side first and then wait up to 1 s for the peer.

--- a/crates/berylwheel-http/src/body.rs
+++ b/crates/berylwheel-http/src/body.rs
@@ -1,6 +1,7 @@
 //! Bodies: bounded reading, and streaming from a channel.
 
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -14,9 +15,11 @@
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
+use futures_lite::FutureExt;
 use futures_lite::Stream;
 use http_types::Body;
 
+use crate::contain::undecodable;
 use crate::timeout;
 
 /// Chunks that wait for a slow reader before the sender has to wait.
@@ -33,14 +36,21 @@
     if body.len().is_some_and(|n| n as u64 > limit.0) {
         return Err(Refusal::not_run(Code::BodyTooLarge, format!("the limit is {limit}")));
     }
+    let announced = body.len();
     let mut bytes = Vec::new();
     let mut bounded = body.take(limit.0 + 1);
-    match timeout(time, bounded.read_to_end(&mut bytes)).await {
+    // A trailer that is not ASCII makes the library panic.
+    let read = AssertUnwindSafe(bounded.read_to_end(&mut bytes)).catch_unwind();
+    let read = async { read.await.unwrap_or_else(|_| Err(undecodable())) };
+    match timeout(time, read).await {
         None => Err(Refusal::not_run(Code::SlowSender, format!("the limit is {time}"))),
         Some(Err(error)) => Err(Refusal::not_run(Code::MalformedRequest, error.to_string())),
         Some(Ok(n)) if n as u64 > limit.0 => {
             Err(Refusal::not_run(Code::BodyTooLarge, format!("the limit is {limit}")))
         }
+        Some(Ok(n)) if announced.is_some_and(|length| length != n) => {
+            Err(Refusal::not_run(Code::MalformedRequest, "the body broke off"))
+        }
         Some(Ok(_)) => Ok(bytes),
     }
 }
--- a/crates/berylwheel-http/src/connection.rs
+++ b/crates/berylwheel-http/src/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection that counts the bytes it carried.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::pin::Pin;
@@ -94,7 +95,8 @@
         Pin::new(&mut &*self.stream).poll_flush(cx)
     }
 
-    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_close(cx)
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // `async-io` only flushes here, and the peer would not see the end before the drop.
+        Poll::Ready(self.stream.get_ref().shutdown(Shutdown::Write))
     }
 }
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod contain;
 mod event;
+mod inbound;
 mod problem;
 mod server;
 mod time;
--- a/crates/berylwheel-http/src/server.rs
+++ b/crates/berylwheel-http/src/server.rs
@@ -1,8 +1,9 @@
 //! The accepting side: one task a connection, bounded in number, head size and time.
 
 use std::future::Future;
-use std::io;
 use std::net::TcpListener;
+use std::panic::AssertUnwindSafe;
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -18,10 +19,13 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use futures_lite::io;
 use http_types::Request;
 use http_types::Response;
 
 use crate::Connection;
+use crate::inbound::Inbound;
+use crate::inbound::Stage;
 use crate::problem_body;
 use crate::timeout;
 
@@ -40,8 +44,8 @@
     }
 }
 
-/// Time to write the refusal of a request that could not be read.
-const REFUSAL_TIME: Millis = Millis(1_000);
+/// Time to write the refusal of a request that could not be read, and then to close.
+const CLOSE_TIME: Millis = Millis(1_000);
 
 /// Accepts connections until the listener fails, and answers each request with `handler`.
 ///
@@ -115,66 +119,96 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let answered = Arc::new(AtomicUsize::new(0));
-    let endpoint = {
-        let answered = answered.clone();
-        move |request: Request| {
-            answered.fetch_add(1, Ordering::Relaxed);
-            let response = handler(request);
-            async move { Ok(response.await) }
+    let inbound = Inbound::new(connection.clone());
+    let endpoint = |request: Request| {
+        inbound.enter(Stage::Handler);
+        let response = handler(request);
+        async {
+            let response = response.await;
+            inbound.enter(Stage::Answer);
+            Ok(response)
         }
     };
-    let mut server = Server::new(connection.clone(), endpoint);
+    let mut server = Server::new(inbound.clone(), endpoint);
     loop {
-        let read = connection.bytes_read();
-        let count = answered.load(Ordering::Relaxed);
+        inbound.begin();
         // The library's own limit on the head's time cannot be set.
         let expired = async {
             Timer::after(limits.head_time.duration()).await;
-            if answered.load(Ordering::Relaxed) != count {
+            if inbound.stage() != Stage::Head {
                 future::pending::<()>().await;
             }
             Ok(ConnectionStatus::Close)
         };
-        let status = server.accept_one().or(expired).await;
-        let reached_handler = answered.load(Ordering::Relaxed) != count;
-        match status {
-            Ok(ConnectionStatus::KeepAlive) => continue,
-            Ok(ConnectionStatus::Close) if reached_handler => return,
-            Ok(ConnectionStatus::Close) if connection.bytes_read() == read => return,
-            Ok(ConnectionStatus::Close) => {
-                let detail = format!("the head did not arrive within {}", limits.head_time);
-                refuse(connection, &Refusal::not_run(Code::SlowSender, detail)).await;
-                return;
-            }
-            Err(_) if reached_handler => return,
-            Err(error) => {
-                let detail = error.to_string();
-                let code = if detail.contains("8kb") || detail.contains("TooManyHeaders") {
-                    Code::HeadTooLarge
-                } else {
-                    Code::MalformedRequest
-                };
-                refuse(connection, &Refusal::not_run(code, detail)).await;
+        // The library panics on a header that is not ASCII.
+        let accepted = AssertUnwindSafe(server.accept_one().or(expired)).catch_unwind().await;
+        match (accepted, inbound.stage()) {
+            (Ok(Ok(ConnectionStatus::KeepAlive)), _) => (),
+            (Err(panic), Stage::Handler) => resume_unwind(panic),
+            (_, Stage::Handler | Stage::Answer) => return linger(connection).await,
+            (accepted, Stage::Head) => {
+                if let Some(refusal) = head_refusal(&inbound, &limits, accepted.ok()) {
+                    refuse(connection, &refusal).await;
+                }
                 return;
             }
         }
     }
 }
 
+/// Returns the refusal of a request whose head did not arrive whole and in time; `accepted` is
+/// `None` if the library panicked.
+fn head_refusal(
+    inbound: &Inbound,
+    limits: &ServerLimits,
+    accepted: Option<http_types::Result<ConnectionStatus>>,
+) -> Option<Refusal> {
+    let (code, detail) = match accepted {
+        Some(Ok(_)) if !inbound.has_head_bytes() => return None,
+        Some(Ok(_)) if inbound.is_ended() => {
+            (Code::MalformedRequest, "the head broke off".to_owned())
+        }
+        Some(Ok(_)) => {
+            let detail = format!("the head did not arrive within {}", limits.head_time);
+            (Code::SlowSender, detail)
+        }
+        Some(Err(error)) => {
+            let detail = error.to_string();
+            let over = inbound.is_head_over()
+                || ["8kb", "too many headers"].iter().any(|text| detail.contains(text));
+            (if over { Code::HeadTooLarge } else { Code::MalformedRequest }, detail)
+        }
+        None => (Code::MalformedRequest, "the head cannot be decoded".to_owned()),
+    };
+    Some(Refusal::not_run(code, detail))
+}
+
 /// Answers a request that `async-h1` could not decode, for which it sends no response of its own.
 async fn refuse(mut connection: Connection, refusal: &Refusal) {
     let body = problem_body(refusal, "").to_string();
+    let retry = refusal
+        .retry_after
+        .map(|span| format!("retry-after: {}\r\n", span.0.div_ceil(1_000)))
+        .unwrap_or_default();
     let response = format!(
         "HTTP/1.1 {} {}\r\ncontent-type: application/problem+json\r\ncontent-length: {}\r\n\
-         connection: close\r\n\r\n{body}",
+         {retry}connection: close\r\n\r\n{body}",
         refusal.code.status(),
         refusal.code.title(),
         body.len(),
     );
-    let _ = timeout(REFUSAL_TIME, async {
-        connection.write_all(response.as_bytes()).await?;
-        connection.close().await
+    let written = timeout(CLOSE_TIME, connection.write_all(response.as_bytes())).await;
+    if matches!(written, Some(Ok(()))) {
+        linger(connection).await;
+    }
+}
+
+/// Closes a connection so that the peer can read what was sent: the system drops it, sent bytes
+/// and all, if it is closed while bytes of the peer are unread.
+async fn linger(mut connection: Connection) {
+    let _ = timeout(CLOSE_TIME, async {
+        connection.close().await?;
+        io::copy(connection, io::sink()).await
     })
     .await;
 }
--- /dev/null
+++ b/crates/berylwheel-http/tests/server.rs
@@ -0,0 +1,263 @@
+//! The server: bad input gets its numbered refusal, and the server goes on.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Async;
+use berylwheel_http::ServerLimits;
+use berylwheel_http::channel_body;
+use berylwheel_http::problem_response;
+use berylwheel_http::read_body;
+use berylwheel_http::serve;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Millis;
+use futures_lite::future::block_on;
+use http_types::Request;
+use http_types::Response;
+
+const BODY_LIMIT: ByteSize = ByteSize(1_000);
+
+/// Longer than any test takes.
+const AMPLE: Millis = Millis(60_000);
+
+/// Over when a test wants the time to be over, and enough for a busy machine to send a line.
+const SHORT: Millis = Millis(200);
+
+/// A server that answers with the length of the body, on `/stream` with text without end, and on
+/// `/unread` before it has read the body.
+fn start(limits: ServerLimits, body_time: Millis) -> (SocketAddr, async_channel::Receiver<()>) {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let address = listener.get_ref().local_addr().expect("bound");
+    let executor = Arc::new(Executor::new());
+    let (left, callers_left) = async_channel::unbounded();
+    let tasks = executor.clone();
+    let handler = move |mut request: Request| {
+        let (left, tasks) = (left.clone(), tasks.clone());
+        async move {
+            let path = request.url().path().to_owned();
+            if path == "/unread" {
+                return Response::new(401);
+            }
+            let bytes = match read_body(request.take_body(), BODY_LIMIT, body_time).await {
+                Ok(bytes) => bytes,
+                Err(refusal) => return problem_response(&refusal, ""),
+            };
+            let mut response = Response::new(200);
+            response.set_body(bytes.len().to_string());
+            if path == "/stream" {
+                let (sender, body) = channel_body();
+                let endless = async move {
+                    while sender.send(Ok(b"more".repeat(1_000))).await.is_ok() {}
+                    left.send(()).await.expect("the test waits");
+                };
+                tasks.spawn(endless).detach();
+                response.set_body(body);
+            }
+            response
+        }
+    };
+    let serving = serve(listener, executor.clone(), limits, handler);
+    thread::spawn(move || block_on(executor.run(serving)));
+    (address, callers_left)
+}
+
+fn patient() -> SocketAddr {
+    start(ServerLimits { head_time: AMPLE, ..ServerLimits::default() }, AMPLE).0
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the server accepts");
+    stream.set_read_timeout(Some(Duration::from_secs(60))).expect("not zero");
+    stream
+}
+
+/// Returns status and code of the answer that follows, and checks that the connection then closes.
+fn refusal(stream: &mut TcpStream) -> (u16, u64) {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("a whole refusal, and then the end");
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    assert_eq!(body["ran"], "not-run", "{text}");
+    (status.unwrap_or(0), body["code"].as_u64().unwrap_or(0))
+}
+
+fn send(address: SocketAddr, input: &[u8]) -> TcpStream {
+    let mut stream = connect(address);
+    // The server may refuse and close before it has read all.
+    let _ = stream.write_all(input);
+    stream
+}
+
+fn assert_healthy(address: SocketAddr) {
+    let mut stream = send(address, b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nok");
+    let mut head = [0; 15];
+    stream.read_exact(&mut head).expect("the server goes on");
+    assert_eq!(&head, b"HTTP/1.1 200 OK");
+}
+
+/// Guards against heads that crash the server, or are refused without a number.
+#[test]
+fn malformed_heads_are_refused() {
+    let address = patient();
+    let cases: [&[u8]; 12] = [
+        b"nonsense\r\n\r\n",
+        b"\r\n\r\n\r\n",
+        b"\0\xff\xfe\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.0\r\nhost: h\r\n\r\n",
+        b"WHAT / HTTP/1.1\r\nhost: h\r\n\r\n",
+        b"GET nowhere HTTP/1.1\r\nhost: h\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: \xc3\xa9\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: h\r\nname: \xc3\xa9\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: h\r\nname: \xff\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+    ];
+    for case in cases {
+        let text = String::from_utf8_lossy(case);
+        assert_eq!(refusal(&mut send(address, case)), (400, 1101), "{text}");
+    }
+    let mut cut = send(address, b"GET / HTTP/1.1\r\nhost");
+    cut.shutdown(Shutdown::Write).expect("connected");
+    assert_eq!(refusal(&mut cut), (400, 1101), "cut short");
+    assert_healthy(address);
+}
+
+/// Guards against a head that fills the memory, be it of many lines or of one without end.
+#[test]
+fn heads_over_the_limit_are_refused() {
+    let address = patient();
+    let cases = [
+        format!("GET / HTTP/1.1\r\nhost: h\r\nlong: {}\r\n\r\n", "x".repeat(9_000)),
+        format!("GET / HTTP/1.1\r\nhost: h\r\n{}", "name: value\r\n".repeat(1_000)),
+        format!("GET / HTTP/1.1\r\nhost: h\r\n{}\r\n", "a: b\r\n".repeat(200)),
+        format!("GET /{}", "x".repeat(1 << 20)),
+    ];
+    for case in cases {
+        let start = case.get(..60).unwrap_or_default();
+        assert_eq!(refusal(&mut send(address, case.as_bytes())), (431, 1103), "{start}");
+    }
+    assert_healthy(address);
+}
+
+/// Guards against a body over the limit that is kept, or read to its end after its refusal.
+#[test]
+fn bodies_over_the_limit_are_refused() {
+    let address = patient();
+    let head = "POST / HTTP/1.1\r\nhost: h\r\n";
+    let cases = [
+        format!("{head}content-length: 1001\r\n\r\n"),
+        format!("{head}content-length: 18446744073709551615\r\n\r\n"),
+        format!("{head}content-length: 200000\r\n\r\n{}", "x".repeat(200_000)),
+        format!("{head}content-length: 1000000\r\n\r\n{}", "x".repeat(1_000_000)),
+        format!("{head}transfer-encoding: chunked\r\n\r\n3e9\r\n{}\r\n", "x".repeat(1_001)),
+    ];
+    for case in cases {
+        assert_eq!(refusal(&mut send(address, case.as_bytes())), (413, 1104));
+    }
+    assert_healthy(address);
+}
+
+/// Guards against a part of a body that is taken for the whole, and framing that crashes.
+#[test]
+fn bodies_that_break_off_are_refused() {
+    let address = patient();
+    let head = b"POST / HTTP/1.1\r\nhost: h\r\n".as_slice();
+    let cases: [&[u8]; 5] = [
+        b"content-length: 10\r\n\r\nthree",
+        b"transfer-encoding: chunked\r\n\r\n5\r\nthree\r\n",
+        b"transfer-encoding: chunked\r\n\r\n-5\r\nthree\r\n0\r\n\r\n",
+        b"transfer-encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+        b"transfer-encoding: chunked\r\n\r\n0\r\nname: \xc3\xa9\r\n\r\n",
+    ];
+    for case in cases {
+        let mut stream = send(address, &[head, case].concat());
+        stream.shutdown(Shutdown::Write).expect("connected");
+        let text = String::from_utf8_lossy(case);
+        assert_eq!(refusal(&mut stream), (400, 1101), "{text}");
+    }
+    assert_healthy(address);
+}
+
+/// Guards against slow senders that hold a connection, of a head or of a body.
+#[test]
+fn slow_senders_are_refused() {
+    let limits = ServerLimits { head_time: SHORT, ..ServerLimits::default() };
+    // The limit on the head must not end a request whose head has arrived.
+    let address = start(limits, Millis(2 * SHORT.0)).0;
+    assert_eq!(refusal(&mut send(address, b"GET / HTTP/1.1\r\nhost: ")), (408, 1105), "head");
+    for framing in ["content-length: 10\r\n\r\nthree", "transfer-encoding: chunked\r\n\r\n5\r\nt"] {
+        let request = format!("POST / HTTP/1.1\r\nhost: h\r\n{framing}");
+        assert_eq!(refusal(&mut send(address, request.as_bytes())), (408, 1105), "{framing}");
+    }
+}
+
+/// Guards against a caller that keeps a connection by a body that nobody wants.
+#[test]
+fn a_body_that_is_not_read_ends_the_connection_after_the_answer() {
+    let address = patient();
+    let request = b"POST /unread HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\nslow";
+    let mut text = String::new();
+    send(address, request).read_to_string(&mut text).expect("the answer, and then the end");
+    assert!(text.starts_with("HTTP/1.1 401"), "{text}");
+    // A body that has arrived does not cost the connection.
+    let whole = b"POST /unread HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nfast";
+    let mut stream = send(address, whole);
+    for _ in 0..2 {
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).expect("an answer");
+        assert_eq!(&head, b"HTTP/1.1 401");
+        let mut rest = Vec::new();
+        while !rest.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a head");
+            rest.push(byte[0]);
+        }
+        stream.write_all(whole).expect("still open");
+    }
+}
+
+/// Guards against a stream that is produced for ever after its reader has gone.
+#[test]
+fn a_caller_that_leaves_ends_its_stream() {
+    let (address, callers_left) = start(ServerLimits::default(), AMPLE);
+    let mut stream = send(address, b"GET /stream HTTP/1.1\r\nhost: h\r\n\r\n");
+    stream.read_exact(&mut [0; 1_000]).expect("the start of the stream");
+    drop(stream);
+    callers_left.recv_blocking().expect("the sender is told");
+    assert_healthy(address);
+}
+
+/// Guards against connections without bound, and a bound that outlasts the connections.
+#[test]
+fn connections_over_the_limit_are_refused_until_one_closes() {
+    let limits = ServerLimits { connections: 2, head_time: AMPLE };
+    let address = start(limits, AMPLE).0;
+    let request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let mut held: Vec<_> = (0..2).map(|_| send(address, request)).collect();
+    for stream in &mut held {
+        stream.read_exact(&mut [0; 15]).expect("an answer");
+    }
+    let mut text = String::new();
+    connect(address).read_to_string(&mut text).expect("a refusal");
+    assert!(text.starts_with("HTTP/1.1 429") && text.contains("\"code\":1311"), "{text}");
+    assert!(text.to_lowercase().contains("retry-after: 1\r\n"), "{text}");
+    drop(held);
+    // The server learns of the closed connections at its own time.
+    loop {
+        let mut head = [0; 12];
+        send(address, request).read_exact(&mut head).expect("an answer");
+        if &head == b"HTTP/1.1 200" {
+            break;
+        }
+    }
+}
