--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -3,7 +3,9 @@
 mod body;
 mod client;
 mod connection;
+mod contain;
 mod event;
+mod inbound;
 mod problem;
 mod server;
 mod time;
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -66,6 +66,7 @@
         address: "10.20.30.40:7400".parse().unwrap(),
         version: Some(Version(2_200)),
         draining: false,
+        suspect: false,
     };
     let share = |n: usize| ServedShare {
         workspace: format!("workspace-{n}").parse().unwrap(),
@@ -91,11 +92,17 @@
         heartbeat(8, 48),
         Message::ConfigVersion { version: Version(9) },
         Message::ConfigPull { version: Version(9), have: vec!["d1".into(), "d2".into()] },
-        Message::ConfigParts { root: vec![1, 2], parts: vec![("d1".into(), vec![3; 500])] },
+        Message::ConfigParts { root: vec![1, 2], parts: vec![(1, vec![3; 500])] },
         Message::Recall { budget: "w1/main".parse().unwrap() },
-        Message::Claim { id: 7, key, attempt: "a1".parse().unwrap() },
+        Message::Claim {
+            id: 7,
+            key,
+            attempt: "a1".parse().unwrap(),
+            owner: "r1@5".parse().unwrap(),
+            digest: 9,
+        },
         Message::ClaimAnswer { id: 7, answer: ClaimState::Running },
-        Message::ClaimEnd { key },
+        Message::ClaimEnd { key, attempt: "a1".parse().unwrap(), delivered: true },
         Message::Leaving { server: "e1".parse().unwrap() },
     ]
 }
