--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -60,10 +60,7 @@
     signals.next().await;
     log::info!("signal received, draining");
     running.drain();
-    let drained = async {
-        running.drained().await;
-        true
-    };
+    let drained = running.drained();
     let second = async {
         signals.next().await;
         false
@@ -73,6 +70,6 @@
         log::info!("drained, nothing left");
         return Ok(());
     }
-    log::error!(requests = running.active(); "second signal: stopped with requests in progress");
+    log::error!(requests = running.active(); "stopped with work left: second signal or drain limit");
     process::exit(1);
 }
--- a/crates/berylwheel-command/src/standin.rs
+++ b/crates/berylwheel-command/src/standin.rs
@@ -35,7 +35,13 @@
     };
     let engine = Command::new("engine")
         .about("A model engine")
-        .arg(Arg::new("model").long("model").default_value("m1"))
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .help("Models that it has loaded")
+                .default_value("m1")
+                .value_delimiter(','),
+        )
         .arg(Arg::new("slots").long("slots").default_value("64").value_parser(value_parser!(usize)))
         .arg(millis("first-token-ms"))
         .arg(millis("token-interval-ms"));
@@ -73,7 +79,7 @@
     let defaults = EngineOptions::default();
     EngineOptions {
         slots: args.get_one::<usize>("slots").copied().unwrap_or(defaults.slots),
-        models: args.get_one::<String>("model").cloned().into_iter().collect(),
+        models: args.get_many::<String>("model").unwrap_or_default().cloned().collect(),
         faults: EngineFaults {
             first_token_ms: number("first-token-ms"),
             token_interval_ms: number("token-interval-ms"),
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -193,7 +193,8 @@
             let limits = KindLimits {
                 queue: kind.queue as usize,
                 queue_bytes: kind.queue_bytes,
-                concurrency: kind.concurrency as usize,
+                // A request uses one connection.
+                concurrency: kind.concurrency.min(kind.connections) as usize,
             };
             self.scheduler.set_kind(kind.id.clone(), limits);
         }
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -33,7 +33,9 @@
 use crate::chat::EngineEvent;
 use crate::command::Admit;
 use crate::command::Start;
+use crate::memory::BodyBytes;
 use crate::ticket::Ticket;
+use crate::traffic::Body;
 use crate::traffic::Call;
 use crate::traffic::Traffic;
 use crate::traffic::kind_of_model;
@@ -55,6 +57,7 @@
     max_tokens: u64,
     deadline: Timestamp,
     end: Timestamp,
+    _memory: BodyBytes,
 }
 
 /// A stream whose first event has arrived.
@@ -85,7 +88,7 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.open()?;
         let call = self.call(&request, settings, id, arrived)?;
-        let bytes = self.body(&mut request, settings).await?;
+        let Body { bytes, memory } = self.body(&mut request, settings, &self.engine_memory).await?;
         let chat = ChatRequest::parse(&bytes)?;
         let kind = kind_of_model(settings, &call.workspace, &chat.model)?;
         let max_tokens = chat.max_tokens.unwrap_or(kind.max_tokens.0);
@@ -114,7 +117,7 @@
         };
         let (deadline, end) = (admit.deadline, arrived + settings.fleet().request_limit);
         let (ticket, start) = Ticket::admit(&self.events, admit).await?;
-        let job = Job { call, chat, kind, max_tokens, deadline, end };
+        let job = Job { call, chat, kind, max_tokens, deadline, end, _memory: memory };
         if job.chat.stream {
             return Box::pin(self.stream(job, ticket, start)).await;
         }
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -19,11 +19,13 @@
 use berylwheel_http::ActiveRequests;
 use berylwheel_http::Client;
 use berylwheel_http::ServerLimits;
+use berylwheel_http::timeout;
 use berylwheel_peer::PeerIdentity;
 use berylwheel_settings::RouterSettings;
 use berylwheel_store::HttpStore;
 use berylwheel_store::Store;
 use berylwheel_store::StoreOptions;
+use berylwheel_types::ByteSize;
 use berylwheel_types::Clock;
 use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
@@ -37,6 +39,7 @@
 use crate::effects::Effects;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::snapshot::Serving;
 use crate::snapshot::SharedSnapshot;
@@ -47,6 +50,12 @@
 const FLUSH_LIMIT: Millis = Millis(10_000);
 /// Interval at which the end of the last answers is looked for.
 const FLUSH_INTERVAL: Millis = Millis(10);
+/// Memory for the bodies of model work.
+const ENGINE_MEMORY: ByteSize = ByteSize(192 << 20);
+/// Memory for the bodies of plain services' calls.
+const SERVICE_MEMORY: ByteSize = ByteSize(64 << 20);
+/// Time that a drain may take before the settings are known.
+const DRAIN_LIMIT: Millis = Millis(600_000);
 /// Random bits below the start time in an incarnation's number.
 const RANDOM_BITS: u32 = 16;
 
@@ -64,6 +73,7 @@
     events: Sender<Event>,
     drained: Receiver<()>,
     active: ActiveRequests,
+    snapshot: SharedSnapshot,
     stop: Sender<()>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -122,12 +132,14 @@
         clock,
         client,
         events: events.clone(),
-        snapshot,
+        snapshot: snapshot.clone(),
         store,
         me: me.clone(),
         executor: traffic_executor.clone(),
         metrics,
         counter: Arc::new(AtomicU64::new(0)),
+        engine_memory: BodyMemory::new(ENGINE_MEMORY),
+        service_memory: BodyMemory::new(SERVICE_MEMORY),
     };
     let limits = ServerLimits::default();
     let accepting = traffic.listen(listener, limits, active.clone());
@@ -136,7 +148,7 @@
         threads.push(spawn_thread("traffic", traffic_executor.clone(), stopped.clone())?);
     }
     log::info!(router:% = me, listen:% = listen, admin:% = admin, peer:% = peer; "started");
-    Ok(Running { me, listen, admin, peer, events, drained, active, stop, threads })
+    Ok(Running { me, listen, admin, peer, events, drained, active, snapshot, stop, threads })
 }
 
 impl Running {
@@ -145,19 +157,21 @@
         let _ = self.events.try_send(Event::Drain);
     }
 
-    /// Waits until a graceful shutdown has ended and stops the threads.
-    pub async fn drained(&self) {
-        let _ = self.drained.recv().await;
+    /// Waits until a graceful shutdown has ended, at most for the drain limit of the settings, and
+    /// returns whether nothing was left.
+    pub async fn drained(&self) -> bool {
+        let settings = self.snapshot.load().settings.clone();
+        let limit = settings.map_or(DRAIN_LIMIT, |settings| settings.fleet().drain_limit);
+        if timeout(limit, self.drained.recv()).await.is_none() {
+            return false;
+        }
         // The end of an answer may still be on its way through the server's connection.
         let flushed = async {
             while self.active.count() > 0 {
                 Timer::after(FLUSH_INTERVAL.duration()).await;
             }
         };
-        let limit = async {
-            Timer::after(FLUSH_LIMIT.duration()).await;
-        };
-        flushed.or(limit).await;
+        timeout(FLUSH_LIMIT, flushed).await.is_some()
     }
 
     /// Returns the number of requests that have not been answered in full.
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -28,10 +28,12 @@
 use crate::command::Admit;
 use crate::command::Start;
 use crate::engine::digest;
+use crate::memory::BodyBytes;
 use crate::once::OnceStore;
 use crate::once::RecordError;
 use crate::once::done;
 use crate::ticket::Ticket;
+use crate::traffic::Body;
 use crate::traffic::Call;
 use crate::traffic::Traffic;
 
@@ -51,7 +53,6 @@
 const LOOKUP_TIME: Millis = Millis(2_000);
 
 /// A call to a plain service.
-#[derive(Clone)]
 pub struct ServiceCall {
     /// What the tasks of the call log.
     pub id: RequestId,
@@ -64,6 +65,7 @@
     body: Vec<u8>,
     deadline: Timestamp,
     end: Timestamp,
+    _memory: BodyBytes,
 }
 
 impl Traffic {
@@ -80,7 +82,8 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.open()?;
         let call = self.call(&request, settings, id, arrived)?;
-        let body = self.body(&mut request, settings).await?;
+        let Body { bytes: body, memory } =
+            self.body(&mut request, settings, &self.service_memory).await?;
         let (name, path) = split_path(&request);
         let unknown = || Refusal::not_run(Code::UnknownKind, name.to_owned());
         let kind = name.parse().ok().and_then(|kind| settings.kind_of(&call.workspace, &kind));
@@ -111,6 +114,7 @@
             body,
             deadline: admit.deadline,
             end: arrived + settings.fleet().request_limit,
+            _memory: memory,
             kind,
         };
         match outgoing.kind.repeat {
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/traffic.rs
@@ -35,6 +35,8 @@
 use serde_json::json;
 
 use crate::event::Event;
+use crate::memory::BodyBytes;
+use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::snapshot::SharedSnapshot;
 
@@ -62,6 +64,18 @@
     pub metrics: Metrics,
     /// Requests so far, for ids.
     pub counter: Arc<AtomicU64>,
+    /// Memory for the bodies of model work.
+    pub engine_memory: BodyMemory,
+    /// Memory for the bodies of plain services' calls.
+    pub service_memory: BodyMemory,
+}
+
+/// The body of a caller's request and the memory that it takes.
+pub struct Body {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Given back when the request has ended.
+    pub memory: BodyBytes,
 }
 
 /// A caller's request with what its headers say.
@@ -204,17 +218,21 @@
         Ok(Call { id, workspace, budget, key, arrived, patience })
     }
 
-    /// Reads the request's body within the bounds of `settings`.
+    /// Reads the request's body within the bounds of `settings`, into memory of `pool`.
     ///
     /// # Errors
-    /// A refusal for a body that is too large, too slow, or breaks off.
+    /// A refusal for a body that is too large, too slow, breaks off, or finds no memory.
     pub async fn body(
         &self,
         request: &mut Request,
         settings: &Settings,
-    ) -> Result<Vec<u8>, Refusal> {
+        pool: &BodyMemory,
+    ) -> Result<Body, Refusal> {
         let fleet = settings.fleet();
-        read_body(request.take_body(), fleet.body_limit, fleet.receive_time).await
+        let size = request.len().map_or(fleet.body_limit.0, |n| n as u64);
+        let memory = pool.take(size.min(fleet.body_limit.0))?;
+        let bytes = read_body(request.take_body(), fleet.body_limit, fleet.receive_time).await?;
+        Ok(Body { bytes, memory })
     }
 
     fn authenticate(&self, request: &Request) -> Result<(WorkspaceId, BudgetId), Refusal> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -172,11 +172,26 @@
     /// Starts a store, a VM list, engines, a booking service and routers, with one workspace `w`
     /// and `tokens` in its budget.
     pub fn start(name: &str, routers: usize, engine_args: &[&str], tokens: u64) -> Self {
+        Self::start_with(name, routers, engine_args, tokens, "", ["chat", "m1"])
+    }
+
+    /// As [`Fleet::start`], with more sections of settings and other kinds and models at the
+    /// engines.
+    pub fn start_with(
+        name: &str,
+        routers: usize,
+        engine_args: &[&str],
+        tokens: u64,
+        sections: &str,
+        [kinds, models]: [&str; 2],
+    ) -> Self {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = fs::remove_dir_all(&directory);
         fs::create_dir_all(&directory).expect("a directory for the test");
         let engines: Vec<Process> = (0..2)
-            .map(|_| Process::start(&[&["standin", "engine"], engine_args].concat()))
+            .map(|_| {
+                Process::start(&[&["standin", "engine", "--model", models], engine_args].concat())
+            })
             .collect();
         let mut fleet = Self {
             store: Process::start(&["standin", "store"]),
@@ -190,7 +205,7 @@
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         let out = fleet.directory.display().to_string();
         run_ok(&[&["certificates", "--out", &out][..], &names].concat());
-        fleet.configure();
+        fleet.configure(sections, kinds, models);
         for i in 0..routers {
             fleet.start_router(i);
         }
@@ -198,7 +213,7 @@
         fleet
     }
 
-    fn configure(&self) {
+    fn configure(&self, sections: &str, kinds: &str, models: &str) {
         let file = self.directory.join("fleet.ini");
         let mut text = format!(
             "[fleet]\nledger_pages = 4\n\
@@ -215,7 +230,7 @@
         for (i, engine) in self.engines.iter().enumerate() {
             let address = engine.address("listen");
             text += &format!(
-                "[server e{i}]\naddress = {address}\nkinds = chat\nmodels = m1\n\
+                "[server e{i}]\naddress = {address}\nkinds = {kinds}\nmodels = {models}\n\
                  concurrency = 200\ndomain = d{i}\n"
             );
         }
@@ -224,6 +239,7 @@
             "[server b0]\naddress = {address}\nkinds = booking, stock\nconcurrency = 100\n\
              domain = d0\n"
         );
+        text += sections;
         fs::write(&file, text).expect("the settings are written");
         let store = self.store.address("listen").to_string();
         run_ok(&["config", "init", "--store", &store, &file.display().to_string()]);
