Keep settled serial numbers as ranges, counted per budget

Cause: a row listed every request settled beside its oldest open one, so a request of several minutes would make the page grow with the rate of requests. Requests that used nothing were not listed, and a reclaim would have billed usage recorded for them. Ruled out: a limit on the list; a number that is dropped could be billed twice. Change: Serials holds ranges; a holder numbers the requests of each budget one after the other, so there are at most as many ranges as open requests. A request without use is settled too.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -1,7 +1,6 @@
 //! One budget on a ledger page.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use berylwheel_types::BillKey;
 use berylwheel_types::CreditId;
@@ -13,6 +12,7 @@
 use serde::Serialize;
 
 use crate::AuditEntry;
+use crate::Serials;
 use crate::keys;
 
 /// A retry under the same bill key is recognised for this long after the bill.
@@ -45,7 +45,7 @@
     /// Every request of the holder with a serial number below this is settled.
     pub serial: u64,
     /// Serial numbers at or above `serial` that are settled.
-    pub done: BTreeSet<u64>,
+    pub done: Serials,
 }
 
 impl Row {
@@ -56,7 +56,7 @@
 
     /// Returns whether the request with this serial number is settled.
     pub(crate) fn is_settled(&self, serial: u64) -> bool {
-        serial < self.serial || self.done.contains(&serial)
+        serial < self.serial || self.done.contains(serial)
     }
 }
 
@@ -191,7 +191,7 @@
     pub(crate) fn prune(&mut self, now: Timestamp) {
         self.rows.retain(|_, row| row.outstanding() > Tokens::ZERO);
         for row in self.rows.values_mut() {
-            row.done = row.done.split_off(&row.serial);
+            row.done.remove_below(row.serial);
         }
         let floor = self.rows.values().map(|row| row.floor).min();
         let since = self.rows.values().map(|row| row.since).min().unwrap_or(now).min(now);
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -16,7 +16,6 @@
 use super::action::HolderAction;
 use super::action::Reserve;
 use super::action::WriteResult;
-use super::grant::Admitted;
 use super::grant::Grant;
 use super::grant::Waiter;
 use super::pages::PageState;
@@ -52,7 +51,8 @@
     pub(super) live: usize,
     pub(super) pages: BTreeMap<PageId, PageState>,
     pub(super) requests: FastMap<RequestId, (PageId, BudgetId)>,
-    pub(super) serial: u64,
+    /// The first serial number of a new grant, past those of grants that were dropped.
+    pub(super) first_serial: u64,
     /// Sum of `PageState::size`.
     pub(super) page_bytes: u64,
     pub(super) draining: bool,
@@ -69,7 +69,7 @@
             live: 1,
             pages: BTreeMap::new(),
             requests: FastMap::default(),
-            serial: 0,
+            first_serial: 0,
             page_bytes: 0,
             draining: false,
             ready: Vec::new(),
@@ -97,12 +97,11 @@
         let id = page_of(&ask.budget, self.policy.pages);
         self.requests.insert(ask.request.clone(), (id, ask.budget.clone()));
         let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
-        let grant = page.grants.entry(ask.budget).or_insert_with(|| Grant::new(now));
+        let grant =
+            page.grants.entry(ask.budget).or_insert_with(|| Grant::new(now, self.first_serial));
         grant.note_amount(now, ask.amount);
         if ask.amount <= grant.free() {
-            self.serial += 1;
-            let admitted = Admitted { serial: self.serial, version: page.version, at: now };
-            grant.admit(ask.request.clone(), ask.amount, ask.key, admitted);
+            grant.admit(ask.request.clone(), ask.amount, ask.key, page.version, now);
             self.ready.push(HolderAction::Reserved(ask.request));
             return;
         }
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -57,6 +57,8 @@
 
 #[derive(Debug)]
 pub(crate) struct Grant {
+    /// The serial number of the next request.
+    pub(crate) next_serial: u64,
     /// The row's outstanding tokens as of the last page seen.
     pub(crate) held: Tokens,
     /// Tokens of a return that is being written. They may be gone already, so they are not free.
@@ -81,8 +83,9 @@
 }
 
 impl Grant {
-    pub(crate) fn new(now: Timestamp) -> Self {
+    pub(crate) fn new(now: Timestamp, next_serial: u64) -> Self {
         Self {
+            next_serial,
             held: Tokens::ZERO,
             leaving: Tokens::ZERO,
             reserved: Tokens::ZERO,
@@ -126,8 +129,11 @@
         request: RequestId,
         amount: Tokens,
         key: Option<BillKey>,
-        admitted: Admitted,
+        version: u64,
+        at: Timestamp,
     ) {
+        let admitted = Admitted { serial: self.next_serial, version, at };
+        self.next_serial += 1;
         self.reserved += amount;
         self.reservations.insert(request, Reservation { admitted, amount, key });
     }
@@ -140,11 +146,11 @@
         let Reservation { admitted, amount, key } = reservation;
         let used = used.min(amount);
         self.reserved -= amount;
-        if used > Tokens::ZERO {
-            self.unsettled += used;
-            let bill = Bill { serial: admitted.serial, key, used };
-            self.spent.push(Spent { admitted, bill });
-        }
+        // A request that used nothing is settled as well: an engine may have recorded usage that
+        // was not delivered, which a reclaim must not bill.
+        self.unsettled += used;
+        let bill = Bill { serial: admitted.serial, key, used };
+        self.spent.push(Spent { admitted, bill });
         self.rate.add(now, used);
         self.used_at = now;
     }
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -12,7 +12,6 @@
 
 use super::action::HolderAction;
 use super::core::Holder;
-use super::grant::Admitted;
 use super::grant::Grant;
 use super::grant::RecallRound;
 use super::grant::Waiter;
@@ -134,10 +133,12 @@
             return;
         };
         let mut refused = Vec::new();
+        let first_serial = &mut self.first_serial;
         page.grants.retain(|budget, grant| {
             if content.account(budget).is_some() {
                 return true;
             }
+            *first_serial = grant.next_serial.max(*first_serial);
             for waiter in std::mem::take(&mut grant.waiters) {
                 refused.push((waiter.request, format!("no budget {budget}")));
             }
@@ -162,10 +163,9 @@
                     waiting.push_back(waiter);
                     continue;
                 }
-                self.serial += 1;
-                let admitted = Admitted { serial: self.serial, version: page.version, at: now };
-                grant.admit(waiter.request.clone(), waiter.amount, waiter.key, admitted);
-                self.ready.push(HolderAction::Reserved(waiter.request));
+                let Waiter { request, amount, key, .. } = waiter;
+                grant.admit(request.clone(), amount, key, page.version, now);
+                self.ready.push(HolderAction::Reserved(request));
             }
             grant.waiters = waiting;
         }
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -183,7 +183,7 @@
                 row.hourly = grant.rate.over(now, HOUR);
                 row.floor = open.iter().map(|a| a.version).min().unwrap_or(version);
                 row.since = open.iter().map(|a| a.at).min().unwrap_or(now);
-                row.serial = open.iter().map(|a| a.serial).min().unwrap_or(self.serial + 1);
+                row.serial = open.iter().map(|a| a.serial).min().unwrap_or(grant.next_serial);
             }
             account.prune(now);
             if change.is_some() {
@@ -194,7 +194,11 @@
             }
         }
         let idle_after = self.policy.idle_after;
-        page.grants.retain(|_, grant| !grant.is_empty() || now < grant.used_at + idle_after);
+        let first_serial = &mut self.first_serial;
+        page.grants.retain(|_, grant| {
+            *first_serial = grant.next_serial.max(*first_serial);
+            !grant.is_empty() || now < grant.used_at + idle_after
+        });
         page.dirty = None;
         if changed {
             page.sequence = sequence;
--- a/crates/berylwheel-budget/src/lib.rs
+++ b/crates/berylwheel-budget/src/lib.rs
@@ -12,6 +12,7 @@
 mod policy;
 mod rate;
 mod reclaim;
+mod serials;
 mod tag;
 
 pub use account::Account;
@@ -39,4 +40,5 @@
 pub use policy::HolderPolicy;
 pub use reclaim::Reclaimed;
 pub use reclaim::UsageRecord;
+pub use serials::Serials;
 pub use tag::UsageTag;
--- a/crates/berylwheel-budget/tests/histories/model.rs
+++ b/crates/berylwheel-budget/tests/histories/model.rs
@@ -52,7 +52,7 @@
 
 fn is_settled(account: &Account, attempt: &Attempt) -> bool {
     match (account.rows.get(&attempt.holder), attempt.tag) {
-        (Some(row), Some(tag)) => tag.serial < row.serial || row.done.contains(&tag.serial),
+        (Some(row), Some(tag)) => tag.serial < row.serial || row.done.contains(tag.serial),
         (Some(_), None) => false,
         (None, _) => true,
     }
--- a/crates/berylwheel-budget/tests/histories/world.rs
+++ b/crates/berylwheel-budget/tests/histories/world.rs
@@ -154,6 +154,9 @@
         for (revision, page) in self.store.values_mut() {
             let old = page.clone();
             page.reclaim(dead, &usage, "r0", self.now);
+            if *page == old {
+                continue;
+            }
             self.revision += 1;
             *revision = self.revision;
             self.faults.extend(self.model.follow(&old, page, dead));
--- a/crates/berylwheel-budget/tests/operate.rs
+++ b/crates/berylwheel-budget/tests/operate.rs
@@ -65,20 +65,21 @@
 }
 
 /// Guards against a request that two engines recorded being billed as the smaller part, or twice,
-/// and against a bill for what was settled before the crash.
+/// and against a bill for what was settled before the crash, with or without use.
 #[test]
 fn reclaim_bills_the_largest_record_once() {
     let (mut ledger, mut holder) = (Ledger::new(1_000), holder("r1@1", 1));
-    for request in ["q1", "q2"] {
+    for request in ["q1", "q2", "q3"] {
         holder.reserve(at(0), ask(request, 100, None));
         ledger.serve(at(0), &mut holder);
     }
     let tag = |name: &str| holder.tag(&name.parse().expect("request")).expect("tag");
-    let (first, second) = (tag("q1"), tag("q2"));
+    let (first, second, third) = (tag("q1"), tag("q2"), tag("q3"));
     holder.settle(at(10), &"q2".parse().expect("request"), Tokens(7));
+    holder.release(at(10), &"q3".parse().expect("request"));
     ledger.serve(at(5_000), &mut holder);
     let record = |tag: UsageTag, used| UsageRecord { tag, used: Tokens(used) };
-    let usage = [record(first, 5), record(first, 20), record(second, 7)];
+    let usage = [record(first, 5), record(first, 20), record(second, 7), record(third, 9)];
     let me = "r1@1".parse().expect("incarnation");
     let reclaimed = ledger.page.reclaim(&me, &usage, "r2", at(6_000));
     assert_eq!(reclaimed.billed, Tokens(20));
--- /dev/null
+++ b/crates/berylwheel-budget/tests/serials.rs
@@ -0,0 +1,38 @@
+//! The set of settled serial numbers.
+
+use std::collections::BTreeSet;
+
+use berylwheel_budget::Serials;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+
+/// Guards against a settled request that a merge of ranges forgets, or an open one that it covers.
+#[test]
+fn serials_agree_with_a_plain_set() {
+    const SEED: u64 = 1;
+    println!("seed {SEED}");
+    let config =
+        Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() };
+    let steps = vec((any::<bool>(), 0..40u64), 1..120);
+    let outcome = TestRunner::new(config).run(&steps, |steps| {
+        let (mut serials, mut plain) = (Serials::default(), BTreeSet::new());
+        for (n, (raise, serial)) in steps.into_iter().enumerate() {
+            if raise && n % 10 == 0 {
+                serials.remove_below(serial);
+                plain = plain.split_off(&serial);
+            } else {
+                serials.insert(serial);
+                plain.insert(serial);
+            }
+            let found: BTreeSet<u64> = (0..41).filter(|serial| serials.contains(*serial)).collect();
+            prop_assert_eq!(&found, &plain);
+            let starts = plain.iter().filter(|s| **s == 0 || !plain.contains(&(**s - 1))).count();
+            prop_assert_eq!(serials.ranges(), starts);
+        }
+        Ok(())
+    });
+    outcome.unwrap_or_else(|error| panic!("seed {SEED}: {error}"));
+}
