--- a/crates/berylwheel-settings/src/raw.rs
+++ b/crates/berylwheel-settings/src/raw.rs
@@ -1,9 +1,7 @@
 //! The text of a file, before its keys and values are checked.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
-use berylwheel_types::FastMap;
 use ini::Ini;
 use ini::ParseOption;
 
@@ -59,21 +57,6 @@
     }
 }
 
-/// The lines on which each section and key stands, in the order of the file.
-#[derive(Default)]
-struct Lines(FastMap<(String, String), VecDeque<usize>>);
-
-impl Lines {
-    fn add(&mut self, section: &str, key: &str, line: usize) {
-        self.0.entry((section.to_owned(), key.to_owned())).or_default().push_back(line);
-    }
-
-    fn take(&mut self, section: &str, key: &str) -> usize {
-        let lines = self.0.get_mut(&(section.to_owned(), key.to_owned()));
-        lines.and_then(VecDeque::pop_front).unwrap_or(0)
-    }
-}
-
 /// Reads the sections of `text`, and everything that is wrong with its form.
 pub(crate) fn read(file: &str, text: &str) -> (Tree, Vec<SettingError>) {
     let mut tree = Tree { file: file.to_owned(), ..Tree::default() };
@@ -87,7 +70,10 @@
         expected: expected.to_owned(),
         suggestion: None,
     };
-    let (clean, mut lines, bad) = scan(text);
+    let (clean, lines, bad) = scan(text);
+    // The parser keeps sections and keys in the order of the file.
+    let mut lines = lines.into_iter();
+    let mut next_line = || lines.next().unwrap_or(0);
     for (line, content) in bad {
         let expected = "[SECTION], KEY = VALUE or a comment line, without control characters";
         errors.push(error(line, "", "", format!("line `{content}`"), expected));
@@ -108,12 +94,12 @@
     for (section, properties) in &ini {
         let Some(text) = section else {
             for (key, _) in properties.iter() {
-                let line = lines.take("", key);
+                let line = next_line();
                 errors.push(error(line, "", key, "key outside a section".into(), "a [SECTION]"));
             }
             continue;
         };
-        let line = lines.take(text, "");
+        let line = next_line();
         let name = match text.parse::<SectionName>() {
             Ok(name) => name,
             Err(e) => {
@@ -121,9 +107,8 @@
                 let suggestion = crate::check::suggest_section(text);
                 errors
                     .push(SettingError { suggestion, ..error(line, text, "", found, e.expected) });
-                // Uses up the lines of the section, in case a section of that name follows.
-                for (key, _) in properties.iter() {
-                    lines.take(text, key);
+                for _ in properties.iter() {
+                    next_line();
                 }
                 continue;
             }
@@ -132,9 +117,10 @@
             let found = format!("second section of this name, the first is on line {}", first.line);
             errors.push(error(line, text, "", found, "one section of a name"));
         }
-        let place = tree.sections.entry(name).or_insert(Section { line, ..Section::default() });
+        let empty = Section { line, ..Section::default() };
+        let place = tree.sections.entry(name).or_insert(empty);
         for (key, value) in properties.iter() {
-            let line = lines.take(text, key);
+            let line = next_line();
             if let Some(first) = place.entries.get(key) {
                 let found = format!("second value, the first is on line {}", first.line);
                 errors.push(error(line, text, key, found, "one value of a key"));
@@ -146,28 +132,25 @@
     (tree, errors)
 }
 
-/// Returns `text` without comments and malformed lines, the lines of its sections and keys, and the
-/// malformed lines.
+/// Returns `text` without comments and malformed lines, the line of each section and key in their
+/// order, and the malformed lines.
 ///
 /// The parser stops at the first malformed line, gives no line numbers, and lets a key or a value
 /// run over the end of its line.
-fn scan(text: &str) -> (String, Lines, Vec<(usize, String)>) {
-    let mut clean = String::new();
-    let mut lines = Lines::default();
+fn scan(text: &str) -> (String, Vec<usize>, Vec<(usize, String)>) {
+    let mut clean = String::with_capacity(text.len() + 1);
+    let mut lines = Vec::new();
     let mut bad = Vec::new();
-    let mut section = "";
     for (line, content) in text.lines().enumerate().map(|(i, l)| (i + 1, l.trim())) {
-        if !content.is_empty() && !content.starts_with([';', '#']) {
-            if is_malformed(content) {
-                bad.push((line, content.chars().filter(|c| !c.is_control()).take(60).collect()));
-            } else if let Some(name) = section_of(content) {
-                section = name;
-                lines.add(section, "", line);
-                clean.push_str(content);
-            } else if let Some((key, _)) = content.split_once('=') {
-                lines.add(section, key.trim(), line);
-                clean.push_str(content);
-            }
+        if content.is_empty() || content.starts_with([';', '#']) {
+            clean.push('\n');
+            continue;
+        }
+        if is_malformed(content) {
+            bad.push((line, content.chars().filter(|c| !c.is_control()).take(60).collect()));
+        } else {
+            lines.push(line);
+            clean.push_str(content);
         }
         clean.push('\n');
     }
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -27,60 +27,81 @@
 use crate::ServerSettings;
 use crate::SettingError;
 use crate::WorkspaceSettings;
+use crate::raw::Section;
 use crate::raw::Tree;
 use crate::schema;
 use crate::value;
 
 pub(crate) type Read<T> = Result<T, Box<SettingError>>;
 
-/// The sections that a value is looked up in, the most specific first.
-pub(crate) type Chain = Vec<SectionName>;
+/// The sections that a value is looked up in, the most specific first, as far as they exist.
+pub(crate) struct Chain<'a>(Vec<(SectionName, Option<&'a Section>)>);
 
-/// Returns the sections that `kind` of `workspace` inherits from.
-pub(crate) fn kind_chain(workspace: Option<&WorkspaceId>, kind: &KindId) -> Chain {
-    let own = workspace.map(|id| {
-        [SectionName::WorkspaceKind(id.clone(), kind.clone()), SectionName::Workspace(id.clone())]
-    });
-    let shared = [SectionName::Kind(kind.clone()), SectionName::Fleet];
-    own.into_iter().flatten().chain(shared).collect()
-}
+impl<'a> Chain<'a> {
+    pub fn new(tree: &'a Tree, names: Vec<SectionName>) -> Self {
+        Self(names.into_iter().map(|name| (name.clone(), tree.sections.get(&name))).collect())
+    }
 
-/// Returns the value of `key` and where it comes from.
-pub(crate) fn lookup<'a>(tree: &'a Tree, chain: &Chain, key: &str) -> Option<(&'a str, Origin)> {
-    let specs = || chain.iter().filter_map(|name| Some((name, schema::find(name.level(), key)?)));
-    // A key may mean something else at a level further up, such as `connections` of `[fleet]`.
-    let home = specs().next()?.1;
-    for (name, _) in specs().filter(|(_, spec)| std::ptr::eq(*spec, home)) {
-        if let Some(text) = tree.get(name, key) {
-            return Some((text, Origin::Section(name.clone())));
-        }
+    /// Returns the sections that `kind` of `workspace` inherits from.
+    pub fn of_kind(tree: &'a Tree, workspace: Option<&WorkspaceId>, kind: &KindId) -> Self {
+        let own = workspace.map(|id| {
+            [
+                SectionName::WorkspaceKind(id.clone(), kind.clone()),
+                SectionName::Workspace(id.clone()),
+            ]
+        });
+        let shared = [SectionName::Kind(kind.clone()), SectionName::Fleet];
+        Self::new(tree, own.into_iter().flatten().chain(shared).collect())
     }
-    let engine = |name| tree.get(name, "service") == Some("engine");
-    match home.required {
-        _ if home.key == "repeat" && chain.iter().any(engine) => {
-            Some((schema::ENGINE_REPEAT, Origin::Default))
+
+    /// Returns the value of `key` and where it comes from; `None` if it has none.
+    pub fn lookup(&self, key: &str) -> Option<(&'a str, Origin)> {
+        let specs = self
+            .0
+            .iter()
+            .filter_map(|(name, section)| Some((name, *section, schema::find(name.level(), key)?)));
+        let mut home = None;
+        for (name, section, spec) in specs {
+            // A key may mean something else further up, such as `connections` of `[fleet]`.
+            if !std::ptr::eq(*home.get_or_insert(spec), spec) {
+                continue;
+            }
+            if let Some(entry) = section.and_then(|section| section.entries.get(key)) {
+                return Some((&entry.value, Origin::Section(name.clone())));
+            }
         }
-        Required::Default(text) => Some((text, Origin::Default)),
-        Required::Yes | Required::No => None,
+        let home = home?;
+        if home.key == "repeat" && self.is_engine() {
+            return Some((schema::ENGINE_REPEAT, Origin::Default));
+        }
+        match home.required {
+            Required::Default(text) => Some((text, Origin::Default)),
+            Required::Yes | Required::No => None,
+        }
+    }
+
+    fn is_engine(&self) -> bool {
+        let service = |s: &Section| s.entries.get("service").is_some_and(|e| e.value == "engine");
+        self.0.iter().any(|(_, section)| section.is_some_and(service))
     }
 }
 
 struct Reader<'a> {
     tree: &'a Tree,
-    chain: Chain,
+    chain: Chain<'a>,
 }
 
 impl<'a> Reader<'a> {
     fn new(tree: &'a Tree, name: &SectionName) -> Self {
-        Self { tree, chain: vec![name.clone()] }
+        Self { tree, chain: Chain::new(tree, vec![name.clone()]) }
     }
 
     fn error(&self, key: &str, found: &str, expected: &dyn Display) -> Box<SettingError> {
-        Box::new(self.tree.error(&self.chain[0], key, found, expected.to_string()))
+        Box::new(self.tree.error(&self.chain.0[0].0, key, found, expected.to_string()))
     }
 
     fn text(&self, key: &str) -> Read<&'a str> {
-        let found = lookup(self.tree, &self.chain, key).map(|(text, _)| text);
+        let found = self.chain.lookup(key).map(|(text, _)| text);
         found.ok_or_else(|| self.error(key, "missing", &"a value"))
     }
 
@@ -90,7 +111,7 @@
     }
 
     fn optional<T: FromStr<Err: Display>>(&self, key: &str) -> Read<Option<T>> {
-        match lookup(self.tree, &self.chain, key) {
+        match self.chain.lookup(key) {
             Some(_) => self.get(key).map(Some),
             None => Ok(None),
         }
@@ -184,7 +205,7 @@
     workspace: Option<&WorkspaceId>,
     kind: &KindId,
 ) -> Read<KindSettings> {
-    let reader = Reader { tree, chain: kind_chain(workspace, kind) };
+    let reader = Reader { tree, chain: Chain::of_kind(tree, workspace, kind) };
     Ok(KindSettings {
         id: kind.clone(),
         service: reader.get("service")?,
@@ -218,7 +239,7 @@
     let reader = Reader::new(tree, &name);
     let budget = reader.text("budget")?;
     let mut keys = Vec::new();
-    for (key, entry) in tree.sections.get(&name).into_iter().flat_map(|s| &s.entries) {
+    for (key, entry) in reader.chain.0[0].1.into_iter().flat_map(|s| &s.entries) {
         let Some(caller) = key.strip_prefix(schema::CALLER_KEY) else {
             continue;
         };
--- a/crates/berylwheel-settings/src/reference.rs
+++ b/crates/berylwheel-settings/src/reference.rs
@@ -10,7 +10,7 @@
 use crate::SettingError;
 use crate::check::suggest;
 use crate::raw::Tree;
-use crate::read;
+use crate::read::Chain;
 use crate::schema;
 use crate::value;
 
@@ -187,9 +187,8 @@
 
 /// A request that is allowed to start must be able to end before a planned stop cuts it.
 fn limits(tree: &Tree, errors: &mut Vec<SettingError>) {
-    let span = |key| -> Option<Millis> {
-        read::lookup(tree, &vec![SectionName::Fleet], key)?.0.parse().ok()
-    };
+    let fleet = Chain::new(tree, vec![SectionName::Fleet]);
+    let span = |key| -> Option<Millis> { fleet.lookup(key)?.0.parse().ok() };
     let Some(request) = span("request_limit") else {
         return;
     };
@@ -209,8 +208,9 @@
         let found = format!("found `{request}`");
         errors.push(tree.error(&SectionName::Fleet, "request_limit", found, expected));
     }
-    for name in tree.sections.keys() {
-        let deadline = tree.get(name, "deadline").and_then(|text| text.parse::<Millis>().ok());
+    for (name, section) in &tree.sections {
+        let deadline = section.entries.get("deadline");
+        let deadline = deadline.and_then(|entry| entry.value.parse::<Millis>().ok());
         if let Some(deadline) = deadline.filter(|deadline| *deadline > request) {
             let expected = format!("at most the request_limit, {request}");
             errors.push(tree.error(name, "deadline", format!("found `{deadline}`"), expected));
--- a/crates/berylwheel-settings/src/settings.rs
+++ b/crates/berylwheel-settings/src/settings.rs
@@ -27,6 +27,7 @@
 use crate::raw::Section;
 use crate::raw::Tree;
 use crate::read;
+use crate::read::Chain;
 use crate::read::Read;
 use crate::reference;
 use crate::schema;
@@ -197,9 +198,18 @@
             SectionName::WorkspaceKind(..) => {}
         }
     }
-    let mut overrides = FastMap::default();
-    for workspace in &workspaces {
-        overrides.insert(workspace.id.clone(), own_kinds(&tree, &workspace.id, &kinds)?);
+    let mut overrides: FastMap<WorkspaceId, Option<Vec<KindSettings>>> =
+        workspaces.iter().map(|workspace| (workspace.id.clone(), None)).collect();
+    for (name, section) in &tree.sections {
+        let id = match name {
+            SectionName::Workspace(id) if section.entries.keys().any(|k| is_inherited(k)) => id,
+            SectionName::WorkspaceKind(id, _) => id,
+            _ => continue,
+        };
+        if let Some(own @ None) = overrides.get_mut(id) {
+            let view = kinds.iter().map(|kind| read::kind(&tree, Some(id), &kind.id));
+            *own = Some(view.collect::<Read<Vec<_>>>()?);
+        }
     }
     let [urgent, normal, batch] = Rank::ALL;
     Ok(Model {
@@ -215,39 +225,23 @@
     })
 }
 
-fn own_kinds(
-    tree: &Tree,
-    workspace: &WorkspaceId,
-    kinds: &[KindSettings],
-) -> Read<Option<Vec<KindSettings>>> {
-    let name = SectionName::Workspace(workspace.clone());
-    let inherits = |key: &String| {
-        schema::find(Level::Workspace, key).is_some_and(|spec| spec.levels.contains(&Level::Kind))
-    };
-    let whole = tree.sections.get(&name).is_some_and(|s| s.entries.keys().any(inherits));
-    let own = |kind: &KindSettings| {
-        let name = SectionName::WorkspaceKind(workspace.clone(), kind.id.clone());
-        tree.sections.contains_key(&name)
-    };
-    if !whole && !kinds.iter().any(own) {
-        return Ok(None);
-    }
-    let view = kinds.iter().map(|kind| read::kind(tree, Some(workspace), &kind.id));
-    view.collect::<Read<Vec<_>>>().map(Some)
+/// Returns whether `key` in a workspace's section overrides a key of a kind.
+fn is_inherited(key: &str) -> bool {
+    schema::find(Level::Workspace, key).is_some_and(|spec| spec.levels.contains(&Level::Kind))
 }
 
 /// Returns the values in force for the section `path`.
 fn effective(tree: &Tree, path: &SectionName) -> Vec<Effective> {
     let chain = match path {
-        SectionName::Kind(kind) => read::kind_chain(None, kind),
-        SectionName::WorkspaceKind(workspace, kind) => read::kind_chain(Some(workspace), kind),
-        _ => vec![path.clone()],
+        SectionName::Kind(kind) => Chain::of_kind(tree, None, kind),
+        SectionName::WorkspaceKind(workspace, kind) => Chain::of_kind(tree, Some(workspace), kind),
+        _ => Chain::new(tree, vec![path.clone()]),
     };
     let value = |key: &str| match path {
         SectionName::Rank(rank) if tree.get(path, key).is_none() => {
             Some((schema::rank_default(*rank, key), Origin::Default))
         }
-        _ => read::lookup(tree, &chain, key),
+        _ => chain.lookup(key),
     };
     let mut keys: Vec<&str> = schema::at(path.level()).map(|spec| spec.key).collect();
     if matches!(path, SectionName::Workspace(_)) {
--- a/crates/berylwheel-settings/tests/errors.rs
+++ b/crates/berylwheel-settings/tests/errors.rs
@@ -26,6 +26,9 @@
 [fleet]
 queue = 9
 garbage
+[rank urgent]
+[fleet]
+quue = 1
 [knid chat]
 models = a
 [kind chat]
@@ -42,8 +45,10 @@
             fleet.ini:7: [fleet]: second section of this name, the first is on line 2, expected one section of a name
             fleet.ini:8: [fleet] queue: second value, the first is on line 3, expected one value of a key
             fleet.ini:9: line `garbage`, expected [SECTION], KEY = VALUE or a comment line, without control characters
-            fleet.ini:10: [knid chat]: no such section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, server NAME or operator NAME; did you mean `kind chat`?
-            fleet.ini:13: [kind chat] service: found `motor`, expected engine or plain
+            fleet.ini:11: [fleet]: second section of this name, the first is on line 2, expected one section of a name
+            fleet.ini:12: [fleet] quue: unknown key, expected a key of [fleet]; did you mean `queue`?
+            fleet.ini:13: [knid chat]: no such section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, server NAME or operator NAME; did you mean `kind chat`?
+            fleet.ini:16: [kind chat] service: found `motor`, expected engine or plain
         "#]],
     );
 }
--- a/crates/berylwheel-settings/tests/example.rs
+++ b/crates/berylwheel-settings/tests/example.rs
@@ -1,9 +1,34 @@
-//! Guards against an example file that operators copy and that is refused.
+//! Guards against an example file that operators copy and that is refused, and against a page that
+//! lacks keys.
 
+use berylwheel_settings::KEYS;
+use berylwheel_settings::Required;
 use berylwheel_settings::Settings;
 
 const EXAMPLE: &str = include_str!("../../../docs/settings-example.ini");
 
+const PAGE: &str = include_str!("../../../docs/operators/configuration.md");
+
+#[test]
+fn the_page_for_operators_lists_every_key() {
+    for spec in KEYS {
+        let default = match spec.required {
+            Required::Default("") | Required::No => String::new(),
+            Required::Default(text) => format!("`{text}`"),
+            Required::Yes => "required".to_owned(),
+        };
+        let start = format!("| `{}` |", spec.key);
+        let listed = PAGE.lines().any(|line| line.starts_with(&start) && line.contains(&default));
+        assert!(listed, "{} with default {default:?} is not on the page", spec.key);
+    }
+    // Rows of sections and commands start in the same way.
+    let is_key = |line: &&str| {
+        line.starts_with("| `") && !line.starts_with("| `[") && !line.contains("berylwheel config")
+    };
+    let rows = PAGE.lines().filter(is_key).count();
+    assert_eq!(rows, KEYS.len(), "the page lists keys that do not exist");
+}
+
 #[test]
 fn example_configuration_is_valid() {
     let settings = Settings::parse("settings-example.ini", EXAMPLE)
