Measure the target size before the large fleets

Cause: apply_s.target was measured in a process whose memory 340 routers had used before. Ruled out: a process of its own, which would need a further benchmark target. Change: the figure comes first.

--- a/benches/control/main.rs
+++ b/benches/control/main.rs
@@ -18,6 +18,7 @@
 use figure::percentile;
 use figure::print;
 use work::SEED;
+use work::TargetSize;
 use work::faulty_changes;
 use work::first;
 use work::next;
@@ -33,8 +34,11 @@
     if !std::env::args().any(|arg| arg == "--bench") {
         return;
     }
+    let one = target_size();
+    print("apply_s.target", one.apply, "s", None, None);
+    print("part_bytes.target", one.part, "B", None, Some(20_000.0));
     for count in [3, 9, 27, TARGET_ROUTERS] {
-        fleet(count);
+        fleet(count, &one);
     }
     let (changes, reverts) = faulty_changes(9, 1_000);
     print("changes", changes as f64, "1", None, Some(1_000.0));
@@ -42,7 +46,7 @@
 }
 
 /// Prints the figures of a fleet of `count` routers without faults.
-fn fleet(count: usize) {
+fn fleet(count: usize, one: &TargetSize) {
     let large = count == TARGET_ROUTERS;
     let mut fleet = Fleet::new(count, SEED);
     fleet.net.size = |message| postcard::to_stdvec(message).map_or(0, |bytes| bytes.len());
@@ -75,7 +79,7 @@
     };
     let name = |figure: &str| format!("{figure}.{count}");
     print(&name("in_force_s.p99"), percentile(&mut times, 0.99), "s", Some(baseline), target);
-    costs(&mut fleet, count);
+    costs(&mut fleet, count, one);
     noticed(&mut fleet, count);
     if let Some(text) = fleet.violations.first() {
         eprintln!("{count} routers: {text}");
@@ -83,7 +87,7 @@
 }
 
 /// Prints what the control work costs one router in a time with the target's rate of changes.
-fn costs(fleet: &mut Fleet, count: usize) {
+fn costs(fleet: &mut Fleet, count: usize, one: &TargetSize) {
     let name = |figure: &str| format!("{figure}.{count}");
     let node = count - 1;
     let (reads, writes, bytes, spent) =
@@ -106,11 +110,8 @@
     if count == TARGET_ROUTERS {
         // The fleet above has 10 workspaces, since 340 copies of the target's settings do not fit
         // into memory. What one change costs at the target size is measured on one router.
-        let (apply, part) = target_size();
-        print("apply_s.target", apply, "s", None, None);
-        print("part_bytes.target", part, "B", None, Some(20_000.0));
-        sent += part * CHANGES_A_DAY / DAY;
-        core += apply * CHANGES_A_DAY / DAY;
+        sent += one.part * CHANGES_A_DAY / DAY;
+        core += one.apply * CHANGES_A_DAY / DAY;
     }
     let root_bytes = root.len() as f64;
     print(&name("control_bytes_s"), sent, "B/s", Some(root_bytes), Some(20_000.0));
--- a/benches/control/work.rs
+++ b/benches/control/work.rs
@@ -20,6 +20,7 @@
 use crate::common::Faults;
 use crate::common::Fleet;
 use crate::figure::nanos;
+use crate::figure::percentile;
 
 pub const SEED: u64 = 20_261_204;
 
@@ -124,9 +125,16 @@
     fleet.run(Millis(20_000));
 }
 
-/// Returns the seconds that one router needs to take a change of one workspace among 12,000, the
-/// median of 9, and the bytes of the largest part.
-pub fn target_size() -> (f64, f64) {
+/// What a change of one workspace among 12,000 costs one router.
+pub struct TargetSize {
+    /// Seconds of processor time, the median of 9.
+    pub apply: f64,
+    /// Bytes of the largest part.
+    pub part: f64,
+}
+
+/// Measures a change at the target size.
+pub fn target_size() -> TargetSize {
     let now = Timestamp::from_millis(0);
     let write = |current: Option<&Transaction>, change: &Change| match propose(
         current.map(|c| (&c.root, &c.settings)),
@@ -154,5 +162,5 @@
         })
         .collect();
     let largest = split(&current.settings).iter().map(|part| part.text.len()).max();
-    (crate::figure::percentile(&mut times, 0.5), largest.unwrap_or(0) as f64)
+    TargetSize { apply: percentile(&mut times, 0.5), part: largest.unwrap_or(0) as f64 }
 }
