Report a connection that fetch could not make as not sent

Cause: fetch's own time limit ended before that of the connection, and it reports "sent" because it cannot know better; a refusal "not run" was then impossible although nothing had left. Change: the time for connection and head is at most fetch's own. Conclusion: "sent" is exact for connections that are not made.

--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -111,13 +111,22 @@
         &self,
         address: SocketAddr,
         outgoing: &Outgoing,
+    ) -> Result<(Response, ResponseStream), ClientError> {
+        self.send_within(address, outgoing, outgoing.head_time).await
+    }
+
+    async fn send_within(
+        &self,
+        address: SocketAddr,
+        outgoing: &Outgoing,
+        time: Millis,
     ) -> Result<(Response, ResponseStream), ClientError> {
         if outgoing.pooled
             && let Some(connection) = self.take_idle(address)
         {
-            return self.exchange(address, connection, outgoing).await;
+            return self.exchange(address, connection, outgoing, time).await;
         }
-        let opened = timeout(outgoing.head_time, Connection::open(address)).await;
+        let opened = timeout(time, Connection::open(address)).await;
         let connection = match opened {
             Some(Ok(connection)) => connection,
             Some(Err(error)) => {
@@ -125,11 +134,11 @@
                 return Err(ClientError { sent: false, timed_out: false, detail });
             }
             None => {
-                let detail = format!("no connection to {address} in {}", outgoing.head_time);
+                let detail = format!("no connection to {address} in {time}");
                 return Err(ClientError { sent: false, timed_out: true, detail });
             }
         };
-        self.exchange(address, connection, outgoing).await
+        self.exchange(address, connection, outgoing, time).await
     }
 
     /// Sends a request and reads the whole response within `time`.
@@ -145,7 +154,9 @@
     ) -> Result<(Response, Vec<u8>), ClientError> {
         let failed = |timed_out, detail: String| ClientError { sent: true, timed_out, detail };
         let whole = async {
-            let (response, mut stream) = self.send(address, outgoing).await?;
+            // A connection that is not made in `time` has to fail here, as one that sent nothing.
+            let head_time = outgoing.head_time.min(time);
+            let (response, mut stream) = self.send_within(address, outgoing, head_time).await?;
             let mut bytes = Vec::new();
             (&mut stream)
                 .take(limit + 1)
@@ -186,6 +197,7 @@
         address: SocketAddr,
         connection: Connection,
         outgoing: &Outgoing,
+        time: Millis,
     ) -> Result<(Response, ResponseStream), ClientError> {
         let before = connection.bytes_written();
         let failed = |timed_out, detail: String| ClientError {
@@ -200,8 +212,8 @@
             let answer = answer.catch_unwind().await;
             answer.unwrap_or_else(|_| Err(undecodable().into()))
         };
-        let mut response = match timeout(outgoing.head_time, answer).await {
-            None => return Err(failed(true, format!("no answer in {}", outgoing.head_time))),
+        let mut response = match timeout(time, answer).await {
+            None => return Err(failed(true, format!("no answer in {time}"))),
             Some(Err(error)) => return Err(failed(false, error.to_string())),
             Some(Ok(response)) => response,
         };
--- a/crates/berylwheel-http/tests/client.rs
+++ b/crates/berylwheel-http/tests/client.rs
@@ -4,7 +4,9 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
 
 use berylwheel_http::Client;
 use berylwheel_http::ClientError;
@@ -80,3 +82,19 @@
         assert!(error.sent && !error.timed_out, "{error}");
     }
 }
+
+/// Guards against a request that never left, reported as one that may have run.
+#[test]
+fn a_connection_that_is_not_made_in_time_sent_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    // Once the queue of the listener is full, the system answers no more connections.
+    let mut waiting = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+        waiting.push(stream);
+    }
+    let outgoing = Outgoing::new(Method::Post, "/").body("{}");
+    let fetched = block_on(Client::default().fetch(address, &outgoing, 100, Millis(50)));
+    let error = fetched.expect_err("not accepted");
+    assert!(!error.sent && error.timed_out, "{error}");
+}
