Let handlers wait for their caller to leave

Cause: the server notices that a caller has left only when it sends to it, so a queued request of a caller that left kept its place until it was served. Ruled out: dropping the handler when the caller leaves; a call that must not be repeated has to record its result whether or not the caller still waits.

--- a/crates/berylwheel-http/src/connection.rs
+++ b/crates/berylwheel-http/src/connection.rs
@@ -54,6 +54,14 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the peer has closed its side or broken the connection.
+    pub fn is_closed(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Ok(n) => n == 0,
+        }
+    }
+
     /// Returns whether the peer has closed an idle connection, or sent something unasked.
     pub fn is_stale(&self) -> bool {
         let mut byte = [0];
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 edges over `async-h1`: server, pooled client, server-sent events, problem details.
 
 mod body;
+mod caller;
 mod client;
 mod connection;
 mod contain;
@@ -13,6 +14,7 @@
 pub use body::BodySender;
 pub use body::channel_body;
 pub use body::read_body;
+pub use caller::Caller;
 pub use client::Client;
 pub use client::ClientError;
 pub use client::Outgoing;
--- a/crates/berylwheel-http/src/server.rs
+++ b/crates/berylwheel-http/src/server.rs
@@ -23,6 +23,7 @@
 use http_types::Request;
 use http_types::Response;
 
+use crate::Caller;
 use crate::Connection;
 use crate::inbound::Inbound;
 use crate::inbound::Stage;
@@ -120,8 +121,9 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let inbound = Inbound::new(connection.clone());
-    let endpoint = |request: Request| {
+    let endpoint = |mut request: Request| {
         inbound.enter(Stage::Handler);
+        request.ext_mut().insert(Caller::new(connection.clone()));
         let response = handler(request);
         async {
             let response = response.await;
--- a/crates/berylwheel-http/tests/server.rs
+++ b/crates/berylwheel-http/tests/server.rs
@@ -12,6 +12,7 @@
 
 use async_executor::Executor;
 use async_io::Async;
+use berylwheel_http::Caller;
 use berylwheel_http::ServerLimits;
 use berylwheel_http::channel_body;
 use berylwheel_http::problem_response;
@@ -32,7 +33,7 @@
 const SHORT: Millis = Millis(200);
 
 /// A server that answers with the length of the body, on `/stream` with text without end, and on
-/// `/unread` before it has read the body.
+/// `/unread` before it has read the body, on `/queue` once the caller has left.
 fn start(limits: ServerLimits, body_time: Millis) -> (SocketAddr, async_channel::Receiver<()>) {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
     let address = listener.get_ref().local_addr().expect("bound");
@@ -46,6 +47,10 @@
             if path == "/unread" {
                 return Response::new(401);
             }
+            if path == "/queue" {
+                request.ext().get::<Caller>().expect("set by the server").left().await;
+                left.send(()).await.expect("the test waits");
+            }
             let bytes = match read_body(request.take_body(), BODY_LIMIT, body_time).await {
                 Ok(bytes) => bytes,
                 Err(refusal) => return problem_response(&refusal, ""),
@@ -237,6 +242,17 @@
     assert_healthy(address);
 }
 
+/// Guards against a place in a queue that is kept for a caller that has gone.
+#[test]
+fn a_caller_that_leaves_before_the_answer_is_noticed() {
+    let (address, callers_left) = start(ServerLimits::default(), AMPLE);
+    let stream = send(address, b"GET /queue HTTP/1.1\r\nhost: h\r\n\r\n");
+    assert_healthy(address);
+    assert!(callers_left.is_empty(), "the caller is still there");
+    drop(stream);
+    callers_left.recv_blocking().expect("the handler is told");
+}
+
 /// Guards against connections without bound, and a bound that outlasts the connections.
 #[test]
 fn connections_over_the_limit_are_refused_until_one_closes() {
