--- a/crates/berylwheel-standin/tests/engine.rs
+++ b/crates/berylwheel-standin/tests/engine.rs
@@ -51,6 +51,7 @@
         let (events, _) = peer.events(&resume("r", 3)).await;
         assert_eq!((text("r", &events).as_str(), events.len()), (" t3", 3));
         assert_eq!(peer.call(&chat("r", 4, true)).await.unwrap().0, 409);
+        assert_eq!(peer.get("/v1/usage").await[0]["tokens"], 6, "as before the second call");
         assert_eq!(peer.call(&resume("unknown", 1)).await.unwrap().0, 404);
     });
 }
