--- a/crates/berylwheel-http/src/server.rs
+++ b/crates/berylwheel-http/src/server.rs
@@ -26,6 +26,7 @@
 use http_types::Request;
 use http_types::Response;
 
+use crate::Caller;
 use crate::Connection;
 use crate::inbound::Inbound;
 use crate::inbound::Stage;
@@ -164,9 +165,10 @@
 {
     let inbound = Inbound::new(connection.clone());
     let current: Mutex<Option<ActiveGuard>> = Mutex::default();
-    let endpoint = |request: Request| {
+    let endpoint = |mut request: Request| {
         inbound.enter(Stage::Handler);
         *lock(&current) = Some(ActiveGuard::new(&active));
+        request.ext_mut().insert(Caller::new(connection.clone()));
         let response = handler(request);
         async {
             let response = response.await;
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use berylwheel_http::BodySender;
+use berylwheel_http::Caller;
 use berylwheel_http::ClientError;
 use berylwheel_http::EventReader;
 use berylwheel_http::Outgoing;
@@ -88,6 +89,7 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.open()?;
         let call = self.call(&request, settings, id, arrived)?;
+        let caller = request.ext().get::<Caller>().cloned();
         let Body { bytes, memory } = self.body(&mut request, settings, &self.engine_memory).await?;
         let chat = ChatRequest::parse(&bytes)?;
         let kind = kind_of_model(settings, &call.workspace, &chat.model)?;
@@ -116,7 +118,7 @@
             },
         };
         let (deadline, end) = (admit.deadline, arrived + settings.fleet().request_limit);
-        let (ticket, start) = Ticket::admit(&self.events, admit).await?;
+        let (ticket, start) = self.admit(admit, caller).await?;
         let job = Job { call, chat, kind, max_tokens, deadline, end, _memory: memory };
         if job.chat.stream {
             return Box::pin(self.stream(job, ticket, start)).await;
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -6,6 +6,7 @@
 use berylwheel_budget::OnceRecord;
 use berylwheel_budget::OnceState;
 use berylwheel_budget::decide_once;
+use berylwheel_http::Caller;
 use berylwheel_http::ClientError;
 use berylwheel_http::Outgoing;
 use berylwheel_http::timeout;
@@ -82,6 +83,7 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.open()?;
         let call = self.call(&request, settings, id, arrived)?;
+        let caller = request.ext().get::<Caller>().cloned();
         let Body { bytes: body, memory } =
             self.body(&mut request, settings, &self.service_memory).await?;
         let (name, path) = split_path(&request);
@@ -118,14 +120,16 @@
             kind,
         };
         match outgoing.kind.repeat {
-            Repeat::Never => self.call_once(call, admit, outgoing).await,
-            Repeat::Idempotent | Repeat::ByKey => self.call_repeatable(admit, outgoing).await,
+            Repeat::Never => self.call_once(call, admit, outgoing, caller).await,
+            Repeat::Idempotent | Repeat::ByKey => {
+                self.call_repeatable(admit, outgoing, caller).await
+            }
         }
     }
 
     async fn call_repeatable(&self, admit: Admit, call: ServiceCall) -> Result<Response, Refusal> {
         let price = admit.amount;
-        let (mut ticket, mut start) = Ticket::admit(&self.events, admit).await?;
+        let (mut ticket, mut start) = self.admit(admit, caller).await?;
         loop {
             match self.exchange(&call, &start, true).await {
                 Ok(answer) => {
@@ -160,6 +164,7 @@
         call: Call,
         admit: Admit,
         outgoing: ServiceCall,
+        caller: Option<Caller>,
     ) -> Result<Response, Refusal> {
         let key = call.key.clone().unwrap_or_default();
         let records = OnceStore::new(self.store.clone(), &call.workspace, &key);
@@ -168,7 +173,7 @@
         if let Some(answer) = self.existing(&records, &outgoing, digest, admit.deadline).await? {
             return Ok(answer);
         }
-        let (ticket, start) = Ticket::admit(&self.events, admit).await?;
+        let (ticket, start) = self.admit(admit, caller).await?;
         let record = OnceRecord {
             attempt: call.id.clone(),
             owner: self.me.clone(),
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/traffic.rs
@@ -9,6 +9,7 @@
 use async_executor::Executor;
 use async_io::Async;
 use berylwheel_http::ActiveRequests;
+use berylwheel_http::Caller;
 use berylwheel_http::Client;
 use berylwheel_http::ServerLimits;
 use berylwheel_http::problem_response;
@@ -29,16 +30,21 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::WorkspaceId;
+use futures_lite::FutureExt;
+use futures_lite::future;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use serde_json::json;
 
+use crate::command::Admit;
+use crate::command::Start;
 use crate::event::Event;
 use crate::memory::BodyBytes;
 use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::snapshot::SharedSnapshot;
+use crate::ticket::Ticket;
 
 /// The longest idempotency key, in bytes; it becomes part of a store key.
 const KEY_LIMIT: usize = 128;
@@ -235,6 +241,25 @@
         Ok(Body { bytes, memory })
     }
 
+    /// Asks for a start for as long as the caller waits.
+    ///
+    /// # Errors
+    /// The refusal of the control thread.
+    pub async fn admit(
+        &self,
+        admit: Admit,
+        caller: Option<Caller>,
+    ) -> Result<(Ticket, Start), Refusal> {
+        let left = async {
+            match caller {
+                Some(caller) => caller.left().await,
+                None => future::pending().await,
+            }
+            Err(Refusal::not_run(Code::WorkspaceLimit, "the caller left before the start"))
+        };
+        Ticket::admit(&self.events, admit).or(left).await
+    }
+
     fn authenticate(&self, request: &Request) -> Result<(WorkspaceId, BudgetId), Refusal> {
         let unknown = |detail| Refusal::not_run(Code::UnknownKey, detail);
         let value = header(request, "authorization").ok_or_else(|| unknown("no Authorization"))?;
