Give up the place in the queue when a caller leaves

Cause: a queued request whose caller had left kept its place and its reservation until it was started. Ruled out: dropping work that runs; an engine's tokens are billed, and a call that must not be repeated records its result either way. Change: admission ends when the server sees that the caller has left. Measured: the workspace's tests pass.

--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -127,7 +127,12 @@
         }
     }
 
-    async fn call_repeatable(&self, admit: Admit, call: ServiceCall) -> Result<Response, Refusal> {
+    async fn call_repeatable(
+        &self,
+        admit: Admit,
+        call: ServiceCall,
+        caller: Option<Caller>,
+    ) -> Result<Response, Refusal> {
         let price = admit.amount;
         let (mut ticket, mut start) = self.admit(admit, caller).await?;
         loop {
