--- a/crates/berylwheel-config/src/fence.rs
+++ b/crates/berylwheel-config/src/fence.rs
@@ -79,6 +79,21 @@
 }
 
 /// The fencing numbers and order leases of one router.
+///
+/// ```
+/// use berylwheel_config::{Fence, FencePolicy, FenceResult};
+/// use berylwheel_settings::Fencing;
+/// use berylwheel_types::{FenceNumber, Timestamp};
+/// let (now, server) = (Timestamp::from_millis(0), "engine-1".parse().unwrap());
+/// let mut fence = Fence::new("r1@1".parse().unwrap(), FencePolicy::default());
+/// fence.want(now, &server, Fencing::Checked);
+/// fence.poll(now); // asks for a read
+/// fence.read(now, &server, None, None);
+/// fence.poll(now); // asks for a write of number 1
+/// assert!(fence.may_send(now, &server).is_err());
+/// fence.written(now, &server, FenceNumber(1), FenceResult::Won);
+/// assert_eq!(fence.may_send(now, &server), Ok(FenceNumber(1)));
+/// ```
 #[derive(Debug)]
 pub struct Fence {
     me: Incarnation,
--- a/crates/berylwheel-config/src/member.rs
+++ b/crates/berylwheel-config/src/member.rs
@@ -40,6 +40,17 @@
 /// find travels in the heartbeats of all. At 340 routers the counters of all do not fit into the
 /// heartbeats of five seconds, so a router judges the progress of those only that it should hear
 /// from, and takes the word of others for the rest.
+///
+/// ```
+/// use berylwheel_config::{MemberPolicy, Members};
+/// use berylwheel_types::Timestamp;
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let mut members = Members::new("r1@1".parse().unwrap(), address, MemberPolicy::default());
+/// members.set_peers(["r2".parse().unwrap()]);
+/// let heartbeats = members.poll(Timestamp::from_millis(0));
+/// assert_eq!(heartbeats[0].0.as_str(), "r2");
+/// assert_eq!(members.live_count(), 2);
+/// ```
 #[derive(Debug)]
 pub struct Members {
     own: MemberEntry,
--- a/crates/berylwheel-config/src/spread.rs
+++ b/crates/berylwheel-config/src/spread.rs
@@ -44,6 +44,16 @@
 ///
 /// The version in force only rises. A router serves once the store or enough peers have confirmed
 /// what it holds, and from then on.
+///
+/// ```
+/// use berylwheel_config::{ConfigAction, ConfigState, SpreadPolicy};
+/// use berylwheel_types::Timestamp;
+/// let (me, domain) = ("r1".parse().unwrap(), "d1".parse().unwrap());
+/// let mut state = ConfigState::new(me, domain, SpreadPolicy::default());
+/// let actions = state.poll(Timestamp::from_millis(0));
+/// assert!(matches!(actions[..], [ConfigAction::ReadRoot]));
+/// assert!(!state.may_serve());
+/// ```
 #[derive(Debug)]
 pub struct ConfigState {
     me: RouterId,
--- a/crates/berylwheel-config/tests/spread.rs
+++ b/crates/berylwheel-config/tests/spread.rs
@@ -6,6 +6,7 @@
 use berylwheel_config::ChangeAction;
 use berylwheel_config::ConfigAction;
 use berylwheel_config::Outcome;
+use berylwheel_config::Part;
 use berylwheel_settings::Edit;
 use berylwheel_settings::Settings;
 use berylwheel_types::FastSet;
@@ -170,3 +171,27 @@
     let answers = |a: &ConfigAction| matches!(a, ConfigAction::Push { to, version: Version(1) } if *to == asking);
     assert!(pushes.iter().any(answers), "{pushes:?}");
 }
+
+#[test]
+fn a_version_that_cannot_be_read_is_reported_once_and_not_applied() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.change(0, first());
+    fleet.run(Millis(3_000));
+    let (now, peer) = (fleet.now, fleet.nodes[1].id.clone());
+    let config = &mut fleet.nodes[0].life.as_mut().unwrap().config;
+    // A router of a later release accepted a key that this one does not know.
+    let part = Part { index: 0, text: "[fleet]\nlater = 1\n".to_owned() };
+    let mut root = config.root().unwrap().clone();
+    root.version = Version(2);
+    root.parts[0] = part.digest();
+    for _ in 0..2 {
+        config.peer_version(now, &peer, Version(2));
+        config.parts(now, root.clone(), vec![part.clone()]);
+    }
+    let actions = config.poll(now);
+    let reports = actions.iter().filter(|a| matches!(a, ConfigAction::Unreadable(..))).count();
+    let pulls = actions.iter().filter(|a| matches!(a, ConfigAction::Pull { .. })).count();
+    assert_eq!((reports, pulls), (1, 0), "{actions:?}");
+    assert_eq!(config.version(), Some(Version(1)));
+    assert!(config.may_serve());
+}
