Bound the changes that MemoryStore keeps by their bytes

Cause: 10,000 kept changes of 1 MB each would fill the memory, and a watch that was polled again registered its waker again. Ruled out: keeping keys only, since watches report values. Change: at most 64 MB of values are kept; a waker is registered once. Examples on HttpStore::new and MemoryStore::set_faults.

--- a/crates/berylwheel-store/src/client.rs
+++ b/crates/berylwheel-store/src/client.rs
@@ -93,6 +93,14 @@
 
 impl HttpStore {
     /// Returns a client for the store at the addresses of `options`.
+    ///
+    /// ```
+    /// use berylwheel_store::{HttpStore, Store, StoreError, StoreOptions};
+    /// // Nobody listens on port 1.
+    /// let store = HttpStore::new(StoreOptions::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let entries = futures_lite::future::block_on(store.range("k", false, 0));
+    /// assert_eq!(entries, Err(StoreError::Unavailable));
+    /// ```
     pub fn new(options: StoreOptions) -> Self {
         Self { client: Client::default(), options, preferred: AtomicUsize::new(0) }
     }
--- a/crates/berylwheel-store/src/memory.rs
+++ b/crates/berylwheel-store/src/memory.rs
@@ -29,6 +29,9 @@
 /// Changes kept for watches that start in the past.
 const HISTORY_LIMIT: usize = 10_000;
 
+/// Bytes of the values of these changes, which may be 1 MB each.
+const HISTORY_BYTES: usize = 64 << 20;
+
 /// Calls counted by a [`MemoryStore`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct StoreCounts {
@@ -84,6 +87,7 @@
     leases: BTreeMap<LeaseId, Lease>,
     next_lease: u64,
     history: VecDeque<Entry>,
+    history_bytes: usize,
     /// The first revision whose changes are all kept.
     kept_from: u64,
     faults: StoreFaults,
@@ -101,6 +105,7 @@
             leases: BTreeMap::new(),
             next_lease: 1,
             history: VecDeque::new(),
+            history_bytes: 0,
             kept_from: 0,
             faults: StoreFaults::default(),
             counts: StoreCounts::default(),
@@ -122,6 +127,15 @@
     }
 
     /// Replaces the faults in force.
+    ///
+    /// ```
+    /// use berylwheel_store::{MemoryStore, Store, StoreError, StoreFaults};
+    /// use berylwheel_types::Clock;
+    /// let store = MemoryStore::new(Clock::real());
+    /// store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    /// let entries = futures_lite::future::block_on(store.range("k", false, 0));
+    /// assert_eq!(entries, Err(StoreError::Unavailable));
+    /// ```
     pub fn set_faults(&self, faults: StoreFaults) {
         let mut state = self.lock();
         state.faults = faults;
@@ -214,9 +228,12 @@
             None if self.entries.remove(&key).is_none() => return,
             None => (),
         }
+        self.history_bytes += entry.value.len();
         self.history.push_back(entry);
-        while self.history.len() > HISTORY_LIMIT {
-            self.kept_from = self.history.pop_front().map_or(0, |entry| entry.revision + 1);
+        while self.history.len() > HISTORY_LIMIT || self.history_bytes > HISTORY_BYTES {
+            let Some(oldest) = self.history.pop_front() else { break };
+            self.history_bytes -= oldest.value.len();
+            self.kept_from = oldest.revision + 1;
         }
         self.wake();
     }
@@ -338,7 +355,9 @@
                 }
                 let changes = state.changes(&prefix, from);
                 if changes.is_empty() {
-                    state.watchers.push(cx.waker().clone());
+                    if !state.watchers.iter().any(|waker| waker.will_wake(cx.waker())) {
+                        state.watchers.push(cx.waker().clone());
+                    }
                     return Poll::Pending;
                 }
                 Poll::Ready(Ok((changes, state.faults.slow_ms)))
--- a/crates/berylwheel-store/tests/contract.rs
+++ b/crates/berylwheel-store/tests/contract.rs
@@ -217,17 +217,24 @@
     });
 }
 
-/// Guards against a watcher that misses changes that the store has dropped.
+/// Guards against a watcher that misses changes that the store has dropped, and a history that
+/// fills the memory.
 #[test]
 fn a_watch_from_before_the_kept_changes_is_told() {
     for_each(AMPLE, |f| {
         Box::pin(async move {
-            let first = put(&f.memory, "k", b"v").await;
-            for _ in 0..10_000 {
-                put(&f.memory, "k", b"v").await;
+            let (large, small) = (vec![0; 1 << 20], Vec::new());
+            // The store keeps 10,000 changes, and 64 MB of values.
+            for (value, kept) in [(&small, 10_000), (&large, 64)] {
+                let first = put(&f.memory, "k", value).await;
+                for _ in 0..kept {
+                    put(&f.memory, "k", value).await;
+                }
+                let seen = f.store.watch("k", first).await;
+                assert_eq!(seen, Err(StoreError::Compacted(first + 1)));
+                let seen = f.store.watch("k", first + kept).await.unwrap();
+                assert_eq!(seen.len(), 1);
             }
-            let seen = f.store.watch("k", first).await;
-            assert_eq!(seen, Err(StoreError::Compacted(first + 1)));
         })
     });
 }
