Serve models that an order has loaded

Cause: an engine with a list of models refused a model that it had been ordered to load. Change: an order adds its model to the list; readers of a stream register their waker once; examples on the start functions.

--- a/crates/berylwheel-standin/src/booking.rs
+++ b/crates/berylwheel-standin/src/booking.rs
@@ -77,6 +77,16 @@
 
 /// Starts a booking service.
 ///
+/// ```
+/// use std::sync::Arc;
+/// use async_executor::Executor;
+/// use berylwheel_standin::{BookingOptions, start_booking};
+/// let executor = Arc::new(Executor::new());
+/// let any_port = "127.0.0.1:0".parse().unwrap();
+/// let (address, handle) = start_booking(any_port, &executor, BookingOptions::default()).unwrap();
+/// assert_ne!(address.port(), 0);
+/// ```
+///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub fn start_booking(
--- a/crates/berylwheel-standin/src/engine/chat.rs
+++ b/crates/berylwheel-standin/src/engine/chat.rs
@@ -121,8 +121,8 @@
         response.insert_header("x-draining", "true");
         return Some(response);
     }
-    let models = &engine.options.models;
-    if !models.is_empty() && !models.contains(&chat.model) {
+    let known = |models: &Vec<String>| models.is_empty() || models.contains(&chat.model);
+    if !engine.with(|state| known(&state.models)) {
         return Some(exchange::error(404, "model not loaded"));
     }
     None
--- a/crates/berylwheel-standin/src/engine/generate.rs
+++ b/crates/berylwheel-standin/src/engine/generate.rs
@@ -111,7 +111,9 @@
         engine.with(|state| {
             let Some(record) = state.records.get_mut(id) else { return Poll::Ready(None) };
             if record.generated <= seen && !record.finished {
-                record.readers.push(cx.waker().clone());
+                if !record.readers.iter().any(|reader| reader.will_wake(cx.waker())) {
+                    record.readers.push(cx.waker().clone());
+                }
                 return Poll::Pending;
             }
             Poll::Ready(Some(Progress {
--- a/crates/berylwheel-standin/src/engine/handler.rs
+++ b/crates/berylwheel-standin/src/engine/handler.rs
@@ -23,6 +23,16 @@
 
 /// Starts an engine.
 ///
+/// ```
+/// use std::sync::Arc;
+/// use async_executor::Executor;
+/// use berylwheel_standin::{EngineOptions, start_engine};
+/// let executor = Arc::new(Executor::new());
+/// let any_port = "127.0.0.1:0".parse().unwrap();
+/// let (address, handle) = start_engine(any_port, &executor, EngineOptions::default()).unwrap();
+/// assert_ne!(address.port(), 0);
+/// ```
+///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub fn start_engine(
@@ -73,7 +83,7 @@
         if engine.options.check_fence && order.fence < state.fence {
             return Err(Rejection::new(409, "stale order").with("fence", state.fence));
         }
-        state.remember_order(order);
+        state.carry_out(order);
         Ok(exchange::answer(200, &json!({ "fence": state.fence })))
     })
 }
--- a/crates/berylwheel-standin/src/engine/state.rs
+++ b/crates/berylwheel-standin/src/engine/state.rs
@@ -46,6 +46,8 @@
     pub(crate) records: FastMap<String, Record>,
     order: VecDeque<String>,
     pub(crate) cache: Cache,
+    /// Models that requests may name, any if empty.
+    pub(crate) models: Vec<String>,
     pub(crate) fence: u64,
     pub(crate) orders: VecDeque<Order>,
     loads: VecDeque<Load>,
@@ -66,6 +68,7 @@
             records: FastMap::default(),
             order: VecDeque::new(),
             cache: Cache::default(),
+            models: options.models.clone(),
             fence: 0,
             orders: VecDeque::new(),
             loads: VecDeque::new(),
@@ -124,9 +127,14 @@
         }
     }
 
-    /// Remembers an order.
-    pub(crate) fn remember_order(&mut self, order: Order) {
+    /// Carries an order out and remembers it.
+    pub(crate) fn carry_out(&mut self, order: Order) {
         self.fence = self.fence.max(order.fence);
+        if let Some(model) = &order.model
+            && !self.models.is_empty()
+        {
+            self.models.push(model.clone());
+        }
         self.orders.push_back(order);
         if self.orders.len() > ORDER_LIMIT {
             self.orders.pop_front();
--- a/crates/berylwheel-standin/src/instances.rs
+++ b/crates/berylwheel-standin/src/instances.rs
@@ -60,6 +60,16 @@
 
 /// Starts a list of VMs: `GET /v1/instances` shows it, `POST /v1/instances` replaces it.
 ///
+/// ```
+/// use std::sync::Arc;
+/// use async_executor::Executor;
+/// use berylwheel_standin::{InstancesOptions, start_instances};
+/// let executor = Arc::new(Executor::new());
+/// let any_port = "127.0.0.1:0".parse().unwrap();
+/// let (address, handle) = start_instances(any_port, &executor, InstancesOptions::default()).unwrap();
+/// assert_ne!(address.port(), 0);
+/// ```
+///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub fn start_instances(
--- a/crates/berylwheel-standin/src/store.rs
+++ b/crates/berylwheel-standin/src/store.rs
@@ -59,6 +59,20 @@
 
 /// Starts a store.
 ///
+/// ```
+/// use std::sync::Arc;
+/// use async_executor::Executor;
+/// use berylwheel_standin::{StoreOptions, start_store};
+/// use berylwheel_store::{HttpStore, Store};
+/// use futures_lite::future::block_on;
+/// let executor = Arc::new(Executor::new());
+/// let any_port = "127.0.0.1:0".parse().unwrap();
+/// let (address, _handle) = start_store(any_port, &executor, StoreOptions::default()).unwrap();
+/// let client = HttpStore::new(berylwheel_store::StoreOptions::new(vec![address]));
+/// let entries = block_on(executor.run(client.range("k", false, 0)));
+/// assert_eq!(entries, Ok(Vec::new()));
+/// ```
+///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub fn start_store(
--- a/crates/berylwheel-standin/tests/engine.rs
+++ b/crates/berylwheel-standin/tests/engine.rs
@@ -165,16 +165,20 @@
     });
 }
 
-/// Guards against a stale order that a checking engine takes, or an ignoring one refuses.
+/// Guards against a stale order that a checking engine takes, or an ignoring one refuses, and an
+/// order that has no effect.
 #[test]
 fn orders_are_fenced_only_by_engines_that_check() {
     for (check_fence, expected) in [(true, 409), (false, 200)] {
         run(async |executor| {
-            let options = EngineOptions { check_fence, ..EngineOptions::default() };
+            let models = vec!["other".to_owned()];
+            let options = EngineOptions { check_fence, models, ..EngineOptions::default() };
             let (address, _engine) = start_engine(any_port(), &executor, options).unwrap();
             let peer = Peer::new(address);
             let order = |fence: u64| json!({ "fence": fence, "model": "m" });
+            assert_eq!(peer.call(&chat("a", 1, false)).await.unwrap().0, 404);
             assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200);
+            assert_eq!(peer.call(&chat("b", 1, false)).await.unwrap().0, 200, "now loaded");
             assert_eq!(peer.post("/v1/orders", order(6)).await.0, expected);
             assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200, "the same holder again");
         });
