--- a/crates/berylwheel-router/src/jobs.rs
+++ b/crates/berylwheel-router/src/jobs.rs
@@ -22,8 +22,9 @@
 use crate::control::Control;
 
 /// Time that the home router of a key may take to answer a claim. Without an answer the request
-/// runs: its bill key still bills it once.
-const CLAIM_TIME: Millis = Millis(150);
+/// runs: its bill key still bills it once. It leaves time for the first token within the target of
+/// 0.79 s, and a home that has failed is asked for 5 s at most, until it is suspected.
+const CLAIM_TIME: Millis = Millis(400);
 /// Time after which a caller tries a draining router's fleet again.
 const RETRY_AFTER: Millis = Millis(1_000);
 /// The share of a plain service's call in the scheduler, in tokens.
