Poll the fleet's state on the control thread's tick only

Cause: each message of a request made the control thread poll configuration, membership, reclaims and probes, and sort the totals for heartbeats that are sent once a second. Ruled out: a longer tick; it bounds how fast a recall or a version moves on.

--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -63,6 +63,7 @@
     settings: Option<Settings>,
     version: Version,
     pruned: Timestamp,
+    next_tick: Timestamp,
 }
 
 impl Control {
@@ -86,6 +87,7 @@
             settings: None,
             version: Version::default(),
             pruned: clock.now(),
+            next_tick: clock.now(),
             clock,
             me,
             fleet,
@@ -145,14 +147,24 @@
     }
 
     fn drive(&mut self, now: Timestamp) {
+        self.drive_holder(now);
+        self.start_ready(now);
+        if now >= self.next_tick {
+            self.next_tick = now + TICK;
+            self.tick(now);
+        }
+    }
+
+    /// Does what depends on time alone, so that an event costs only what it causes.
+    fn tick(&mut self, now: Timestamp) {
         self.expire_claims(now);
         if now.since(self.pruned) >= PRUNE_INTERVAL {
             self.pruned = now;
             self.claims.prune(now);
         }
         self.drive_fleet(now);
-        self.drive_holder(now);
         self.expire_work(now);
+        self.drive_holder(now);
         self.start_ready(now);
         for server in self.routes.probes(now) {
             if let Some(address) = self.address_of(&server) {
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -268,10 +268,13 @@
             self.config_action(now, action);
         }
         self.fleet.members.set_version(self.fleet.config.advertised());
-        let served = self.scheduler.served();
-        for (to, heartbeat) in self.fleet.members.poll(now) {
-            let message = heartbeat_message(heartbeat, served.clone(), &self.fleet.own.domain);
-            self.fleet.send(&to, message);
+        let heartbeats = self.fleet.members.poll(now);
+        if !heartbeats.is_empty() {
+            let served = self.scheduler.served();
+            for (to, heartbeat) in heartbeats {
+                let message = heartbeat_message(heartbeat, served.clone(), &self.fleet.own.domain);
+                self.fleet.send(&to, message);
+            }
         }
         let live = self.fleet.members.live_count().max(1);
         self.holder.set_routers(live);
