Split relaying and non-idempotent calls into modules of their own

Ruled out: a generic forwarder for both; streams and recorded calls share only their admission. Conclusion: no change of behaviour.

--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -1,34 +1,26 @@
 //! Model work: forwarding to an engine and relaying its answer.
 
-use std::io;
-
-use berylwheel_http::BodySender;
 use berylwheel_http::Caller;
 use berylwheel_http::ClientError;
 use berylwheel_http::EventReader;
 use berylwheel_http::Outgoing;
 use berylwheel_http::ResponseStream;
 use berylwheel_http::channel_body;
-use berylwheel_http::encode_event;
-use berylwheel_http::problem_body;
 use berylwheel_http::timeout;
 use berylwheel_route::Ask;
 use berylwheel_route::Outcome;
 use berylwheel_settings::KindSettings;
-use berylwheel_types::ByteSize;
 use berylwheel_types::Code;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
-use berylwheel_types::stable_hash;
 use futures_lite::FutureExt;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use serde_json::Value;
-use serde_json::json;
 
 use crate::chat::ChatRequest;
 use crate::chat::EngineEvent;
@@ -43,30 +35,36 @@
 
 /// The largest answer that is not streamed, in bytes.
 const ANSWER_LIMIT: u64 = 8 << 20;
-/// Time that a caller may take to receive one event before it counts as gone.
-const STALL_LIMIT: Millis = Millis(30_000);
 /// Time that a cancellation at an engine may take.
 const CANCEL_TIME: Millis = Millis(2_000);
-/// Times that a broken stream is resumed at its engine.
-const RESUME_LIMIT: u32 = 2;
 
 /// What the tasks of one model request share.
-struct Job {
-    call: Call,
-    chat: ChatRequest,
-    kind: KindSettings,
-    max_tokens: u64,
-    deadline: Timestamp,
-    end: Timestamp,
+pub struct Job {
+    /// The caller's request.
+    pub call: Call,
+    /// What it asks for.
+    pub chat: ChatRequest,
+    /// Its kind of work.
+    pub kind: KindSettings,
+    /// Bound on generated tokens.
+    pub max_tokens: u64,
+    /// When the answer must have started.
+    pub deadline: Timestamp,
+    /// When the answer must have ended.
+    pub end: Timestamp,
     _memory: BodyBytes,
 }
 
 /// A stream whose first event has arrived.
-struct Opened {
-    start: Start,
-    id: RequestId,
-    reader: EventReader<ResponseStream>,
-    first: String,
+pub struct Opened {
+    /// Where it runs.
+    pub start: Start,
+    /// Id of the attempt.
+    pub id: RequestId,
+    /// The events that follow.
+    pub reader: EventReader<ResponseStream>,
+    /// The first event.
+    pub first: String,
 }
 
 /// How an attempt at a server went wrong before the caller was sent anything.
@@ -98,25 +96,14 @@
             let detail = format!("max_tokens: expected at most {}", kind.max_tokens);
             return Err(Refusal::not_run(Code::InvalidField, detail));
         }
-        let admit = Admit {
-            request: call.id.clone(),
-            workspace: call.workspace.clone(),
-            budget: call.budget.clone(),
+        let ask = Ask {
             kind: kind.id.clone(),
-            rank: kind.rank,
-            key: call.bill_key(),
-            digest: digest(&bytes),
-            claim: call.key.is_some(),
-            amount: chat.prompt + Tokens(max_tokens),
-            size: ByteSize(bytes.len() as u64),
-            deadline: call.deadline(&kind),
-            ask: Ask {
-                kind: kind.id.clone(),
-                model: Some(chat.model.clone()),
-                prefix: chat.prefix,
-                exclude: Vec::new(),
-            },
+            model: Some(chat.model.clone()),
+            prefix: chat.prefix,
+            exclude: Vec::new(),
         };
+        let amount = chat.prompt + Tokens(max_tokens);
+        let admit = Admit { claim: call.key.is_some(), ..call.admit(&kind, &bytes, amount, ask) };
         let (deadline, end) = (admit.deadline, arrived + settings.fleet().request_limit);
         let (ticket, start) = self.admit(admit, caller).await?;
         let job = Job { call, chat, kind, max_tokens, deadline, end, _memory: memory };
@@ -126,7 +113,7 @@
         Box::pin(self.whole(job, ticket, start)).await
     }
 
-    fn outgoing(&self, job: &Job, start: &Start, id: &RequestId) -> Outgoing {
+    pub(crate) fn outgoing(&self, job: &Job, start: &Start, id: &RequestId) -> Outgoing {
         let left = job.end.since(self.clock.now());
         let mut outgoing = Outgoing::new(Method::Post, "/v1/chat/completions")
             .header("content-type", "application/json")
@@ -241,97 +228,13 @@
         })
     }
 
-    fn note_failure(&self, job: &Job, start: &Start, outcome: Outcome, detail: &str) {
+    pub(crate) fn note_failure(&self, job: &Job, start: &Start, outcome: Outcome, detail: &str) {
         log::warn!(
             request = job.call.id.as_str(), server = start.server.id.as_str(), outcome:? = outcome;
             "attempt failed: {detail}"
         );
     }
 
-    /// Relays the events of an opened stream to the caller.
-    async fn relay(&self, job: Job, mut ticket: Ticket, opened: Opened, sender: BodySender) {
-        let Opened { start, id, mut reader, first } = opened;
-        let mut progress = Progress::default();
-        let mut resumed = 0;
-        let mut next = Ok(Some(first));
-        let failure = loop {
-            let data = match next {
-                Ok(Some(data)) => data,
-                Ok(None) | Err(_) if resumed < RESUME_LIMIT && self.clock.now() < job.end => {
-                    resumed += 1;
-                    match self.resume(&job, &start, &id, progress.tokens).await {
-                        Some(resumed_reader) => reader = resumed_reader,
-                        None => break "the answer broke off and could not be resumed".to_owned(),
-                    }
-                    next = self.next_event(&job, &mut reader).await;
-                    continue;
-                }
-                Ok(None) => break "the answer broke off".to_owned(),
-                Err(error) => break error.to_string(),
-            };
-            if data == "[DONE]" {
-                if !progress.complete {
-                    break "the answer ended without its usage".to_owned();
-                }
-                let delivered = send(&sender, encode_event(&data)).await;
-                self.metrics.billed(&job.kind.id, ticket.used().0);
-                ticket.finish(Outcome::Ok, delivered);
-                return;
-            }
-            match progress.check(&data, &id) {
-                Step::Forward => {}
-                Step::Drop => {
-                    next = self.next_event(&job, &mut reader).await;
-                    continue;
-                }
-                Step::Fail(detail) => break detail.to_owned(),
-            }
-            let estimate = Tokens(job.chat.prompt.0 / BYTES_PER_TOKEN + progress.tokens);
-            ticket.set_used(progress.usage.unwrap_or(estimate));
-            if !send(&sender, encode_event(&data)).await {
-                if let Some(usage) = self.cancel(&start, &id).await {
-                    ticket.set_used(usage);
-                }
-                log::info!(request = job.call.id.as_str(), tokens = progress.tokens; "caller left");
-                ticket.finish(Outcome::Cancelled, false);
-                return;
-            }
-            next = self.next_event(&job, &mut reader).await;
-        };
-        self.note_failure(&job, &start, Outcome::Failed, &failure);
-        self.cancel(&start, &id).await;
-        let refusal = Refusal::unknown(Code::AnswerTruncated, failure);
-        self.metrics.refused(refusal.code);
-        let problem = problem_body(&refusal, job.call.id.as_str());
-        let event = format!("event: error\ndata: {}\n\n", json!({ "error": problem }));
-        let _ = send(&sender, event.into_bytes()).await;
-        let _ = sender.try_send(Err(io::Error::other("answer truncated")));
-        ticket.finish(Outcome::Failed, false);
-    }
-
-    async fn next_event(
-        &self,
-        job: &Job,
-        reader: &mut EventReader<ResponseStream>,
-    ) -> io::Result<Option<String>> {
-        let left = job.end.since(self.clock.now());
-        let expired = || Err(io::Error::new(io::ErrorKind::TimedOut, "request limit reached"));
-        timeout(left, reader.next()).await.unwrap_or_else(expired)
-    }
-
-    /// Asks the engine to go on with a stream whose connection broke.
-    async fn resume(
-        &self,
-        job: &Job,
-        start: &Start,
-        id: &RequestId,
-        tokens: u64,
-    ) -> Option<EventReader<ResponseStream>> {
-        let outgoing = self.outgoing(job, start, id).header("x-resume-from", tokens.to_string());
-        let (response, stream) = self.client.send(start.server.address, &outgoing).await.ok()?;
-        (response.status() == 200).then(|| EventReader::new(stream))
-    }
-
     /// Serves a request whose answer is not streamed.
     async fn whole(
         &self,
@@ -389,7 +292,7 @@
 
     /// Cancels an attempt at its engine, and returns the usage that the engine reports. It may be
     /// gone, and then there is none.
-    async fn cancel(&self, start: &Start, id: &RequestId) -> Option<Tokens> {
+    pub(crate) async fn cancel(&self, start: &Start, id: &RequestId) -> Option<Tokens> {
         let outgoing = Outgoing::new(Method::Delete, format!("/v1/requests/{id}"));
         let done = self.client.fetch(start.server.address, &outgoing, 4_096, CANCEL_TIME).await;
         match done {
@@ -405,51 +308,6 @@
     }
 }
 
-/// Bytes of prompt per token in the estimate of a bill whose usage the engine did not report.
-const BYTES_PER_TOKEN: u64 = 4;
-
-/// What has been seen of a stream.
-#[derive(Default)]
-struct Progress {
-    tokens: u64,
-    sequence: Option<u64>,
-    usage: Option<Tokens>,
-    complete: bool,
-}
-
-enum Step {
-    Forward,
-    Drop,
-    Fail(&'static str),
-}
-
-impl Progress {
-    /// Checks that an event belongs to the answer and comes next.
-    fn check(&mut self, data: &str, id: &RequestId) -> Step {
-        let Some(event) = EngineEvent::parse(data) else {
-            return Step::Fail("an event is not a JSON object");
-        };
-        if !event.is_for(id) {
-            return Step::Fail("an event belongs to another request");
-        }
-        if let (Some(last), Some(sequence)) = (self.sequence, event.sequence) {
-            if sequence <= last {
-                return Step::Drop;
-            }
-            if sequence != last + 1 {
-                return Step::Fail("an event is missing");
-            }
-        }
-        self.sequence = event.sequence.or(self.sequence);
-        self.tokens += u64::from(event.content);
-        if let Some(usage) = event.usage {
-            self.usage = Some(usage);
-            self.complete = true;
-        }
-        Step::Forward
-    }
-}
-
 fn check_whole(
     status: http_types::StatusCode,
     bytes: &[u8],
@@ -475,11 +333,6 @@
     Attempt::Failed(Outcome::Failed, detail.to_owned())
 }
 
-/// Returns a digest of a request's content.
-pub fn digest(bytes: &[u8]) -> u64 {
-    stable_hash(&[&String::from_utf8_lossy(bytes)])
-}
-
 /// Returns the id of one attempt. Each attempt has its own, so that late events of an abandoned
 /// attempt cannot be taken for the present one's.
 fn attempt_id(id: &RequestId, number: u32) -> RequestId {
@@ -488,8 +341,3 @@
         n => format!("{id}.{n}").parse().expect("the parts are names"),
     }
 }
-
-/// Sends bytes to the caller, and returns whether it is still there.
-async fn send(sender: &BodySender, bytes: Vec<u8>) -> bool {
-    matches!(timeout(STALL_LIMIT, sender.send(Ok(bytes))).await, Some(Ok(())))
-}
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -1,6 +1,7 @@
 //! One router: a control thread that owns all control state, and threads that carry traffic.
 
 mod admin;
+mod call_once;
 mod change;
 mod chat;
 mod claims;
@@ -17,6 +18,7 @@
 mod once;
 mod process;
 mod registry;
+mod relay;
 mod service;
 mod snapshot;
 mod ticket;
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/traffic.rs
@@ -15,12 +15,14 @@
 use berylwheel_http::problem_response;
 use berylwheel_http::read_body;
 use berylwheel_http::serve;
+use berylwheel_route::Ask;
 use berylwheel_settings::KindSettings;
 use berylwheel_settings::Service;
 use berylwheel_settings::Settings;
 use berylwheel_store::Store;
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
+use berylwheel_types::ByteSize;
 use berylwheel_types::Clock;
 use berylwheel_types::Code;
 use berylwheel_types::Incarnation;
@@ -29,7 +31,9 @@
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use berylwheel_types::WorkspaceId;
+use berylwheel_types::stable_hash;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use http_types::Method;
@@ -106,6 +110,24 @@
         self.key.as_deref().map(|key| BillKey::new(&self.workspace, key))
     }
 
+    /// Returns the request to start this call, without a claim of its key.
+    pub fn admit(&self, kind: &KindSettings, body: &[u8], amount: Tokens, ask: Ask) -> Admit {
+        Admit {
+            request: self.id.clone(),
+            workspace: self.workspace.clone(),
+            budget: self.budget.clone(),
+            kind: kind.id.clone(),
+            rank: kind.rank,
+            key: self.bill_key(),
+            digest: stable_hash(&[&String::from_utf8_lossy(body)]),
+            claim: false,
+            amount,
+            size: ByteSize(body.len() as u64),
+            deadline: self.deadline(kind),
+            ask,
+        }
+    }
+
     /// Returns when the answer must have started.
     pub fn deadline(&self, kind: &KindSettings) -> Timestamp {
         let limit = self.patience.map_or(kind.deadline, |patience| patience.min(kind.deadline));
