--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,6 +16,7 @@
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
+use futures_lite::FutureExt;
 use http_types::Body;
 use http_types::Method;
 use http_types::Request;
@@ -22,6 +24,8 @@
 use http_types::Url;
 
 use crate::Connection;
+use crate::contain::contain;
+use crate::contain::undecodable;
 use crate::timeout;
 
 /// Idle connections kept per address.
@@ -107,13 +111,22 @@
         &self,
         address: SocketAddr,
         outgoing: &Outgoing,
+    ) -> Result<(Response, ResponseStream), ClientError> {
+        self.send_within(address, outgoing, outgoing.head_time).await
+    }
+
+    async fn send_within(
+        &self,
+        address: SocketAddr,
+        outgoing: &Outgoing,
+        time: Millis,
     ) -> Result<(Response, ResponseStream), ClientError> {
         if outgoing.pooled
             && let Some(connection) = self.take_idle(address)
         {
-            return self.exchange(address, connection, outgoing).await;
+            return self.exchange(address, connection, outgoing, time).await;
         }
-        let opened = timeout(outgoing.head_time, Connection::open(address)).await;
+        let opened = timeout(time, Connection::open(address)).await;
         let connection = match opened {
             Some(Ok(connection)) => connection,
             Some(Err(error)) => {
@@ -121,11 +134,11 @@
                 return Err(ClientError { sent: false, timed_out: false, detail });
             }
             None => {
-                let detail = format!("no connection to {address} in {}", outgoing.head_time);
+                let detail = format!("no connection to {address} in {time}");
                 return Err(ClientError { sent: false, timed_out: true, detail });
             }
         };
-        self.exchange(address, connection, outgoing).await
+        self.exchange(address, connection, outgoing, time).await
     }
 
     /// Sends a request and reads the whole response within `time`.
@@ -141,7 +154,9 @@
     ) -> Result<(Response, Vec<u8>), ClientError> {
         let failed = |timed_out, detail: String| ClientError { sent: true, timed_out, detail };
         let whole = async {
-            let (response, mut stream) = self.send(address, outgoing).await?;
+            // A connection that is not made in `time` has to fail here, as one that sent nothing.
+            let head_time = outgoing.head_time.min(time);
+            let (response, mut stream) = self.send_within(address, outgoing, head_time).await?;
             let mut bytes = Vec::new();
             (&mut stream)
                 .take(limit + 1)
@@ -182,6 +197,7 @@
         address: SocketAddr,
         connection: Connection,
         outgoing: &Outgoing,
+        time: Millis,
     ) -> Result<(Response, ResponseStream), ClientError> {
         let before = connection.bytes_written();
         let failed = |timed_out, detail: String| ClientError {
@@ -190,9 +206,15 @@
             detail: format!("{address}: {detail}"),
         };
         let request = build(address, outgoing).map_err(|detail| failed(false, detail))?;
-        let answer = Box::pin(async_h1::connect(connection.clone(), request));
-        let mut response = match timeout(outgoing.head_time, answer).await {
-            None => return Err(failed(true, format!("no answer in {}", outgoing.head_time))),
+        // The library panics on a header that is not ASCII.
+        // Boxed: the future is large enough to overflow stacks of unoptimised builds.
+        let answer = AssertUnwindSafe(Box::pin(async_h1::connect(connection.clone(), request)));
+        let answer = async {
+            let answer = answer.catch_unwind().await;
+            answer.unwrap_or_else(|_| Err(undecodable().into()))
+        };
+        let mut response = match timeout(time, answer).await {
+            None => return Err(failed(true, format!("no answer in {time}"))),
             Some(Err(error)) => return Err(failed(false, error.to_string())),
             Some(Ok(response)) => response,
         };
@@ -255,7 +277,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        let n = ready!(contain(|| Pin::new(&mut self.body).poll_read(cx, buf)))?;
         if n == 0 && !buf.is_empty() {
             self.at_end()?;
         }
@@ -267,7 +289,9 @@
 impl AsyncBufRead for ResponseStream {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
-        if ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?.is_empty() {
+        let body = &mut this.body;
+        let empty = contain(|| Pin::new(body).poll_fill_buf(cx).map_ok(|bytes| bytes.is_empty()));
+        if ready!(empty)? {
             this.at_end()?;
         }
         Pin::new(&mut this.body).poll_fill_buf(cx)
--- a/crates/berylwheel-http/src/connection.rs
+++ b/crates/berylwheel-http/src/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection that counts the bytes it carried.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::pin::Pin;
@@ -53,6 +54,14 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the peer has closed its side or broken the connection.
+    pub fn is_closed(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Ok(n) => n == 0,
+        }
+    }
+
     /// Returns whether the peer has closed an idle connection, or sent something unasked.
     pub fn is_stale(&self) -> bool {
         let mut byte = [0];
@@ -94,7 +103,8 @@
         Pin::new(&mut &*self.stream).poll_flush(cx)
     }
 
-    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_close(cx)
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // `async-io` only flushes here, and the peer would not see the end before the drop.
+        Poll::Ready(self.stream.get_ref().shutdown(Shutdown::Write))
     }
 }
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -6,6 +6,7 @@
 use berylwheel_budget::OnceRecord;
 use berylwheel_budget::OnceState;
 use berylwheel_budget::decide_once;
+use berylwheel_http::Caller;
 use berylwheel_http::ClientError;
 use berylwheel_http::Outgoing;
 use berylwheel_http::timeout;
@@ -28,10 +29,12 @@
 use crate::command::Admit;
 use crate::command::Start;
 use crate::engine::digest;
+use crate::memory::BodyBytes;
 use crate::once::OnceStore;
 use crate::once::RecordError;
 use crate::once::done;
 use crate::ticket::Ticket;
+use crate::traffic::Body;
 use crate::traffic::Call;
 use crate::traffic::Traffic;
 
@@ -51,7 +54,6 @@
 const LOOKUP_TIME: Millis = Millis(2_000);
 
 /// A call to a plain service.
-#[derive(Clone)]
 pub struct ServiceCall {
     /// What the tasks of the call log.
     pub id: RequestId,
@@ -64,6 +66,7 @@
     body: Vec<u8>,
     deadline: Timestamp,
     end: Timestamp,
+    _memory: BodyBytes,
 }
 
 impl Traffic {
@@ -80,7 +83,9 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.open()?;
         let call = self.call(&request, settings, id, arrived)?;
-        let body = self.body(&mut request, settings).await?;
+        let caller = request.ext().get::<Caller>().cloned();
+        let Body { bytes: body, memory } =
+            self.body(&mut request, settings, &self.service_memory).await?;
         let (name, path) = split_path(&request);
         let unknown = || Refusal::not_run(Code::UnknownKind, name.to_owned());
         let kind = name.parse().ok().and_then(|kind| settings.kind_of(&call.workspace, &kind));
@@ -111,17 +116,25 @@
             body,
             deadline: admit.deadline,
             end: arrived + settings.fleet().request_limit,
+            _memory: memory,
             kind,
         };
         match outgoing.kind.repeat {
-            Repeat::Never => self.call_once(call, admit, outgoing).await,
-            Repeat::Idempotent | Repeat::ByKey => self.call_repeatable(admit, outgoing).await,
+            Repeat::Never => self.call_once(call, admit, outgoing, caller).await,
+            Repeat::Idempotent | Repeat::ByKey => {
+                self.call_repeatable(admit, outgoing, caller).await
+            }
         }
     }
 
-    async fn call_repeatable(&self, admit: Admit, call: ServiceCall) -> Result<Response, Refusal> {
+    async fn call_repeatable(
+        &self,
+        admit: Admit,
+        call: ServiceCall,
+        caller: Option<Caller>,
+    ) -> Result<Response, Refusal> {
         let price = admit.amount;
-        let (mut ticket, mut start) = Ticket::admit(&self.events, admit).await?;
+        let (mut ticket, mut start) = self.admit(admit, caller).await?;
         loop {
             match self.exchange(&call, &start, true).await {
                 Ok(answer) => {
@@ -156,6 +169,7 @@
         call: Call,
         admit: Admit,
         outgoing: ServiceCall,
+        caller: Option<Caller>,
     ) -> Result<Response, Refusal> {
         let key = call.key.clone().unwrap_or_default();
         let records = OnceStore::new(self.store.clone(), &call.workspace, &key);
@@ -164,7 +178,7 @@
         if let Some(answer) = self.existing(&records, &outgoing, digest, admit.deadline).await? {
             return Ok(answer);
         }
-        let (ticket, start) = Ticket::admit(&self.events, admit).await?;
+        let (ticket, start) = self.admit(admit, caller).await?;
         let record = OnceRecord {
             attempt: call.id.clone(),
             owner: self.me.clone(),
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/traffic.rs
@@ -9,6 +9,7 @@
 use async_executor::Executor;
 use async_io::Async;
 use berylwheel_http::ActiveRequests;
+use berylwheel_http::Caller;
 use berylwheel_http::Client;
 use berylwheel_http::ServerLimits;
 use berylwheel_http::problem_response;
@@ -29,14 +30,21 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::WorkspaceId;
+use futures_lite::FutureExt;
+use futures_lite::future;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use serde_json::json;
 
+use crate::command::Admit;
+use crate::command::Start;
 use crate::event::Event;
+use crate::memory::BodyBytes;
+use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::snapshot::SharedSnapshot;
+use crate::ticket::Ticket;
 
 /// The longest idempotency key, in bytes; it becomes part of a store key.
 const KEY_LIMIT: usize = 128;
@@ -62,6 +70,18 @@
     pub metrics: Metrics,
     /// Requests so far, for ids.
     pub counter: Arc<AtomicU64>,
+    /// Memory for the bodies of model work.
+    pub engine_memory: BodyMemory,
+    /// Memory for the bodies of plain services' calls.
+    pub service_memory: BodyMemory,
+}
+
+/// The body of a caller's request and the memory that it takes.
+pub struct Body {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Given back when the request has ended.
+    pub memory: BodyBytes,
 }
 
 /// A caller's request with what its headers say.
@@ -204,17 +224,40 @@
         Ok(Call { id, workspace, budget, key, arrived, patience })
     }
 
-    /// Reads the request's body within the bounds of `settings`.
+    /// Reads the request's body within the bounds of `settings`, into memory of `pool`.
     ///
     /// # Errors
-    /// A refusal for a body that is too large, too slow, or breaks off.
+    /// A refusal for a body that is too large, too slow, breaks off, or finds no memory.
     pub async fn body(
         &self,
         request: &mut Request,
         settings: &Settings,
-    ) -> Result<Vec<u8>, Refusal> {
+        pool: &BodyMemory,
+    ) -> Result<Body, Refusal> {
         let fleet = settings.fleet();
-        read_body(request.take_body(), fleet.body_limit, fleet.receive_time).await
+        let size = request.len().map_or(fleet.body_limit.0, |n| n as u64);
+        let memory = pool.take(size.min(fleet.body_limit.0))?;
+        let bytes = read_body(request.take_body(), fleet.body_limit, fleet.receive_time).await?;
+        Ok(Body { bytes, memory })
+    }
+
+    /// Asks for a start for as long as the caller waits.
+    ///
+    /// # Errors
+    /// The refusal of the control thread.
+    pub async fn admit(
+        &self,
+        admit: Admit,
+        caller: Option<Caller>,
+    ) -> Result<(Ticket, Start), Refusal> {
+        let left = async {
+            match caller {
+                Some(caller) => caller.left().await,
+                None => future::pending().await,
+            }
+            Err(Refusal::not_run(Code::WorkspaceLimit, "the caller left before the start"))
+        };
+        Ticket::admit(&self.events, admit).or(left).await
     }
 
     fn authenticate(&self, request: &Request) -> Result<(WorkspaceId, BudgetId), Refusal> {
--- a/crates/berylwheel-standin/tests/engine.rs
+++ b/crates/berylwheel-standin/tests/engine.rs
@@ -51,6 +51,7 @@
         let (events, _) = peer.events(&resume("r", 3)).await;
         assert_eq!((text("r", &events).as_str(), events.len()), (" t3", 3));
         assert_eq!(peer.call(&chat("r", 4, true)).await.unwrap().0, 409);
+        assert_eq!(peer.get("/v1/usage").await[0]["tokens"], 6, "as before the second call");
         assert_eq!(peer.call(&resume("unknown", 1)).await.unwrap().0, 404);
     });
 }
@@ -164,16 +165,20 @@
     });
 }
 
-/// Guards against a stale order that a checking engine takes, or an ignoring one refuses.
+/// Guards against a stale order that a checking engine takes, or an ignoring one refuses, and an
+/// order that has no effect.
 #[test]
 fn orders_are_fenced_only_by_engines_that_check() {
     for (check_fence, expected) in [(true, 409), (false, 200)] {
         run(async |executor| {
-            let options = EngineOptions { check_fence, ..EngineOptions::default() };
+            let models = vec!["other".to_owned()];
+            let options = EngineOptions { check_fence, models, ..EngineOptions::default() };
             let (address, _engine) = start_engine(any_port(), &executor, options).unwrap();
             let peer = Peer::new(address);
             let order = |fence: u64| json!({ "fence": fence, "model": "m" });
+            assert_eq!(peer.call(&chat("a", 1, false)).await.unwrap().0, 404);
             assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200);
+            assert_eq!(peer.call(&chat("b", 1, false)).await.unwrap().0, 200, "now loaded");
             assert_eq!(peer.post("/v1/orders", order(6)).await.0, expected);
             assert_eq!(peer.post("/v1/orders", order(7)).await.0, 200, "the same holder again");
         });
