--- a/benches/overload/main.rs
+++ b/benches/overload/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod queueing;
 mod report;
+mod routing;
 
 use report::Report;
 
@@ -23,4 +24,5 @@
         figures::small_callers(&size, &mut report);
         figures::overload(&size, &mut report);
     }
+    routing::run(seed);
 }
--- a/crates/berylwheel-router/src/call_once.rs
+++ b/crates/berylwheel-router/src/call_once.rs
@@ -1,6 +1,8 @@
 //! Calls that must not be repeated: a record in the store before the first byte, and its result
 //! after the answer.
 
+use std::net::SocketAddr;
+
 use berylwheel_budget::OnceAnswer;
 use berylwheel_budget::OnceDecision;
 use berylwheel_budget::OnceRecord;
@@ -169,7 +171,7 @@
         }
         for _ in 0..LOOKUP_LIMIT {
             async_io::Timer::after(LOOKUP_INTERVAL.duration()).await;
-            let asked = self.ask_service(&run.call, &start).await;
+            let asked = self.ask_service(&run.call, start.server.address).await;
             if let Some(answer) = asked {
                 log::info!(request = run.call.id.as_str(); "outcome of unknown call found");
                 self.record_result(&run, answer).await;
@@ -178,19 +180,17 @@
         }
     }
 
-    /// Returns the answer that the service keeps for the call's key, if it ran.
-    async fn ask_service(&self, call: &ServiceCall, start: &Start) -> Option<OnceAnswer> {
+    /// Returns the answer that the service at `address` keeps for the call's key, if it ran there.
+    async fn ask_service(&self, call: &ServiceCall, address: SocketAddr) -> Option<OnceAnswer> {
         let key = call.key.as_deref()?;
-        let mut outgoing = Outgoing::new(Method::Get, format!("/calls/{key}"));
-        outgoing.head_time = LOOKUP_TIME;
-        let fetched =
-            self.client.fetch(start.server.address, &outgoing, ANSWER_LIMIT, LOOKUP_TIME).await;
+        let outgoing = Outgoing::new(Method::Get, format!("/calls/{key}"));
+        let fetched = self.client.fetch(address, &outgoing, ANSWER_LIMIT, LOOKUP_TIME).await;
         let (response, body) = fetched.ok()?;
         let content_type = content_type(&response);
         (response.status() == 200).then_some(OnceAnswer { status: 200, content_type, body })
     }
 
-    /// OnceAnswers from the record that is there before the call, if any.
+    /// Answers from the record that is there before the call, if any.
     async fn existing(
         &self,
         records: &OnceStore,
@@ -234,23 +234,12 @@
     /// Asks every server of the kind about a call whose router is gone, and records what it finds.
     async fn resolve(&self, records: &OnceStore, call: &ServiceCall) -> Result<Response, Refusal> {
         let snapshot = self.snapshot.load_full();
-        for server in snapshot.open()?.servers() {
-            if !server.kinds.contains(&call.kind.id) {
-                continue;
-            }
-            let key = call.key.as_deref().unwrap_or_default();
-            let mut outgoing = Outgoing::new(Method::Get, format!("/calls/{key}"));
-            outgoing.head_time = LOOKUP_TIME;
-            let fetched =
-                self.client.fetch(server.address, &outgoing, ANSWER_LIMIT, LOOKUP_TIME).await;
-            let Ok((response, body)) = fetched else { continue };
-            if response.status() != 200 {
-                continue;
+        let servers = snapshot.open()?.servers().iter();
+        for server in servers.filter(|server| server.kinds.contains(&call.kind.id)) {
+            if let Some(answer) = self.ask_service(call, server.address).await {
+                records.resolve(answer.clone()).await;
+                return Ok(respond(answer));
             }
-            let content_type = content_type(&response);
-            let result = OnceAnswer { status: 200, content_type, body };
-            records.resolve(result.clone()).await;
-            return Ok(respond(result));
         }
         Err(unknown("the router that sent the call is gone and no service knows the call"))
     }
