Give every budget its grants before store traffic is measured

Cause: at 27 routers and 1,000 budgets a third of the routers had not seen a budget after the warm-up, and their first grants counted as steady traffic. Ruled out: the first requests at 100,000 budgets only; sizes would not compare. Change: one request of each budget at each of its routers comes first at every size.

--- a/benches/budgets/traffic.rs
+++ b/benches/budgets/traffic.rs
@@ -36,15 +36,17 @@
     order
 }
 
-/// Returns one request of each budget at each of its home routers, all of a page at one time.
+/// Returns one request of each budget at each of its routers, all of a page at one time.
 ///
-/// Without them the first requests would ask for a grant each, for an hour at this size.
-fn first_requests(workspaces: &[Workspace], pages: u32, span: u64) -> Vec<Request> {
+/// Without them the first requests would ask for a grant each, for an hour at the larger sizes.
+fn first_requests(workspaces: &[Workspace], routers: usize, pages: u32, span: u64) -> Vec<Request> {
     let mut requests = Vec::new();
+    let all: Vec<usize> = (0..routers).collect();
     for (workspace, settings) in workspaces.iter().enumerate() {
         let page = page_of(&format!("w{workspace}/main").parse().expect("budget"), pages);
         let at = u64::from(page.0) * span / u64::from(pages);
-        requests.extend(settings.homes.iter().map(|router| Request {
+        let homes = if settings.homes.is_empty() { &all } else { &settings.homes };
+        requests.extend(homes.iter().map(|router| Request {
             at,
             router: *router,
             workspace,
@@ -71,7 +73,7 @@
     let workspaces: Vec<_> = (0..budgets).map(workspace).collect();
     let credits = vec![(rate * 3_600.0 * 24.0 * load::MEAN_USED) as u64; budgets];
     let mut fleet = Fleet::new(routers, &credits, policy);
-    fleet.add_all(first_requests(&workspaces, pages, warm_up / 2));
+    fleet.add_all(first_requests(&workspaces, routers, pages, warm_up / 2));
     fleet.add_all(load::requests(&workspaces, routers, warm_up + span, SEED));
     fleet.run(warm_up, &mut |_, _| {});
     let before = fleet.traffic;
