Document late writes of dead holders and the fixed number of pages

Cause: a write sent before a crash can win after a reclaim that found nothing on the page, and another number of pages hides existing budgets; neither was written down. Ruled out: a write of every page by each reclaim, which costs a write for each page. Conclusion: the caller of reclaim looks again; ledger_pages stays as it is.

--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -44,6 +44,8 @@
 
 /// Returns the page that holds `budget` when the ledger has `pages` pages.
 ///
+/// Another number of pages places budgets elsewhere, so it must not change while budgets exist.
+///
 /// ```
 /// use berylwheel_budget::page_of;
 /// let budget = "w1/main".parse().unwrap();
--- a/crates/berylwheel-budget/src/reclaim.rs
+++ b/crates/berylwheel-budget/src/reclaim.rs
@@ -34,6 +34,9 @@
     /// The caller has evidence that the process is gone, and `usage` holds the records of every
     /// engine that may have served it. Several records of one request, from several engines, are
     /// billed as the largest of them. `author` is the router that reclaims.
+    ///
+    /// A write that the process sent before it died may reach the store after this. It wins only if
+    /// the page was not written since, so the caller looks for rows of dead incarnations again.
     pub fn reclaim(
         &mut self,
         dead: &Incarnation,
