Refuse an edit whose section name a file cannot hold

Cause: the name of an operator's section is plain text, so an edit made by code with a line break in it could add sections to the printed tree. Ruled out: a check in the type itself, whose variants are public. Change: the printed name must read as the same section. Conclusion: neither names, keys nor values add lines.

--- a/crates/berylwheel-settings/src/edit.rs
+++ b/crates/berylwheel-settings/src/edit.rs
@@ -31,6 +31,15 @@
         section.entries.values_mut().for_each(|entry| entry.line = 0);
     }
     for Edit { section, key, value } in edits {
+        if section.to_string().parse().as_ref() != Ok(section) {
+            errors.push(tree.error(
+                section,
+                "",
+                "a name that a file cannot hold",
+                "a section name",
+            ));
+            continue;
+        }
         let line = format!("{key} = {}", value.as_deref().unwrap_or(""));
         if !key.is_empty() && !raw::is_entry(&line, key) {
             let expected = "KEY = VALUE without line breaks and control characters";
--- a/crates/berylwheel-settings/tests/errors.rs
+++ b/crates/berylwheel-settings/tests/errors.rs
@@ -2,6 +2,7 @@
 //! that are accepted.
 
 use berylwheel_settings::Edit;
+use berylwheel_settings::SectionName;
 use berylwheel_settings::Settings;
 use expect_test::Expect;
 use expect_test::expect;
@@ -164,4 +165,7 @@
     expect![[r#"
         fleet.ini: [fleet] queue: a key or value that a line cannot hold, expected KEY = VALUE without line breaks and control characters
     "#]].assert_eq(&format!("{errors}\n"));
+    let section = SectionName::Operator("eve]\n[operator mal".to_owned());
+    let edit = Edit { section, key: "key".to_owned(), value: Some(DIGEST.to_owned()) };
+    assert!(settings.edit(&[edit]).is_err(), "a section name adds lines");
 }
