Measure what open streams and ledger pages cost a router

Ruled out: wall-clock time, which other work on the machine adds to; 64 slots at each of the two engines, which a trial run with 225 streams exceeded: the bench stopped at a stream that failed. Change: the bench `memory` starts one router process and reads its processor time and resident memory with 0, 75 and 225 open streams at 48 ms between tokens; it times decoding, checking and encoding a page, and encodes heartbeats with and without shares of service.

--- a/benches/memory/ledger.rs
+++ b/benches/memory/ledger.rs
@@ -17,6 +17,8 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 
+use crate::processor_nanos;
+
 /// Pages of the ledger at the target size.
 const PAGES: u32 = 4_096;
 /// Credit of each budget, one request's reservation, and what it uses.
@@ -25,6 +27,8 @@
 const USED: Tokens = Tokens(600);
 /// Polls after which a holder must have done its work.
 const POLL_LIMIT: u32 = 10_000;
+/// Rounds that the time to read and write a page is the mean of.
+const CODEC_ROUNDS: u32 = 500;
 
 /// The pages of the store that exist while they are in use, with their revisions.
 type Pages = FastMap<PageId, (u64, LedgerPage)>;
@@ -132,9 +136,26 @@
     holder
 }
 
-/// Returns the bytes of a page of `count` budgets in which each of `homes` holders has a grant and has
-/// settled one bill with a key.
+/// Returns the bytes of a page made by [`settled_page`].
 pub fn page_bytes(count: usize, homes: usize) -> usize {
+    settled_page(count, homes).encode().len()
+}
+
+/// Returns the processor time to decode, check and encode a page with three holders.
+pub fn codec_seconds(count: usize) -> f64 {
+    let bytes = settled_page(count, 3).encode();
+    let start = processor_nanos();
+    for _ in 0..CODEC_ROUNDS {
+        let page = LedgerPage::decode(&bytes).expect("a page");
+        page.check().expect("a page that adds up");
+        assert_eq!(page.encode().len(), bytes.len());
+    }
+    (processor_nanos() - start) as f64 / 1e9 / f64::from(CODEC_ROUNDS)
+}
+
+/// Returns a page of `count` budgets in which each of `homes` holders has a grant and has settled one
+/// bill with a key.
+fn settled_page(count: usize, homes: usize) -> LedgerPage {
     let numbers: Vec<usize> = (0..count).collect();
     let mut pages = Pages::default();
     pages.insert(PageId(0), (1, page(&numbers)));
@@ -153,10 +174,10 @@
         now += Millis(120_000);
         serve(&mut holder, &mut now, &mut pages, 0);
     }
-    let (_, page) = &pages[&PageId(0)];
+    let (_, page) = pages.remove(&PageId(0)).expect("the page");
     for (budget, account) in page.accounts() {
         assert_eq!(account.rows.len(), homes, "rows of {budget}");
         assert_eq!(account.billed, Tokens(homes as u64 * USED.0), "bills of {budget}");
     }
-    page.encode().len()
+    page
 }
--- a/benches/memory/main.rs
+++ b/benches/memory/main.rs
@@ -6,6 +6,7 @@
 
 mod ledger;
 mod state;
+mod stream;
 mod wire;
 
 use std::env;
@@ -37,6 +38,8 @@
 const LIST_SIZES: [usize; 3] = [12, 340, 1_270];
 /// Workspaces of a configuration.
 const PART_SIZES: [usize; 3] = [1_000, 4_000, 12_000];
+/// Streams open at one router; the last is that of a node at the target size.
+const STREAM_COUNTS: [usize; 3] = [0, 75, 225];
 /// Requests in the queue when the time of a decision is measured.
 const QUEUE_SIZES: [usize; 3] = [10, 100, 1_000];
 
@@ -59,6 +62,7 @@
     for size in PAGE_SIZES {
         let bytes = ledger::page_bytes(size, 3) as f64;
         print(&format!("page_bytes.{size}"), bytes, "B", None, Some(1_048_576.0));
+        print(&format!("page_codec_s.{size}"), ledger::codec_seconds(size), "s", None, None);
     }
     for homes in HOME_COUNTS {
         let bytes = ledger::page_bytes(120, homes) as f64;
@@ -69,9 +73,9 @@
         let bytes = wire::registry_bytes(size) as f64;
         print(&format!("registry_bytes.{size}"), bytes, "B", None, None);
     }
-    for others in [0, 8] {
-        let bytes = wire::heartbeat_bytes(others) as f64;
-        print(&format!("heartbeat_bytes.{others}"), bytes, "B", None, None);
+    for shares in [0, 16] {
+        let bytes = wire::heartbeat_bytes(shares) as f64;
+        print(&format!("heartbeat_bytes.{shares}"), bytes, "B", None, None);
     }
     for size in PART_SIZES {
         let bytes = state::largest_part(size) as f64;
@@ -80,6 +84,11 @@
     for size in QUEUE_SIZES {
         print(&format!("decision_s.{size}"), state::decision_seconds(size), "s", None, None);
     }
+    for count in STREAM_COUNTS {
+        let cost = stream::cost(count)?;
+        print(&format!("stream_core_share.{count}"), cost.core, "cores", None, None);
+        print(&format!("stream_rss_bytes.{count}"), cost.memory, "B", None, None);
+    }
     Ok(())
 }
 
@@ -105,11 +114,22 @@
 }
 
 fn resident() -> Result<f64> {
-    let text = fs::read_to_string("/proc/self/statm").context("/proc/self/statm")?;
+    resident_of("self")
+}
+
+/// Returns the resident memory of a process.
+fn resident_of(process: &str) -> Result<f64> {
+    let text = fs::read_to_string(format!("/proc/{process}/statm")).context("statm")?;
     let pages: f64 = text.split_whitespace().nth(1).context("no resident pages")?.parse()?;
     Ok(pages * PAGE_BYTES)
 }
 
+/// Returns the processor time of this process, which other processes' load does not add to.
+fn processor_nanos() -> u64 {
+    let text = fs::read_to_string("/proc/self/schedstat").expect("/proc/self/schedstat");
+    text.split_whitespace().next().and_then(|field| field.parse().ok()).expect("a number")
+}
+
 fn print(figure: &str, value: f64, unit: &str, baseline: Option<f64>, target: Option<f64>) {
     let line = json!({
         "figure": figure,
--- a/benches/memory/state.rs
+++ b/benches/memory/state.rs
@@ -1,7 +1,6 @@
 //! Configuration, routes and queues of growing size.
 
 use std::fmt::Write;
-use std::fs;
 use std::net::Ipv4Addr;
 
 use berylwheel_config::AccessTable;
@@ -31,6 +30,8 @@
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
 
+use crate::processor_nanos;
+
 /// Models and routers of the target size.
 const MODELS: usize = 13;
 const ROUTERS: usize = 340;
@@ -157,9 +158,3 @@
     }
     (processor_nanos() - start) as f64 / 1e9 / DECISIONS as f64
 }
-
-/// Returns the processor time of this process, which other processes' load does not add to.
-fn processor_nanos() -> u64 {
-    let text = fs::read_to_string("/proc/self/schedstat").expect("/proc/self/schedstat");
-    text.split_whitespace().next().and_then(|field| field.parse().ok()).expect("a number")
-}
--- /dev/null
+++ b/benches/memory/stream.rs
@@ -0,0 +1,99 @@
+//! Processor time and memory of a router process with open streams.
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::process;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use async_executor::Executor;
+use async_io::block_on;
+use berylwheel_http::Client;
+use berylwheel_http::EventReader;
+use futures_lite::future;
+use support::Fleet;
+
+/// Streams that each of the two engines takes at a time.
+const SLOTS: &str = "512";
+/// Milliseconds between tokens at the target size.
+const TOKEN_INTERVAL: &str = "48";
+/// Longer than the measurement.
+const STREAM_TOKENS: u64 = 2_000;
+/// Time until all streams have begun, and time over which processor time is read.
+const WARM_UP: Duration = Duration::from_secs(3);
+const SPAN: Duration = Duration::from_secs(8);
+/// The unit of processor time in /proc/PID/stat.
+const TICKS_S: f64 = 100.0;
+
+/// Processor share and resident memory of a router.
+#[derive(Debug, Clone, Copy)]
+pub struct Cost {
+    pub core: f64,
+    pub memory: f64,
+}
+
+/// Returns what a router process uses while `count` callers read streams through it.
+pub fn cost(count: usize) -> Result<Cost> {
+    let arguments = ["--slots", SLOTS, "--token-interval-ms", TOKEN_INTERVAL];
+    let fleet = Fleet::start("memory", 1, &arguments, 1_000_000_000);
+    let executor = Executor::new();
+    for _ in 0..count {
+        executor.spawn(read(fleet.router(0))).detach();
+    }
+    let router = router_process()?;
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            block_on(executor.run(future::or(std::future::pending(), async {
+                let _ = stopped.recv().await;
+            })))
+        });
+        thread::sleep(WARM_UP);
+        let before = processor_seconds(router)?;
+        thread::sleep(SPAN);
+        let core = (processor_seconds(router)? - before) / SPAN.as_secs_f64();
+        let memory = super::resident_of(&router.to_string())?;
+        drop(stop);
+        Ok(Cost { core, memory })
+    })
+}
+
+/// Reads one stream until it ends or the bench does.
+async fn read(router: SocketAddr) {
+    let sent = Client::default().send(router, &support::chat(STREAM_TOKENS, true, None)).await;
+    let (response, stream) = sent.expect("an answer");
+    assert_eq!(response.status(), 200);
+    let mut reader = EventReader::new(stream);
+    while reader.next().await.expect("an event").is_some() {}
+    panic!("the stream ended within the measurement");
+}
+
+/// Returns the process that this one started to serve as a router.
+fn router_process() -> Result<u32> {
+    let me = process::id().to_string();
+    let found = fs::read_dir("/proc")?.flatten().find_map(|entry| {
+        let id: u32 = entry.file_name().to_str()?.parse().ok()?;
+        let arguments = fs::read(entry.path().join("cmdline")).ok()?;
+        let serves = arguments.split(|byte| *byte == 0).any(|argument| argument == b"serve");
+        (serves && field(id, 1).ok()? == me).then_some(id)
+    });
+    found.context("no router process")
+}
+
+/// Returns field `index` of /proc/PID/stat, counted from the one after the name.
+fn field(process: u32, index: usize) -> Result<String> {
+    let text = fs::read_to_string(format!("/proc/{process}/stat"))?;
+    let (_, fields) = text.rsplit_once(')').context("no name")?;
+    Ok(fields.split_whitespace().nth(index).context("too few fields")?.to_owned())
+}
+
+/// Returns the processor time in user and system mode.
+fn processor_seconds(process: u32) -> Result<f64> {
+    let ticks = field(process, 11)?.parse::<f64>()? + field(process, 12)?.parse::<f64>()?;
+    Ok(ticks / TICKS_S)
+}
--- a/benches/memory/wire.rs
+++ b/benches/memory/wire.rs
@@ -9,15 +9,15 @@
 use serde_json::Value;
 use serde_json::json;
 
-/// Workspaces of each rank in a heartbeat.
-const SHARES: usize = 16;
+/// States of other routers in a heartbeat.
+const OTHERS: usize = 8;
 
 fn run(number: usize) -> String {
     format!("router-{number}@117726349266581976")
 }
 
-/// Returns the bytes of a heartbeat with the states of `others` routers and all shares of service.
-pub fn heartbeat_bytes(others: usize) -> usize {
+/// Returns the bytes of a heartbeat with the service of `shares` workspaces in each rank.
+pub fn heartbeat_bytes(shares: usize) -> usize {
     let state = |number| PeerState {
         incarnation: run(number).parse().expect("an incarnation"),
         counter: 86_400,
@@ -41,8 +41,8 @@
         address: own.address,
         version: own.version,
         draining: false,
-        others: (1..=others).map(state).collect(),
-        served: ranks.flat_map(|rank| (0..SHARES).map(move |n| (rank, n))).map(share).collect(),
+        others: (1..=OTHERS).map(state).collect(),
+        served: ranks.flat_map(|rank| (0..shares).map(move |n| (rank, n))).map(share).collect(),
     };
     heartbeat.encode().expect("a heartbeat").len()
 }
