--- a/crates/berylwheel-command/src/lib.rs
+++ b/crates/berylwheel-command/src/lib.rs
@@ -10,6 +10,7 @@
 mod entity;
 mod key;
 mod kind;
+mod order;
 mod rank;
 mod run;
 mod serve;
--- /dev/null
+++ b/crates/berylwheel-command/src/order.rs
@@ -0,0 +1,55 @@
+//! `berylwheel order`
+
+use anyhow::Context;
+use anyhow::Result;
+use async_io::block_on;
+use berylwheel_types::BackendId;
+use clap::Arg;
+use clap::ArgGroup;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use serde_json::json;
+
+use crate::connect::Connection;
+use crate::connect::print_json;
+use crate::connect::with_connection;
+
+const LOADED: [&str; 3] = ["model", "adapter", "version"];
+
+/// Describes the command.
+pub fn command() -> Command {
+    let server = Arg::new("server")
+        .required(true)
+        .help("The engine, as in [server NAME]")
+        .value_parser(value_parser!(BackendId));
+    let load = Command::new("load")
+        .about("Loads a model, an adapter or a version")
+        .args(LOADED.map(|name| Arg::new(name).long(name)))
+        .group(ArgGroup::new("loaded").args(LOADED).multiple(true).required(true));
+    let role = Command::new("role")
+        .about("Changes the engine's role")
+        .arg(Arg::new("role").required(true).help("A role that the engine knows"));
+    with_connection(Command::new("order").about("Sends an order to an engine"))
+        .arg(server)
+        .subcommand_required(true)
+        .subcommand(load)
+        .subcommand(role)
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if the router cannot be reached or refuses.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let server = args.get_one::<BackendId>("server").context("no server")?;
+    let (name, inner) = args.subcommand().context("no subcommand")?;
+    let fields: &[&str] = if name == "load" { &LOADED } else { &["role"] };
+    let mut body = json!({ "server": server });
+    for field in fields {
+        if let Some(value) = inner.get_one::<String>(field) {
+            body[*field] = json!(value);
+        }
+    }
+    print_json(&block_on(Connection::from_args(inner)?.post("/admin/orders", &body))?)
+}
--- a/crates/berylwheel-command/src/run.rs
+++ b/crates/berylwheel-command/src/run.rs
@@ -12,6 +12,7 @@
 use crate::dump;
 use crate::key;
 use crate::kind;
+use crate::order;
 use crate::rank;
 use crate::serve;
 use crate::server;
@@ -36,6 +37,7 @@
         Some(("kind", args)) => kind::run(args),
         Some(("rank", args)) => rank::run(args),
         Some(("server", args)) => server::run(args),
+        Some(("order", args)) => order::run(args),
         Some(("key", args)) => key::run(args),
         Some(("certificates", args)) => certificates::run(args),
         Some(("standin", args)) => standin::run(args),
@@ -66,6 +68,7 @@
         .subcommand(kind::command())
         .subcommand(rank::command())
         .subcommand(server::command())
+        .subcommand(order::command())
         .subcommand(key::command())
         .subcommand(certificates::command())
         .subcommand(standin::command())
--- a/crates/berylwheel-router/src/admin.rs
+++ b/crates/berylwheel-router/src/admin.rs
@@ -13,6 +13,7 @@
 use berylwheel_http::problem_response;
 use berylwheel_http::read_body;
 use berylwheel_http::serve;
+use berylwheel_settings::Settings;
 use berylwheel_store::Store;
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
@@ -33,6 +34,8 @@
 use crate::event::Event;
 use crate::ledger::BudgetChange;
 use crate::ledger::Ledger;
+use crate::orders::Order;
+use crate::orders::Orders;
 use crate::snapshot::SharedSnapshot;
 use crate::traffic::header;
 use crate::traffic::json_response;
@@ -55,6 +58,8 @@
     pub store: Arc<dyn Store>,
     /// This run of this router.
     pub me: Incarnation,
+    /// Sends orders to engines.
+    pub orders: Arc<Orders>,
 }
 
 impl Admin {
@@ -116,10 +121,28 @@
                 let done = self.configuration().roll_back(rollback, &operator).await?;
                 Ok(json_response(&done))
             }
+            (Method::Post, "/admin/orders") => {
+                let operator = self.operator(&request)?;
+                let order: Order = read_json(&mut request).await?;
+                self.order(&order, &operator).await
+            }
             _ => Err(Refusal::not_run(Code::UnknownKind, format!("no such path: {path}"))),
         }
     }
 
+    async fn order(&self, order: &Order, operator: &str) -> Result<Response, Refusal> {
+        let snapshot = self.snapshot.load_full();
+        let servers = snapshot.settings.as_ref().map(Settings::servers).unwrap_or_default();
+        let server = servers.iter().find(|server| server.id == order.server);
+        let Some(server) = server.filter(|server| !server.models.is_empty()) else {
+            let detail = format!("no such engine: {}", order.server);
+            return Err(Refusal::not_run(Code::InvalidField, detail));
+        };
+        let done = self.orders.send(server, order).await?;
+        log::info!(server:% = server.id, operator = operator; "order sent: {order:?}");
+        Ok(json_response(&done))
+    }
+
     fn configuration(&self) -> Configuration {
         Configuration { store: self.store.clone(), clock: self.clock.clone() }
     }
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -38,6 +38,7 @@
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
+use crate::orders::Orders;
 use crate::snapshot::Serving;
 use crate::snapshot::SharedSnapshot;
 use crate::snapshot::Snapshot;
@@ -112,6 +113,7 @@
         snapshot: snapshot.clone(),
         store: store.clone(),
         me: me.clone(),
+        orders: Arc::new(Orders::new(me.clone(), store.clone(), client.clone(), clock.clone())),
     };
     executor.spawn(admin_server.listen(admin_listener, executor.clone())).detach();
     executor.spawn(control.run(inbox, drained_sender)).detach();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -292,6 +292,11 @@
         answers.flatten().next().expect("a router answers")
     }
 
+    /// Sends an operator's request to router `i`.
+    pub fn operator_at(&self, i: usize, method: Method, path: &str, body: &Value) -> Answer {
+        operator_call(self.admin(i), method, path, body)
+    }
+
     pub fn router(&self, i: usize) -> SocketAddr {
         self.routers[i].address("listen")
     }
@@ -324,6 +329,14 @@
     }
 }
 
+/// Sends an operator's request to the admin address of a router.
+pub fn operator_call(admin: SocketAddr, method: Method, path: &str, body: &Value) -> Answer {
+    let outgoing = Outgoing::new(method, path)
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .body(body.to_string());
+    send(admin, outgoing)
+}
+
 /// Runs a command of the binary to its end.
 pub fn run_ok(args: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_berylwheel")).args(args).output().expect("runs");
