Read the certificates again on SIGHUP

Cause: PeerLink::reload existed, but nothing called it; new certificates needed a restart of each router.

Change: SIGHUP reads the files that [router] names and hands them to the link. A file that cannot be read, a key that does not fit and a certificate of another router are logged and change nothing. SIGHUP during a drain reloads as well and is not taken for the second signal. /dump shows the link's messages.

Ruled out: reading the router's settings file again. The paths stay as they are; only the contents of the files are new.

--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -8,9 +8,11 @@
 use async_io::block_on;
 use async_signal::Signal;
 use async_signal::Signals;
+use berylwheel_peer::PeerError;
 use berylwheel_peer::PeerIdentity;
 use berylwheel_router::Running;
 use berylwheel_router::start;
+use berylwheel_settings::RouterSettings;
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
@@ -41,8 +43,7 @@
     let settings = read_settings(file)?;
     anyhow::ensure!(settings.has_router(), "{}: no [router] section", file.display());
     let router = settings.router();
-    let identity = PeerIdentity::from_files(&router.cert, &router.key, &router.ca)
-        .context("cannot read the certificates of [router]")?;
+    let identity = read_identity(router).context("cannot read the certificates of [router]")?;
     let running = start(router, identity).context("cannot start")?;
     let ready = json!({
         "router": running.me,
@@ -51,13 +52,27 @@
         "peer": running.peer,
     });
     println!("{ready}");
-    block_on(until_stopped(running))
+    block_on(until_stopped(running, router))
 }
 
-/// Drains on the first signal and gives up on the second.
-async fn until_stopped(running: Running) -> Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    signals.next().await;
+fn read_identity(router: &RouterSettings) -> Result<PeerIdentity, PeerError> {
+    PeerIdentity::from_files(&router.cert, &router.key, &router.ca)
+}
+
+/// Waits for a signal to stop; SIGHUP reads the certificate files again.
+async fn stop_signal(signals: &mut Signals, running: &Running, router: &RouterSettings) {
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        match read_identity(router) {
+            Ok(identity) => running.reload(identity),
+            Err(error) => log::error!("certificates not loaded: {error}"),
+        }
+    }
+}
+
+/// Drains on the first signal to stop and gives up on the second.
+async fn until_stopped(running: Running, router: &RouterSettings) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    stop_signal(&mut signals, &running, router).await;
     log::info!("signal received, draining");
     running.drain();
     let drained = async {
@@ -65,7 +80,7 @@
         true
     };
     let second = async {
-        signals.next().await;
+        stop_signal(&mut signals, &running, router).await;
         false
     };
     if drained.or(second).await {
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -140,6 +140,7 @@
             Event::Dump(reply) => {
                 let _ = reply.try_send(self.dump());
             }
+            Event::Reload(identity) => self.fleet.reload(identity),
             Event::Drain => self.drain(now),
         }
     }
--- a/crates/berylwheel-router/src/event.rs
+++ b/crates/berylwheel-router/src/event.rs
@@ -7,6 +7,7 @@
 use berylwheel_config::Part;
 use berylwheel_config::Root;
 use berylwheel_peer::Inbound;
+use berylwheel_peer::PeerIdentity;
 use berylwheel_route::LoadReport;
 use berylwheel_types::BackendId;
 use berylwheel_types::Incarnation;
@@ -77,6 +78,8 @@
     Reclaimed(Incarnation, bool),
     /// Asks for the state.
     Dump(Sender<Value>),
+    /// Brings the certificates of the link to the other routers.
+    Reload(PeerIdentity),
     /// Asks for a graceful shutdown.
     Drain,
 }
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -168,6 +168,8 @@
         json!({
             "bytes_in": stats.bytes_in,
             "bytes_out": stats.bytes_out,
+            "messages_in": stats.messages_in,
+            "messages_out": stats.messages_out,
             "dropped": stats.dropped,
         })
     }
@@ -193,6 +195,19 @@
         }
     }
 
+    /// Uses new certificates from now on, unless they are wrong.
+    pub fn reload(&self, identity: PeerIdentity) {
+        let (name, own) = (identity.name().clone(), &self.own.incarnation.router);
+        if name != *own {
+            log::error!(certificate:% = name; "certificates not loaded: they are another router's");
+            return;
+        }
+        match self.link.reload(identity) {
+            Ok(()) => log::info!("certificates loaded"),
+            Err(error) => log::error!("certificates not loaded: {error}"),
+        }
+    }
+
     /// Stops the link once this router has nothing left.
     pub async fn leave(&self, effects: &Effects) {
         registry::deregister(&effects.store, &self.own.incarnation).await;
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -147,6 +147,12 @@
         let _ = self.events.try_send(Event::Drain);
     }
 
+    /// Uses new certificates for the link to the other routers. Wrong ones are logged and change
+    /// nothing.
+    pub fn reload(&self, identity: PeerIdentity) {
+        let _ = self.events.try_send(Event::Reload(identity));
+    }
+
     /// Waits until a graceful shutdown has ended and stops the threads.
     pub async fn drained(&self) {
         let _ = self.drained.recv().await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -231,6 +232,13 @@
 
     /// Starts router `i`, again with the same peer address if it ran before.
     pub fn start_router(&mut self, i: usize) {
+        self.spawn_router(i, "");
+        self.wait_ready(i);
+    }
+
+    /// As `start_router`, with more lines in the router's section, and without waiting until it
+    /// takes requests.
+    pub fn spawn_router(&mut self, i: usize, lines: &str) {
         let file = self.directory.join(format!("r{i}.ini"));
         let peer = match self.routers.get(i) {
             Some(router) => router.address("peer").to_string(),
@@ -240,7 +248,7 @@
         let text = format!(
             "[router]\nname = r{i}\ndomain = d{i}\nregion = test\nlisten = 127.0.0.1:0\n\
              admin = 127.0.0.1:0\npeer = {peer}\nstore = {}\nvms = {}\nca = {}\ncert = {}\n\
-             key = {}\n",
+             key = {}\n{lines}",
             self.store.address("listen"),
             self.vms.address("listen"),
             pem("ca.pem".to_owned()),
@@ -254,7 +262,6 @@
         } else {
             self.routers.push(process);
         }
-        self.wait_ready(i);
     }
 
     /// Waits until router `i` takes requests.
@@ -297,6 +304,11 @@
         operator_call(self.admin(i), method, path, body)
     }
 
+    /// The directory with the settings and certificates of the routers.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
     pub fn router(&self, i: usize) -> SocketAddr {
         self.routers[i].address("listen")
     }
