--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -142,6 +142,7 @@
             Event::Dump(reply) => {
                 let _ = reply.try_send(self.dump());
             }
+            Event::Reload(identity) => self.fleet.reload(identity),
             Event::Drain => self.drain(now),
         }
     }
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -41,6 +41,7 @@
 use crate::fleet::Fleet;
 use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
+use crate::orders::Orders;
 use crate::snapshot::Serving;
 use crate::snapshot::SharedSnapshot;
 use crate::snapshot::Snapshot;
@@ -122,6 +123,7 @@
         snapshot: snapshot.clone(),
         store: store.clone(),
         me: me.clone(),
+        orders: Arc::new(Orders::new(me.clone(), store.clone(), client.clone(), clock.clone())),
     };
     executor.spawn(admin_server.listen(admin_listener, executor.clone())).detach();
     executor.spawn(control.run(inbox, drained_sender)).detach();
@@ -157,6 +159,12 @@
         let _ = self.events.try_send(Event::Drain);
     }
 
+    /// Uses new certificates for the link to the other routers. Wrong ones are logged and change
+    /// nothing.
+    pub fn reload(&self, identity: PeerIdentity) {
+        let _ = self.events.try_send(Event::Reload(identity));
+    }
+
     /// Waits until a graceful shutdown has ended, at most for the drain limit of the settings, and
     /// returns whether nothing was left.
     pub async fn drained(&self) -> bool {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -247,6 +248,13 @@
 
     /// Starts router `i`, again with the same peer address if it ran before.
     pub fn start_router(&mut self, i: usize) {
+        self.spawn_router(i, "");
+        self.wait_ready(i);
+    }
+
+    /// As `start_router`, with more lines in the router's section, and without waiting until it
+    /// takes requests.
+    pub fn spawn_router(&mut self, i: usize, lines: &str) {
         let file = self.directory.join(format!("r{i}.ini"));
         let peer = match self.routers.get(i) {
             Some(router) => router.address("peer").to_string(),
@@ -256,7 +264,7 @@
         let text = format!(
             "[router]\nname = r{i}\ndomain = d{i}\nregion = test\nlisten = 127.0.0.1:0\n\
              admin = 127.0.0.1:0\npeer = {peer}\nstore = {}\nvms = {}\nca = {}\ncert = {}\n\
-             key = {}\n",
+             key = {}\n{lines}",
             self.store.address("listen"),
             self.vms.address("listen"),
             pem("ca.pem".to_owned()),
@@ -270,7 +278,6 @@
         } else {
             self.routers.push(process);
         }
-        self.wait_ready(i);
     }
 
     /// Waits until router `i` takes requests.
@@ -308,6 +315,16 @@
         answers.flatten().next().expect("a router answers")
     }
 
+    /// Sends an operator's request to router `i`.
+    pub fn operator_at(&self, i: usize, method: Method, path: &str, body: &Value) -> Answer {
+        operator_call(self.admin(i), method, path, body)
+    }
+
+    /// The directory with the settings and certificates of the routers.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
     pub fn router(&self, i: usize) -> SocketAddr {
         self.routers[i].address("listen")
     }
@@ -340,6 +357,14 @@
     }
 }
 
+/// Sends an operator's request to the admin address of a router.
+pub fn operator_call(admin: SocketAddr, method: Method, path: &str, body: &Value) -> Answer {
+    let outgoing = Outgoing::new(method, path)
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .body(body.to_string());
+    send(admin, outgoing)
+}
+
 /// Runs a command of the binary to its end.
 pub fn run_ok(args: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_berylwheel")).args(args).output().expect("runs");
