Reclaim again after a minute and ten minutes; wait for engines in the reclaim test

Cause: a write that a router sent before it died can take effect after a reclaim that found nothing on that page, and its grant would stay stranded. Ruled out: a fence on late writes; compare-and-swap already stops them on every page that the reclaim changed. Change: two later passes; the test waits until engines list the requests.

--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -67,6 +67,9 @@
 const REGISTRY_FIRST: Millis = Millis(500);
 /// Interval between attempts to reclaim what a router that ended held.
 const RECLAIM_INTERVAL: Millis = Millis(5_000);
+/// Pauses before the reclaims that follow a successful one. A write that the process sent before it
+/// ended may take effect late, on a page where the first reclaim found nothing.
+const RECLAIM_AGAIN: [Millis; 2] = [Millis(60_000), Millis(600_000)];
 /// Pause after a failed watch.
 const WATCH_PAUSE: Millis = Millis(1_000);
 
@@ -96,7 +99,13 @@
 struct Reclaim {
     next: Timestamp,
     running: bool,
-    done: bool,
+    passes: usize,
+}
+
+impl Reclaim {
+    fn is_done(&self) -> bool {
+        self.passes > RECLAIM_AGAIN.len()
+    }
 }
 
 impl Fleet {
@@ -158,7 +167,7 @@
             "config": self.config.dump(),
             "live": self.members.live(),
             "versions": self.members.versions(),
-            "reclaiming": self.reclaims.iter().filter(|(_, r)| !r.done).map(|(i, _)| i).collect::<Vec<_>>(),
+            "reclaiming": self.reclaims.iter().filter(|(_, r)| r.passes == 0).map(|(i, _)| i).collect::<Vec<_>>(),
             "link": self.link_dump(),
         })
     }
@@ -425,7 +434,7 @@
             return;
         }
         log::info!(run:% = run; "router process has ended");
-        let reclaim = Reclaim { next: now, running: false, done: false };
+        let reclaim = Reclaim { next: now, running: false, passes: 0 };
         self.fleet.reclaims.insert(run, reclaim);
         self.publish();
     }
@@ -437,7 +446,7 @@
             settings.servers().iter().filter(|s| !s.models.is_empty()).map(|s| s.address).collect();
         let live = self.fleet.members.live();
         for (run, reclaim) in &mut self.fleet.reclaims {
-            if reclaim.done || reclaim.running || now < reclaim.next {
+            if reclaim.is_done() || reclaim.running || now < reclaim.next {
                 continue;
             }
             // Any router may reclaim, and compare-and-swap keeps it exact; one does it, to save work.
@@ -472,8 +481,12 @@
     pub(crate) fn reclaimed(&mut self, now: Timestamp, run: &Incarnation, done: bool) {
         if let Some(reclaim) = self.fleet.reclaims.get_mut(run) {
             reclaim.running = false;
-            reclaim.done = done;
             reclaim.next = now + RECLAIM_INTERVAL;
+            if done {
+                let pause = RECLAIM_AGAIN.get(reclaim.passes).copied().unwrap_or_default();
+                reclaim.next = now + pause;
+                reclaim.passes += 1;
+            }
         }
     }
 
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -32,6 +32,17 @@
     });
 }
 
+/// Waits until the engines know of a number of requests. A router counts a request before that.
+fn wait_at_engines(fleet: &Fleet, requests: usize) {
+    let listed = |engine: &support::Process| {
+        let usage = get(engine.address("listen"), "/v1/usage").json();
+        usage.as_array().map_or(0, Vec::len)
+    };
+    wait_until("the requests are at engines", || {
+        (fleet.engines.iter().map(listed).sum::<usize>() == requests).then_some(())
+    });
+}
+
 /// Guards against a dead router's grant that is lost, and against usage that nobody bills.
 #[test]
 fn grant_of_a_killed_router_is_reclaimed_and_its_usage_billed() {
@@ -39,7 +50,7 @@
     let router = fleet.router(0);
     let streams: Vec<_> =
         (0..5).map(|_| thread::spawn(move || try_send(router, chat(2_000, true, None)))).collect();
-    wait_running(&fleet, 0, 5);
+    wait_at_engines(&fleet, 5);
     fleet.routers[0].kill();
     streams.into_iter().for_each(|stream| drop(stream.join()));
     assert_conserved(&fleet.account());
@@ -139,13 +150,7 @@
     let router = fleet.router(0);
     let first = thread::spawn(move || send(router, chat(100, true, Some("same"))));
     // Only a request at an engine has its claim; one that still waits for it could lose the race.
-    wait_until("the first attempt is at an engine", || {
-        let lists = |engine: &support::Process| {
-            let usage = get(engine.address("listen"), "/v1/usage").json();
-            usage.as_array().is_some_and(|usage| !usage.is_empty())
-        };
-        fleet.engines.iter().any(lists).then_some(())
-    });
+    wait_at_engines(&fleet, 1);
     let running = send(fleet.router(1), chat(100, true, Some("same")));
     assert_eq!((running.code(), running.ran().as_str()), (1211, "not-run"), "{running:?}");
     let first = first.join().expect("the thread ends");
