Read chunked bodies whose last line end arrives in two parts

Cause: async-h1 2.3.4 drops the wake-up when it has read the last carriage return of a chunked body but not the line feed, which happens when its buffer of 8 KB ends there. The read then waited for the time limit, or for ever. Ruled out: holding a trailing carriage return back in the connection, since a body of known length may end with one; a timer for each response stream, since streams wait most of the time.

--- a/crates/berylwheel-http/src/body.rs
+++ b/crates/berylwheel-http/src/body.rs
@@ -19,6 +19,7 @@
 use futures_lite::Stream;
 use http_types::Body;
 
+use crate::contain::repoll;
 use crate::contain::undecodable;
 use crate::timeout;
 
@@ -42,7 +43,7 @@
     // A trailer that is not ASCII makes the library panic.
     let read = AssertUnwindSafe(bounded.read_to_end(&mut bytes)).catch_unwind();
     let read = async { read.await.unwrap_or_else(|_| Err(undecodable())) };
-    match timeout(time, read).await {
+    match timeout(time, repoll(read)).await {
         None => Err(Refusal::not_run(Code::SlowSender, format!("the limit is {time}"))),
         Some(Err(error)) => Err(Refusal::not_run(Code::MalformedRequest, error.to_string())),
         Some(Ok(n)) if n as u64 > limit.0 => {
--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -223,6 +223,7 @@
         let stream = ResponseStream {
             missing: body.len(),
             body,
+            connection: connection.clone(),
             reuse: (!close).then(|| (self.clone(), address, connection.clone())),
         };
         Ok((response, stream))
@@ -249,6 +250,7 @@
     body: Body,
     /// Bytes announced and not yet read, if the head announced a length.
     missing: Option<usize>,
+    connection: Connection,
     reuse: Option<(Client, SocketAddr, Connection)>,
 }
 
@@ -263,6 +265,15 @@
         Ok(())
     }
 
+    /// Wakes the reader at once if its read is pending without a wait on the connection: the
+    /// library drops the wake-up when the last line end of a chunked body arrives in two parts.
+    fn rewake<T>(&self, read: Poll<T>, waits: u64, cx: &mut Context<'_>) -> Poll<T> {
+        if read.is_pending() && self.connection.waits() == waits {
+            cx.waker().wake_by_ref();
+        }
+        read
+    }
+
     fn count(&mut self, n: usize) {
         if let Some(missing) = &mut self.missing {
             *missing = missing.saturating_sub(n);
@@ -276,7 +287,9 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(contain(|| Pin::new(&mut self.body).poll_read(cx, buf)))?;
+        let waits = self.connection.waits();
+        let read = contain(|| Pin::new(&mut self.body).poll_read(cx, buf));
+        let n = ready!(self.rewake(read, waits, cx))?;
         if n == 0 && !buf.is_empty() {
             self.at_end()?;
         }
@@ -288,9 +301,10 @@
 impl AsyncBufRead for ResponseStream {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
+        let waits = this.connection.waits();
         let body = &mut this.body;
         let empty = contain(|| Pin::new(body).poll_fill_buf(cx).map_ok(|bytes| bytes.is_empty()));
-        if ready!(empty)? {
+        if ready!(this.rewake(empty, waits, cx))? {
             this.at_end()?;
         }
         Pin::new(&mut this.body).poll_fill_buf(cx)
--- a/crates/berylwheel-http/src/connection.rs
+++ b/crates/berylwheel-http/src/connection.rs
@@ -24,6 +24,7 @@
     stream: Arc<Async<TcpStream>>,
     read: Arc<AtomicU64>,
     written: Arc<AtomicU64>,
+    waits: Arc<AtomicU64>,
 }
 
 impl Connection {
@@ -33,7 +34,12 @@
     /// Fails if Nagle's algorithm cannot be turned off.
     pub fn new(stream: Async<TcpStream>) -> io::Result<Self> {
         stream.get_ref().set_nodelay(true)?;
-        Ok(Self { stream: Arc::new(stream), read: Arc::default(), written: Arc::default() })
+        Ok(Self {
+            stream: Arc::new(stream),
+            read: Arc::default(),
+            written: Arc::default(),
+            waits: Arc::default(),
+        })
     }
 
     /// Opens a connection to `address`.
@@ -54,6 +60,11 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns how often a read found nothing and registered to be woken up.
+    pub(crate) fn waits(&self) -> u64 {
+        self.waits.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the peer has closed its side or broken the connection.
     pub fn is_closed(&self) -> bool {
         match self.stream.get_ref().peek(&mut [0]) {
@@ -79,8 +90,14 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut &*self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Ok(n)) = &result {
-            self.read.fetch_add(*n as u64, Ordering::Relaxed);
+        match &result {
+            Poll::Ready(Ok(n)) => {
+                self.read.fetch_add(*n as u64, Ordering::Relaxed);
+            }
+            Poll::Ready(Err(_)) => (),
+            Poll::Pending => {
+                self.waits.fetch_add(1, Ordering::Relaxed);
+            }
         }
         result
     }
--- a/crates/berylwheel-http/tests/client.rs
+++ b/crates/berylwheel-http/tests/client.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -48,6 +49,16 @@
     assert_eq!(plain.unwrap(), b"whole");
     let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
     assert_eq!(fetch(chunked, 100).unwrap(), b"whole");
+    // The library's buffer of 8 KB ends within the last line end.
+    let tail = "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    let head = "HTTP/1.1 200 OK\r\nlong: ";
+    let filler = "x".repeat(8_193 - head.len() - tail.len() - 2);
+    let split = format!("{head}{filler}\r\n{tail}").into_bytes().leak();
+    let (done, outcome) = mpsc::channel();
+    thread::spawn(move || done.send(fetch(split, 100).unwrap()));
+    // The time limit of the call would hide a lost wake-up.
+    let whole = outcome.recv_timeout(Duration::from_secs(30)).expect("woken up");
+    assert_eq!(whole, b"whole");
 }
 
 /// Guards against a part of an answer that is taken for the whole.
--- a/crates/berylwheel-http/tests/server.rs
+++ b/crates/berylwheel-http/tests/server.rs
@@ -193,6 +193,19 @@
     assert_healthy(address);
 }
 
+/// Guards against a whole body that is waited for because the library's buffer of 8 KB ends within
+/// its last line end.
+#[test]
+fn a_body_at_the_edge_of_the_buffer_is_read() {
+    let tail = "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    let head = "POST / HTTP/1.1\r\nhost: h\r\nlong: ";
+    let filler = "x".repeat(8_193 - head.len() - tail.len() - 2);
+    let mut stream = send(patient(), format!("{head}{filler}\r\n{tail}").as_bytes());
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 200");
+}
+
 /// Guards against slow senders that hold a connection, of a head or of a body.
 #[test]
 fn slow_senders_are_refused() {
