Serve only after the store or enough peers have confirmed the settings

Cause, two faults that a process test showed: a router published its settings to the traffic threads as soon as one peer had sent them, whatever ConfigState::may_serve said; and the peers of [router] all counted as being in the router's own failure domain, so that with one of three peers down a router never started without the store.

A peer that has not told its domain still counts as one of the router's own domain.

Ruled out: failure domains in the peers setting, which another place already states and which could disagree with it.

--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -225,10 +225,10 @@
 
     /// Replaces the snapshot that the traffic threads read.
     pub(crate) fn publish(&self) {
-        let serving = match (self.draining, &self.settings) {
+        let serving = match (self.draining, self.may_serve()) {
             (true, _) => Serving::Draining,
-            (false, Some(_)) => Serving::Open,
-            (false, None) => Serving::Starting,
+            (false, true) => Serving::Open,
+            (false, false) => Serving::Starting,
         };
         let access = self.settings.as_ref().map(AccessTable::new).unwrap_or_default();
         self.snapshot.store(Arc::new(Snapshot {
@@ -240,6 +240,17 @@
         }));
     }
 
+    fn may_serve(&self) -> bool {
+        self.settings.is_some() && self.fleet.config.may_serve()
+    }
+
+    /// Opens the router once the store or enough peers have confirmed the settings that it has.
+    pub(crate) fn open(&self) {
+        if self.may_serve() && self.snapshot.load().serving == Serving::Starting {
+            self.publish();
+        }
+    }
+
     /// Returns the settings in force.
     pub(crate) fn settings(&self) -> Option<&Settings> {
         self.settings.as_ref()
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -27,6 +27,7 @@
 use berylwheel_store::Store;
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::FastMap;
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
@@ -82,6 +83,9 @@
     vms: Option<SocketAddr>,
     addresses: FastMap<RouterId, SocketAddr>,
     seeds: Vec<(RouterId, SocketAddr)>,
+    listed: Vec<Registered>,
+    /// Failure domains that routers told with their heartbeats.
+    domains: FastMap<RouterId, FailureDomain>,
     runs: FastMap<RouterId, Incarnation>,
     reclaims: FastMap<Incarnation, Reclaim>,
     next_vms: Timestamp,
@@ -135,6 +139,8 @@
             vms: settings.vms,
             addresses: settings.peers.iter().cloned().collect(),
             seeds: settings.peers.clone(),
+            listed: Vec::new(),
+            domains: FastMap::default(),
             runs: FastMap::default(),
             reclaims: FastMap::default(),
             next_vms: now,
@@ -143,7 +149,7 @@
             claim_id: 0,
             claims: FastMap::default(),
         };
-        fleet.set_peers(&[]);
+        fleet.set_peers();
         Ok(fleet)
     }
 
@@ -174,14 +180,14 @@
         })
     }
 
-    fn set_peers(&mut self, listed: &[Registered]) {
-        for router in listed {
-            self.addresses.insert(router.incarnation.router.clone(), router.peer);
-        }
-        let domain = self.config.domain().clone();
-        let seeds = self.seeds.iter().map(|(router, _)| (router.clone(), domain.clone()));
+    fn set_peers(&mut self) {
+        // A router that has not told its failure domain counts as one of this router's own.
+        let domain =
+            |router| self.domains.get(router).unwrap_or_else(|| self.config.domain()).clone();
+        let seeds = self.seeds.iter().map(|(router, _)| (router.clone(), domain(router)));
         let mut peers: FastMap<RouterId, _> = seeds.collect();
-        for router in listed {
+        for router in &self.listed {
+            self.addresses.insert(router.incarnation.router.clone(), router.peer);
             peers.insert(router.incarnation.router.clone(), router.domain.clone());
         }
         peers.remove(&self.own.incarnation.router);
@@ -189,6 +195,13 @@
         self.config.set_peers(peers.into_iter().collect());
     }
 
+    fn note_domain(&mut self, router: &RouterId, domain: FailureDomain) {
+        if self.domains.get(router) != Some(&domain) {
+            self.domains.insert(router.clone(), domain);
+            self.set_peers();
+        }
+    }
+
     fn send(&self, to: &RouterId, message: Message) {
         if let Some(address) = self.addresses.get(to) {
             self.link.send(*address, message);
@@ -228,6 +241,7 @@
                 draining,
                 others,
                 served,
+                domain,
                 ..
             } => {
                 let version = version.unwrap_or_default();
@@ -243,6 +257,7 @@
                 let served: Vec<Served> = served.into_iter().map(served_of).collect();
                 self.fleet.addresses.insert(from.clone(), address);
                 self.fleet.members.heartbeat_received(now, &Heartbeat { own, others });
+                self.fleet.note_domain(&from, domain);
                 self.fleet.config.peer_version(now, &from, version);
                 self.scheduler.peer_served(now, &from, &served);
                 self.note_run(now, incarnation);
@@ -282,6 +297,7 @@
         for action in self.fleet.config.poll(now) {
             self.config_action(now, action);
         }
+        self.open();
         self.fleet.members.set_version(self.fleet.config.advertised());
         let served = self.scheduler.served();
         for (to, heartbeat) in self.fleet.members.poll(now) {
@@ -369,7 +385,8 @@
 
     /// Takes in the list of routers.
     pub(crate) fn registry(&mut self, now: Timestamp, routers: Vec<Registered>) {
-        self.fleet.set_peers(&routers);
+        self.fleet.listed.clone_from(&routers);
+        self.fleet.set_peers();
         for router in routers {
             self.note_run(now, router.incarnation);
         }
