--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -56,6 +56,10 @@
         self.ready[name].as_str().and_then(|text| text.parse().ok()).expect("an address")
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
