Add an example of a link between routers

Cause: public items have a runnable example; the link had none. Ruled out: two links, which show no more than one that sends to itself. Change: a documentation example that binds, sends, receives and closes. Conclusion: the example is run with the tests.

--- a/crates/berylwheel-peer/src/link.rs
+++ b/crates/berylwheel-peer/src/link.rs
@@ -40,6 +40,30 @@
 ///
 /// Delivery is not certain: a message may be lost with its connection, and is then counted. Clones
 /// are the same link.
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use async_executor::Executor;
+/// use berylwheel_peer::{Message, PeerIdentity, PeerLink};
+/// use berylwheel_types::Version;
+///
+/// // A self-signed certificate that is its own CA; a fleet has one CA for all routers.
+/// let made = rcgen::generate_simple_self_signed(vec!["r1".to_owned()]).unwrap();
+/// let (chain, key) = (made.cert.pem(), made.signing_key.serialize_pem());
+/// let identity =
+///     PeerIdentity::from_pem(chain.as_bytes(), key.as_bytes(), chain.as_bytes()).unwrap();
+/// let executor = Arc::new(Executor::new());
+/// let any = "127.0.0.1:0".parse().unwrap();
+/// let (link, inbound) = PeerLink::bind(any, identity, &executor).unwrap();
+/// futures_lite::future::block_on(executor.run(async {
+///     link.send(link.address().unwrap(), Message::ConfigVersion { version: Version(7) });
+///     let received = inbound.recv().await.unwrap();
+///     assert_eq!(received.from.as_str(), "r1");
+///     assert_eq!(received.message, Message::ConfigVersion { version: Version(7) });
+///     link.close().await;
+/// }));
+/// ```
 #[derive(Debug, Clone)]
 pub struct PeerLink {
     shared: Arc<Shared>,
