Settle outcomes only by calls that ran; take no earlier run for ended without evidence

Ruled out: trusting 'ran: false'; the call may still be on its way. Change: one fix each; the list of routers names the earlier runs that have ended at the same address; pages are read one by one.

--- a/crates/berylwheel-router/src/call_once.rs
+++ b/crates/berylwheel-router/src/call_once.rs
@@ -2,14 +2,15 @@
 //! after the answer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use async_io::Timer;
 use berylwheel_budget::OnceAnswer;
 use berylwheel_budget::OnceDecision;
 use berylwheel_budget::OnceRecord;
 use berylwheel_budget::OnceState;
 use berylwheel_budget::decide_once;
 use berylwheel_http::Caller;
-use berylwheel_http::Outgoing;
 use berylwheel_http::timeout;
 use berylwheel_route::Outcome;
 use berylwheel_types::Code;
@@ -18,17 +19,17 @@
 use berylwheel_types::Refusal;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
-use http_types::Method;
 use http_types::Response;
+use serde::Deserialize;
+use serde_json::Value;
 
 use crate::command::Admit;
 use crate::command::Start;
+use crate::effects::fetch_json;
 use crate::once::OnceStore;
 use crate::once::RecordError;
 use crate::once::done;
-use crate::service::ANSWER_LIMIT;
 use crate::service::ServiceCall;
-use crate::service::content_type;
 use crate::service::failure;
 use crate::service::outcome_of;
 use crate::service::respond;
@@ -89,26 +90,31 @@
             }
         };
         // The task goes on when the caller leaves: an answer that comes late is still recorded.
-        let (sender, receiver) = async_channel::bounded(1);
-        let traffic = self.clone();
         let limit = outgoing.deadline.since(self.clock.now());
+        let run = Arc::new(OnceRun { records, record, revision, call: outgoing });
+        let (sender, receiver) = async_channel::bounded(1);
+        let (traffic, task_run) = (self.clone(), run.clone());
         self.executor
             .spawn(async move {
-                let run = OnceRun { records, record, revision, call: outgoing };
-                let result = traffic.run_once(run, ticket, start, price).await;
+                let result = traffic.run_once(task_run, ticket, start, price).await;
                 let _ = sender.send(result).await;
             })
             .detach();
         match timeout(limit, receiver.recv()).await {
             Some(Ok(result)) => result,
             Some(Err(_)) => Err(unknown("the call's task ended")),
-            None => Err(unknown("no answer within the deadline")),
+            None => {
+                // The service may have run the call and hang before its answer.
+                let traffic = self.clone();
+                self.executor.spawn(async move { traffic.look_up(run).await }).detach();
+                Err(unknown("no answer within the deadline"))
+            }
         }
     }
 
     async fn run_once(
         &self,
-        run: OnceRun,
+        run: Arc<OnceRun>,
         mut ticket: Ticket,
         mut start: Start,
         price: Tokens,
@@ -132,7 +138,7 @@
                 ticket.set_used(price);
                 ticket.finish(outcome_of(&error), false);
                 let traffic = self.clone();
-                self.executor.spawn(async move { traffic.look_up(run, start).await }).detach();
+                self.executor.spawn(async move { traffic.look_up(run).await }).detach();
                 return Err(unknown("the connection failed after the call was sent"));
             }
             let retried = match self.clock.now() < run.call.deadline {
@@ -164,15 +170,14 @@
         let _ = timeout(RESULT_TIME, receiver.recv()).await;
     }
 
-    /// Asks the service for the outcome of a call whose answer was lost.
-    async fn look_up(&self, run: OnceRun, start: Start) {
+    /// Asks the services for the outcome of a call whose answer was lost or is late.
+    async fn look_up(&self, run: Arc<OnceRun>) {
         if !run.call.kind.lookup {
             return;
         }
         for _ in 0..LOOKUP_LIMIT {
-            async_io::Timer::after(LOOKUP_INTERVAL.duration()).await;
-            let asked = self.ask_service(&run.call, start.server.address).await;
-            if let Some(answer) = asked {
+            Timer::after(LOOKUP_INTERVAL.duration()).await;
+            if let Some(answer) = self.ask_services(&run.call).await {
                 log::info!(request = run.call.id.as_str(); "outcome of unknown call found");
                 self.record_result(&run, answer).await;
                 return;
@@ -180,14 +185,31 @@
         }
     }
 
-    /// Returns the answer that the service at `address` keeps for the call's key, if it ran there.
+    /// Asks every server of the kind for the result of a call, and returns it if the call ran.
+    ///
+    /// That a service does not know the call proves nothing: the call may still be on its way.
+    async fn ask_services(&self, call: &ServiceCall) -> Option<OnceAnswer> {
+        let snapshot = self.snapshot.load_full();
+        let servers = snapshot.settings.as_ref()?.servers().iter();
+        for server in servers.filter(|server| server.kinds.contains(&call.kind.id)) {
+            let answer = self.ask_service(call, server.address).await;
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
+    }
+
     async fn ask_service(&self, call: &ServiceCall, address: SocketAddr) -> Option<OnceAnswer> {
         let key = call.key.as_deref()?;
-        let outgoing = Outgoing::new(Method::Get, format!("/calls/{key}"));
-        let fetched = self.client.fetch(address, &outgoing, ANSWER_LIMIT, LOOKUP_TIME).await;
-        let (response, body) = fetched.ok()?;
-        let content_type = content_type(&response);
-        (response.status() == 200).then_some(OnceAnswer { status: 200, content_type, body })
+        let value =
+            fetch_json(&self.client, address, &format!("/calls/{key}"), LOOKUP_TIME).await?;
+        let known: KnownCall = serde_json::from_value(value).ok()?;
+        known.ran.then(|| OnceAnswer {
+            status: known.status,
+            content_type: "application/json".to_owned(),
+            body: known.result.to_string().into_bytes(),
+        })
     }
 
     /// Answers from the record that is there before the call, if any.
@@ -233,13 +255,9 @@
 
     /// Asks every server of the kind about a call whose router is gone, and records what it finds.
     async fn resolve(&self, records: &OnceStore, call: &ServiceCall) -> Result<Response, Refusal> {
-        let snapshot = self.snapshot.load_full();
-        let servers = snapshot.open()?.servers().iter();
-        for server in servers.filter(|server| server.kinds.contains(&call.kind.id)) {
-            if let Some(answer) = self.ask_service(call, server.address).await {
-                records.resolve(answer.clone()).await;
-                return Ok(respond(answer));
-            }
+        if let Some(answer) = self.ask_services(call).await {
+            records.resolve(answer.clone()).await;
+            return Ok(respond(answer));
         }
         Err(unknown("the router that sent the call is gone and no service knows the call"))
     }
@@ -249,6 +267,20 @@
     }
 }
 
+/// What a service says about a call, in answer to `GET /calls/KEY`.
+#[derive(Debug, Deserialize)]
+struct KnownCall {
+    ran: bool,
+    #[serde(default = "ok_status")]
+    status: u16,
+    #[serde(default)]
+    result: Value,
+}
+
+const fn ok_status() -> u16 {
+    200
+}
+
 /// A recorded call in progress.
 struct OnceRun {
     records: OnceStore,
--- a/crates/berylwheel-router/src/change.rs
+++ b/crates/berylwheel-router/src/change.rs
@@ -25,6 +25,7 @@
 use berylwheel_types::Clock;
 use berylwheel_types::Code;
 use berylwheel_types::Millis;
+use berylwheel_types::Ran;
 use berylwheel_types::Refusal;
 use berylwheel_types::Version;
 use serde::Deserialize;
@@ -165,8 +166,14 @@
     ) -> Result<Value, Refusal> {
         let mut change = Change { id, base: Version(0), author: author.to_owned(), action };
         let mut fixed = base;
+        let mut sent = false;
         for _ in 0..ATTEMPT_LIMIT {
-            let current = self.current().await?;
+            let failed = |refusal: Refusal| match sent {
+                // An earlier attempt may have been accepted.
+                true => Refusal { ran: Ran::Unknown, ..refusal },
+                false => refusal,
+            };
+            let current = self.current().await.map_err(failed)?;
             let version = current.as_ref().map(|(root, _, _)| root.version).unwrap_or_default();
             // Without a base from the operator the first one read counts: a change that was
             // accepted in between is told to the operator and not overwritten.
@@ -187,8 +194,9 @@
                     return Ok(json!({ "version": version }));
                 }
                 // Read again: the change id tells whether this change was accepted.
-                Ok(SwapResult::Lost(_)) | Err(StoreError::Unknown) => {}
-                Err(error) => return Err(unavailable(error)),
+                Ok(SwapResult::Lost(_)) => {}
+                Err(StoreError::Unknown) => sent = true,
+                Err(error) => return Err(failed(unavailable(error))),
             }
             Timer::after(ATTEMPT_PAUSE.duration()).await;
         }
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -130,6 +130,7 @@
             Event::ReadFailed(page) => self.holder.read_failed(now, page),
             Event::PageWritten(page, result) => self.holder.page_written(now, page, result),
             Event::Load(server, report) => self.routes.report(now, &server, report),
+            Event::Draining(server) => self.routes.set_draining(now, &server),
             Event::Vms(vms) => self.vms(now, &vms),
             Event::Peer(inbound) => self.peer_message(now, inbound),
             Event::RootRead(root) => self.root_read(now, root),
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -26,6 +26,7 @@
 use crate::chat::EngineEvent;
 use crate::command::Admit;
 use crate::command::Start;
+use crate::event::Event;
 use crate::memory::BodyBytes;
 use crate::ticket::Ticket;
 use crate::traffic::Body;
@@ -183,6 +184,9 @@
             let sent = self.client.send(start.server.address, &outgoing).await;
             let (response, stream) = sent.map_err(|error| failed(&error))?;
             if response.status() != 200 {
+                if response.header("x-draining").is_some_and(|value| value == "true") {
+                    let _ = self.events.try_send(Event::Draining(start.server.id.clone()));
+                }
                 let detail = format!("{} answered {}", start.server.id, response.status());
                 return Err(Attempt::Failed(Outcome::Failed, detail));
             }
--- a/crates/berylwheel-router/src/event.rs
+++ b/crates/berylwheel-router/src/event.rs
@@ -58,6 +58,8 @@
     PageWritten(PageId, WriteResult),
     /// A backend server reported its load.
     Load(BackendId, LoadReport),
+    /// A backend server refused work because it is draining.
+    Draining(BackendId),
     /// The platform's list was read.
     Vms(Vec<Vm>),
     /// A message from another router.
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -134,6 +134,7 @@
             admin,
             domain: settings.domain.clone(),
             region: settings.region.clone(),
+            ended: Vec::new(),
         };
         effects.executor.spawn(announce(effects.clone(), own.clone())).detach();
         let config =
@@ -591,25 +592,12 @@
     }
 }
 
-/// Registers this run. An earlier run of the same name at the same address has ended, since its
-/// port could be bound again, and so have all runs before that one.
+/// Registers this run, and reports the earlier runs of its name that have ended.
 async fn announce(effects: Effects, own: Registered) {
-    let before = registry::register(&effects.store, &own).await;
+    let entry = registry::register(&effects.store, &own).await;
     let _ = effects.events.send(Event::Registered).await;
-    let Some(before) = before.filter(|before| before.peer == own.peer) else { return };
-    let ledger = Ledger { store: effects.store.clone(), pages: 0, clock: effects.clock.clone() };
-    loop {
-        let Ok(holders) = ledger.holders().await else {
-            Timer::after(WATCH_PAUSE.duration()).await;
-            continue;
-        };
-        let own_name = |run: &Incarnation| run.router == own.incarnation.router;
-        let older = |run: &Incarnation| run.number <= before.incarnation.number;
-        for run in holders.into_iter().filter(|run| own_name(run) && older(run)) {
-            let _ = effects.events.send(Event::Ended(run)).await;
-        }
-        let _ = effects.events.send(Event::Ended(before.incarnation)).await;
-        return;
+    for run in entry.ended {
+        let _ = effects.events.send(Event::Ended(run)).await;
     }
 }
 
--- a/crates/berylwheel-router/src/ledger.rs
+++ b/crates/berylwheel-router/src/ledger.rs
@@ -145,41 +145,28 @@
         Ok(total)
     }
 
-    /// Returns the process runs that hold grants.
-    ///
-    /// # Errors
-    /// Fails if the store does not answer.
-    pub async fn holders(&self) -> Result<Vec<Incarnation>, Refusal> {
-        let mut holders = Vec::new();
-        for (_, page) in self.all_pages().await? {
-            holders.extend(page.holders());
-        }
-        holders.sort();
-        holders.dedup();
-        Ok(holders)
-    }
-
     async fn pages_of(&self, holder: &Incarnation) -> Result<Vec<PageId>, Refusal> {
-        let pages = self.all_pages().await?;
-        let held = pages.into_iter().filter(|(_, page)| page.holders().contains(holder));
-        Ok(held.map(|(id, _)| id).collect())
-    }
-
-    async fn all_pages(&self) -> Result<Vec<(PageId, LedgerPage)>, Refusal> {
-        let entries =
-            self.store.range("/berylwheel/ledger/", true, 0).await.map_err(unavailable)?;
         let mut pages = Vec::new();
-        for entry in entries {
-            let number = entry.key.rsplit('/').next().and_then(|n| n.parse().ok());
-            let page = LedgerPage::decode(&entry.value)
-                .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
-            if let Some(number) = number {
-                pages.push((PageId(number), page));
+        self.visit_pages(|id, page| {
+            if page.holders().contains(holder) {
+                pages.push(id);
             }
-        }
+        })
+        .await?;
         Ok(pages)
     }
 
+    /// Calls `visit` with each page. Pages are read one by one: at the target size all of them
+    /// together are larger than an answer of the store may be.
+    async fn visit_pages(&self, mut visit: impl FnMut(PageId, &LedgerPage)) -> Result<(), Refusal> {
+        for number in 0..self.pages {
+            let page = PageId(number);
+            let (content, _) = self.read(page).await.map_err(unavailable)?;
+            visit(page, &content);
+        }
+        Ok(())
+    }
+
     async fn read(&self, page: PageId) -> Result<(LedgerPage, u64), StoreError> {
         let entries = self.store.range(&page.key(), false, 1).await?;
         let Some(entry) = entries.first() else { return Ok((LedgerPage::default(), 0)) };
@@ -195,7 +182,11 @@
     ) -> Result<T, Refusal> {
         let mut retried = false;
         for _ in 0..ATTEMPT_LIMIT {
-            let (mut content, revision) = self.read(page).await.map_err(unavailable)?;
+            let failed = |error| match retried {
+                true => Refusal::unknown(Code::ChangeUnavailable, StoreError::to_string(&error)),
+                false => unavailable(error),
+            };
+            let (mut content, revision) = self.read(page).await.map_err(failed)?;
             let result = apply(&mut content, retried)?;
             let compare = Compare::new(page.key(), revision);
             let put = Put::new(page.key(), content.encode());
@@ -203,7 +194,7 @@
                 Ok(SwapResult::Won(_)) => return Ok(result),
                 Ok(SwapResult::Lost(_)) => {}
                 Err(StoreError::Unknown) => retried = true,
-                Err(error) => return Err(unavailable(error)),
+                Err(error) => return Err(failed(error)),
             }
             Timer::after(ATTEMPT_PAUSE.duration()).await;
         }
--- a/crates/berylwheel-router/src/registry.rs
+++ b/crates/berylwheel-router/src/registry.rs
@@ -17,6 +17,9 @@
 use serde::Serialize;
 
 const PREFIX: &str = "/berylwheel/routers/";
+/// Earlier runs that an entry names. One is enough unless a router ends again before it has reclaimed
+/// what its last run held.
+const ENDED_LIMIT: usize = 16;
 /// Pause after a failed attempt to register.
 const RETRY_PAUSE: Millis = Millis(1_000);
 
@@ -33,6 +36,9 @@
     pub domain: FailureDomain,
     /// Its region.
     pub region: String,
+    /// Earlier runs of the same name that have ended for certain, the latest last.
+    #[serde(default)]
+    pub ended: Vec<Incarnation>,
 }
 
 /// Reads all listed routers.
@@ -45,30 +51,45 @@
     Ok(entries.iter().filter_map(|entry| read(&entry.value)).collect())
 }
 
-/// Lists a router, and returns the entry of its name that was there before. Tries until the store
+/// Lists a router, and returns its entry with the earlier runs that have ended. Tries until the store
 /// answers.
-pub async fn register(store: &Arc<dyn Store>, own: &Registered) -> Option<Registered> {
+///
+/// The run that was listed before has ended if it had the same address, since its port could be
+/// bound again. At another address it may still run.
+pub async fn register(store: &Arc<dyn Store>, own: &Registered) -> Registered {
     let key = key_of(&own.incarnation.router);
-    let mut before = None;
     loop {
         if let Ok(entries) = store.range(&key, false, 1).await {
             let entry = entries.first();
             let found: Option<Registered> =
                 entry.and_then(|entry| serde_json::from_slice(&entry.value).ok());
-            if found.as_ref() == Some(own) {
-                return before;
+            if let Some(found) = &found
+                && found.incarnation == own.incarnation
+            {
+                return found.clone();
             }
-            before = found;
+            let new = Registered { ended: ended_before(own, found), ..own.clone() };
             let compare = Compare::new(key.clone(), entry.map_or(0, |entry| entry.revision));
-            let put = Put::new(key.clone(), serde_json::to_vec(own).unwrap_or_default());
+            let put = Put::new(key.clone(), serde_json::to_vec(&new).unwrap_or_default());
             if let Ok(SwapResult::Won(_)) = store.swap(vec![compare], vec![put]).await {
-                return before;
+                return new;
             }
         }
         Timer::after(RETRY_PAUSE.duration()).await;
     }
 }
 
+fn ended_before(own: &Registered, found: Option<Registered>) -> Vec<Incarnation> {
+    let Some(found) = found else { return Vec::new() };
+    let mut ended = found.ended;
+    if found.peer == own.peer {
+        ended.push(found.incarnation);
+    }
+    let surplus = ended.len().saturating_sub(ENDED_LIMIT);
+    ended.drain(..surplus);
+    ended
+}
+
 /// Removes a router that has returned all its grants.
 pub async fn deregister(store: &Arc<dyn Store>, own: &Incarnation) {
     let key = key_of(&own.router);
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/service.rs
@@ -25,7 +25,7 @@
 use crate::traffic::Traffic;
 
 /// The largest answer of a plain service, in bytes.
-pub const ANSWER_LIMIT: u64 = 1 << 20;
+const ANSWER_LIMIT: u64 = 1 << 20;
 
 /// A call to a plain service.
 pub struct ServiceCall {
@@ -173,7 +173,7 @@
     (name, format!("/{path}{query}"))
 }
 
-pub(crate) fn content_type(response: &Response) -> String {
+fn content_type(response: &Response) -> String {
     let value = response.header("content-type").map(|values| values.last().to_string());
     value.unwrap_or_else(|| "application/octet-stream".to_owned())
 }
--- /dev/null
+++ b/tests/two_faults.rs
@@ -0,0 +1,69 @@
+//! Two faults at a time.
+
+mod support;
+
+use std::thread;
+
+use http_types::Method;
+use serde_json::json;
+use support::Fleet;
+use support::call;
+use support::chat;
+use support::get;
+use support::send;
+use support::try_send;
+use support::wait_until;
+
+/// Guards against a reclaim that loses or invents tokens when the store loses answers meanwhile.
+#[test]
+fn killed_router_and_lost_answers() {
+    let mut fleet = Fleet::start("kill_and_lose", 2, &["--token-interval-ms", "10"], 100_000);
+    let router = fleet.router(0);
+    let streams: Vec<_> =
+        (0..4).map(|_| thread::spawn(move || try_send(router, chat(1_000, true, None)))).collect();
+    let usage = |fleet: &Fleet| -> Vec<u64> {
+        let lists = fleet.engines.iter().map(|engine| {
+            let list = get(engine.address("listen"), "/v1/usage").json();
+            list.as_array().cloned().unwrap_or_default()
+        });
+        lists.flatten().map(|usage| usage["tokens"].as_u64().unwrap_or(0)).collect()
+    };
+    wait_until("the streams are at engines", || (usage(&fleet).len() == 4).then_some(()));
+    fleet.fault(&fleet.store, &json!({ "lose_answers": 4 }));
+    fleet.routers[0].kill();
+    streams.into_iter().for_each(|stream| drop(stream.join()));
+    fleet.start_router(0);
+    fleet.fault(&fleet.store, &json!({ "clear": true }));
+    let account = wait_until("the grant is reclaimed", || {
+        let account = fleet.account();
+        let rows = account["rows"].as_object()?.len();
+        (rows == 0 && account["billed"].as_u64()? > 0).then_some(account)
+    });
+    let billed = account["billed"].as_u64().unwrap_or(0);
+    assert_eq!(billed, usage(&fleet).iter().sum::<u64>(), "{account}");
+    assert_eq!(account["balance"].as_u64(), Some(100_000 - billed), "{account}");
+}
+
+/// Guards against a booking that runs twice when its router is paused and the store goes down.
+#[test]
+fn paused_router_and_store_outage() {
+    let fleet = Fleet::start("pause_and_outage", 2, &[], 1_000);
+    let booking = || call(Method::Post, "/services/booking/book", Some("p"), r#"{"slot":1}"#);
+    fleet.fault(&fleet.booking, &json!({ "hang_after": true, "times": 1 }));
+    let router = fleet.router(0);
+    let first = thread::spawn(move || try_send(router, booking()));
+    wait_until("the service has run it", || (fleet.runs("p") == 1).then_some(()));
+    fleet.routers[0].signal("STOP");
+    fleet.fault(&fleet.store, &json!({ "down": true }));
+    let refused = send(fleet.router(1), booking());
+    assert_ne!(refused.status, 200, "{refused:?}");
+    fleet.fault(&fleet.store, &json!({ "clear": true }));
+    let unknown = send(fleet.router(1), booking());
+    assert_eq!(unknown.ran(), "unknown", "{unknown:?}");
+    fleet.routers[0].signal("CONT");
+    let _ = first.join();
+    wait_until("the outcome is known", || {
+        (send(fleet.router(1), booking()).status == 200).then_some(())
+    });
+    assert_eq!(fleet.runs("p"), 1);
+}
