Keep alive the order lease that the lease key is tied to

Cause: the router remembered the lease of its latest write. A write whose answer is lost can take effect after it was tried again with a new lease; the router would then keep the new, unused lease alive and take the right to send orders as its own after the key had expired.

Change: the value at the lease key names its lease, and a read after a lost answer takes the lease from there. A process test of orders with lost answers, also of the answer to the request for the lease.

Ruled out: one lease for all attempts. A lease whose request was lost cannot be found again, and a lease that has aged shortens the hold.

--- a/crates/berylwheel-router/src/orders.rs
+++ b/crates/berylwheel-router/src/orders.rs
@@ -85,10 +85,20 @@
     }
 }
 
+/// The value at a server's lease key.
+#[derive(Debug, Serialize, Deserialize)]
+struct LeaseRecord {
+    owner: Incarnation,
+    /// The lease that the key is tied to. A write whose answer was lost may take effect after it was
+    /// tried again with another lease, and keeping that other one alive would prove nothing.
+    lease: u64,
+}
+
 /// The right to send orders to one engine.
 struct Held {
     fence: Fence,
     fencing: Fencing,
+    /// The lease that the lease key is tied to, if it is this run's.
     lease: Option<LeaseId>,
 }
 
@@ -176,7 +186,10 @@
             FenceAction::Read(server) => {
                 let (record, holder) =
                     self.read(&server, held.fencing).await.map_err(unavailable)?;
-                held.fence.read(self.clock.now(), &server, record, holder.as_ref());
+                let own = holder.as_ref().filter(|holder| holder.owner == self.me);
+                held.lease = own.map(|holder| LeaseId(holder.lease));
+                let holder = holder.as_ref().map(|holder| &holder.owner);
+                held.fence.read(self.clock.now(), &server, record, holder);
             }
             FenceAction::Write { server, expected, record, lease } => {
                 let number = record.number;
@@ -201,7 +214,7 @@
         &self,
         server: &BackendId,
         fencing: Fencing,
-    ) -> Result<(Option<(FenceRecord, u64)>, Option<Incarnation>), StoreError> {
+    ) -> Result<(Option<(FenceRecord, u64)>, Option<LeaseRecord>), StoreError> {
         let protocol = |error: serde_json::Error| StoreError::Protocol(error.to_string());
         let entries = self.store.range(&fence_key(server), false, 1).await?;
         let record = match entries.first() {
@@ -231,7 +244,8 @@
         if let Some(time) = lease {
             let Ok(id) = self.store.lease(time).await else { return FenceResult::Lost };
             compares.push(Compare::absent(lease_key(server)));
-            puts.push(Put::new(lease_key(server), json!(self.me).to_string()).lease(id));
+            let record = LeaseRecord { owner: self.me.clone(), lease: id.0 };
+            puts.push(Put::new(lease_key(server), json!(record).to_string()).lease(id));
             held.lease = Some(id);
         }
         match self.store.swap(compares, puts).await {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -160,7 +160,7 @@
     let admin = fleet.admin(1);
     let new = thread::spawn(move || order(admin, "e9", "new"));
     wait_until("the next router has the lease", || {
-        let holder = router_at(&fleet, "/berylwheel/order-lease/e9", "");
+        let holder = router_at(&fleet, "/berylwheel/order-lease/e9", "/owner");
         (holder.as_deref() == Some("r1")).then_some(())
     });
     fleet.routers[0].signal("CONT");
@@ -172,6 +172,26 @@
     assert_eq!(taken(engine), [(2, "new".to_owned())]);
 }
 
+/// Guards against an order that is lost or given twice because an answer of the store was lost.
+#[test]
+fn lost_answers_of_the_store_do_not_lose_an_order() {
+    let fleet = Fleet::start("orders_lost", 1, &[], 1_000);
+    set_server(&fleet, 2, "e0", &["fencing=checked"]);
+    fleet.fault(&fleet.store, &json!({ "lose_answers": "all" }));
+    let checked = order(fleet.admin(0), "e0", "a");
+    assert_eq!(checked.status, 200, "{checked:?}");
+    // The first answer that is lost is that to the request for a lease.
+    fleet.fault(&fleet.store, &json!({ "lose_answers": 1 }));
+    let leased = order(fleet.admin(0), "e1", "b");
+    assert_eq!(leased.status, 200, "{leased:?}");
+    let taken = |i: usize| taken(fleet.engines[i].address("listen"));
+    assert_eq!(taken(0), [(1, "a".to_owned())]);
+    assert_eq!(taken(1), [(1, "b".to_owned())]);
+    // The lease is still held, so that the next order goes at once under the same number.
+    assert_eq!(order(fleet.admin(0), "e1", "c").status, 200);
+    assert_eq!(taken(1), [(1, "b".to_owned()), (1, "c".to_owned())]);
+}
+
 /// Guards against orders without an operator's key, to unknown engines, and without a number.
 #[test]
 fn orders_that_cannot_be_given_are_refused() {
