Test changes and bookings while the store is slow

Change: a process test with answers of the store 3 s late: changes (1402) and bookings (1302) are refused as not run, model work goes on, and the change is accepted once the store is fast again.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -204,6 +204,29 @@
     assert!(polls > 150, "{polls}");
 }
 
+/// Guards against work that waits for a slow store, and against "not run" for what ran.
+#[test]
+fn slow_store_refuses_changes_and_bookings_and_nothing_else() {
+    let fleet = Fleet::start("config_slow", 2, &[], 100_000);
+    assert_eq!(send(fleet.router(0), chat(10, false, None)).status, 200);
+    fleet.fault(&fleet.store, &json!({ "slow_ms": 3_000 }));
+    let refused = submit(fleet.admin(0), &change("slow", None, 101));
+    assert_eq!((refused.code(), refused.ran().as_str()), (1402, "not-run"), "{refused:?}");
+    for _ in 0..10 {
+        let served = send(fleet.router(0), chat(10, false, None));
+        assert_eq!(served.status, 200, "{served:?}");
+    }
+    let booking = || support::call(Method::Post, "/services/booking/book", Some("s"), "{}");
+    let refused = send(fleet.router(1), booking());
+    assert_eq!((refused.code(), refused.ran().as_str()), (1302, "not-run"), "{refused:?}");
+    assert_eq!(fleet.runs("s"), 0);
+    (0..2).for_each(|i| assert_eq!(serving(fleet.admin(i)), Some(1)));
+    fleet.fault(&fleet.store, &json!({ "slow_ms": 0 }));
+    let done = submit(fleet.admin(0), &change("slow", None, 101));
+    assert_eq!(done.json()["version"], 2, "{done:?}");
+    (0..2).for_each(|i| wait_version(&fleet, i, 2));
+}
+
 /// Guards against a rollback that lowers the version, and against half of a wrong change.
 #[test]
 fn rollback_is_a_new_version_and_a_wrong_change_is_refused_whole() {
