Tell peers of a leaving backend server

Cause: the design names three sources that a server is leaving, and routers took the message of a peer, but none sent it. Ruled out: telling all live routers, 340 x 340 messages for each server; telling peers of a server's own 503, which only its load report or the list takes back. Change: a router that learns it from the VM list tells 4 peers.

--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -279,7 +279,12 @@
             if let Ok(server) = vm.name.parse() {
                 match vm.state {
                     VmState::Live => self.routes.set_live(now, &server),
-                    VmState::Leaving | VmState::Gone => self.routes.set_leaving(now, &server),
+                    VmState::Leaving | VmState::Gone => {
+                        if !self.routes.is_leaving(&server) && self.address_of(&server).is_some() {
+                            self.notify_leaving(&server);
+                        }
+                        self.routes.set_leaving(now, &server);
+                    }
                 }
             }
         }
--- a/crates/berylwheel-router/src/peers.rs
+++ b/crates/berylwheel-router/src/peers.rs
@@ -5,11 +5,13 @@
 use berylwheel_peer::Inbound;
 use berylwheel_peer::Message;
 use berylwheel_schedule::Served;
+use berylwheel_types::BackendId;
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::stable_hash;
 
 use crate::claims::ClaimAnswer;
 use crate::claims::home_of;
@@ -22,6 +24,9 @@
 use crate::translate::parts_of;
 use crate::translate::served_of;
 
+/// Peers that learn of a leaving server from one router.
+const LEAVING_PEERS: usize = 4;
+
 impl Control {
     /// Takes in a message of another router.
     pub(crate) fn peer_message(&mut self, now: Timestamp, inbound: Inbound) {
@@ -134,6 +139,17 @@
         }
     }
 
+    /// Tells some peers that a backend server is leaving, in case their list lags behind this one's.
+    pub(crate) fn notify_leaving(&self, server: &BackendId) {
+        let mut live = self.fleet.members.live();
+        live.retain(|router| *router != self.me.router);
+        let own = self.me.router.as_str();
+        live.sort_by_key(|router| stable_hash(&[own, server.as_str(), router.as_str()]));
+        for router in live.iter().take(LEAVING_PEERS) {
+            self.fleet.send(router, Message::Leaving { server: server.clone() });
+        }
+    }
+
     /// Asks another router to return what it does not need of a budget.
     pub(crate) fn send_recall(&self, holder: &Incarnation, budget: BudgetId) {
         self.fleet.send(&holder.router, Message::Recall { budget });
