--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -9,6 +9,7 @@
 use berylwheel_budget::HolderAction;
 use berylwheel_budget::HolderPolicy;
 use berylwheel_config::AccessTable;
+use berylwheel_route::CacheEvent;
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::Routes;
 use berylwheel_route::Server;
@@ -16,7 +17,9 @@
 use berylwheel_schedule::RankPolicy;
 use berylwheel_schedule::SchedulePolicy;
 use berylwheel_schedule::Scheduler;
+use berylwheel_settings::ServerSettings;
 use berylwheel_settings::Settings;
+use berylwheel_types::BackendId;
 use berylwheel_types::Clock;
 use berylwheel_types::FastMap;
 use berylwheel_types::FastSet;
@@ -33,6 +36,7 @@
 use serde_json::json;
 
 use crate::claims::Claims;
+use crate::effects::CacheReport;
 use crate::effects::Effects;
 use crate::event::Event;
 use crate::event::Vm;
@@ -62,6 +66,7 @@
     pub(crate) draining: bool,
     pub(crate) snapshot: SharedSnapshot,
     pub(crate) ended: FastSet<Incarnation>,
+    cache_seen: FastMap<BackendId, u64>,
     settings: Option<Settings>,
     version: Version,
     pruned: Timestamp,
@@ -86,6 +91,7 @@
             jobs: FastMap::default(),
             draining: false,
             ended: FastSet::default(),
+            cache_seen: FastMap::default(),
             settings: None,
             version: Version::default(),
             pruned: clock.now(),
@@ -134,6 +140,7 @@
             Event::ReadFailed(page) => self.holder.read_failed(now, page),
             Event::PageWritten(page, result) => self.holder.page_written(now, page, result),
             Event::Load(server, report) => self.routes.report(now, &server, report),
+            Event::Cache(server, reports) => self.cache_events(now, &server, &reports),
             Event::Draining(server) => self.routes.set_draining(now, &server),
             Event::Vms(vms) => self.vms(now, &vms),
             Event::Peer(inbound) => self.peer_message(now, inbound),
@@ -173,9 +180,13 @@
         self.drive_holder(now);
         self.start_ready(now);
         for server in self.routes.probes(now) {
-            if let Some(address) = self.address_of(&server) {
-                self.effects.probe(server, address);
+            let Some(settings) = self.server_of(&server) else { continue };
+            let address = settings.address;
+            if !settings.models.is_empty() {
+                let after = self.cache_seen.get(&server).copied().unwrap_or_default();
+                self.effects.read_cache(server.clone(), address, after);
             }
+            self.effects.probe(server, address);
         }
     }
 
@@ -274,13 +285,21 @@
         self.settings.as_ref()
     }
 
+    fn cache_events(&mut self, now: Timestamp, server: &BackendId, reports: &[CacheReport]) {
+        for report in reports {
+            let CacheReport { sequence, prefix, held } = *report;
+            self.routes.cache_event(now, server, CacheEvent { sequence, prefix, held });
+            self.cache_seen.insert(server.clone(), sequence);
+        }
+    }
+
     fn vms(&mut self, now: Timestamp, vms: &[Vm]) {
         for vm in vms {
             if let Ok(server) = vm.name.parse() {
                 match vm.state {
                     VmState::Live => self.routes.set_live(now, &server),
                     VmState::Leaving | VmState::Gone => {
-                        if !self.routes.is_leaving(&server) && self.address_of(&server).is_some() {
+                        if !self.routes.is_leaving(&server) && self.server_of(&server).is_some() {
                             self.notify_leaving(&server);
                         }
                         self.routes.set_leaving(now, &server);
@@ -305,9 +324,8 @@
         self.jobs.is_empty() && self.holder.is_empty()
     }
 
-    fn address_of(&self, server: &berylwheel_types::BackendId) -> Option<std::net::SocketAddr> {
-        let servers = self.settings.as_ref()?.servers();
-        servers.iter().find(|s| s.id == *server).map(|s| s.address)
+    fn server_of(&self, id: &BackendId) -> Option<&ServerSettings> {
+        self.settings.as_ref()?.servers().iter().find(|server| server.id == *id)
     }
 
     fn dump(&self) -> Value {
--- a/crates/berylwheel-router/src/effects.rs
+++ b/crates/berylwheel-router/src/effects.rs
@@ -21,6 +21,7 @@
 use berylwheel_types::Clock;
 use berylwheel_types::Millis;
 use http_types::Method;
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::event::Event;
@@ -113,6 +114,17 @@
         });
     }
 
+    /// Asks an engine for the cache events that follow `after`.
+    pub fn read_cache(&self, server: BackendId, address: SocketAddr, after: u64) {
+        let client = self.client.clone();
+        self.start(async move {
+            let path = format!("/v1/cache?after={after}");
+            let value = fetch_json(&client, address, &path, PROBE_TIME).await?;
+            let list: CacheEvents = serde_json::from_value(value).ok()?;
+            (!list.events.is_empty()).then_some(Event::Cache(server, list.events))
+        });
+    }
+
     /// Reads the platform's list of VMs.
     pub fn read_vms(&self, address: SocketAddr) {
         let client = self.client.clone();
@@ -129,6 +141,23 @@
     }
 }
 
+/// What an engine answers to `GET /v1/cache`.
+#[derive(Debug, Deserialize)]
+struct CacheEvents {
+    events: Vec<CacheReport>,
+}
+
+/// One cache event of an engine.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct CacheReport {
+    /// Position among the engine's events.
+    pub sequence: u64,
+    /// The hash that the router sent in `X-Prefix`.
+    pub prefix: u64,
+    /// Whether the prefix was taken up, or dropped.
+    pub held: bool,
+}
+
 /// Fetches a JSON document, or `None` if there is none.
 pub async fn fetch_json(
     client: &Client,
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -121,6 +121,7 @@
             .header("x-request-id", id.as_str())
             .header("x-request-owner", self.me.to_string())
             .header("x-budget", job.call.budget.as_str())
+            .header("x-prefix", job.chat.prefix.to_string())
             .body(job.chat.engine_body(job.max_tokens, job.kind.rank));
         if let Some(tag) = &start.tag {
             outgoing = outgoing.header("x-usage-tag", tag.clone());
--- a/crates/berylwheel-router/src/event.rs
+++ b/crates/berylwheel-router/src/event.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 
 use crate::command::Command;
+use crate::effects::CacheReport;
 use crate::registry::Registered;
 
 /// State of a VM in the platform's list.
@@ -58,6 +59,8 @@
     PageWritten(PageId, WriteResult),
     /// A backend server reported its load.
     Load(BackendId, LoadReport),
+    /// An engine's cache took prefixes up or dropped them.
+    Cache(BackendId, Vec<CacheReport>),
     /// A backend server refused work because it is draining.
     Draining(BackendId),
     /// The platform's list was read.
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -147,6 +147,19 @@
     }
 }
 
+/// Guards against cache events that the router does not read, so that it knows no server's prefixes.
+#[test]
+fn cache_events_are_read() {
+    let fleet = Fleet::start("cache_events", 1, &[], 1_000_000);
+    assert_eq!(send(fleet.router(0), chat(2, false, None)).status, 200);
+    wait_until("the prefix is known at one engine", || {
+        let dump = get(fleet.admin(0), "/dump").json();
+        let servers = dump["routes"]["servers"].as_array().cloned().unwrap_or_default();
+        let known = servers.iter().filter(|s| s["prefixes"].as_u64() == Some(1)).count();
+        (known == 1).then_some(())
+    });
+}
+
 /// Guards against a lookup that fails although it may be repeated.
 #[test]
 fn idempotent_lookup_is_retried() {
