Place requests at servers in one function

Cause: starting and retrying a request repeated how it gets a server, and streamed and whole answers repeated the wait for preemption. In the copy for starts a request for which no server was found was withdrawn as queued, although the scheduler counted it as running, and would have held its slot. Ruled out: merging the rest of the two paths; a retry spends the retry budget and a start does not. Joining credit and cut of a budget, which share only their last four lines. Change: place() and preempted(); the stage is set before the server is chosen. The slot case was found by reading; no test brings it about, since a server with room is looked for just before. Conclusion: one path, and a failed start gives its slot back.

--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/engine.rs
@@ -17,6 +17,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -210,13 +211,7 @@
                 Err(Attempt::Failed(Outcome::TimedOut, format!("no first token in {limit}")))
             })
         };
-        let preempted = async {
-            match start.preempt.recv().await {
-                Ok(()) => Err(Attempt::Preempted),
-                Err(_) => futures_lite::future::pending().await,
-            }
-        };
-        timed.or(preempted).await
+        timed.or(preempted(start)).await
     }
 
     async fn next_server(
@@ -266,13 +261,7 @@
                     .await
                     .map_err(|error| failed(&error))
             };
-            let preempted = async {
-                match start.preempt.recv().await {
-                    Ok(()) => Err(Attempt::Preempted),
-                    Err(_) => futures_lite::future::pending().await,
-                }
-            };
-            let attempt = match fetch.or(preempted).await {
+            let attempt = match fetch.or(preempted(&start)).await {
                 Ok((response, bytes)) => check_whole(response.status(), &bytes, &id)
                     .map(|usage| (bytes, usage))
                     .map_err(|detail| Attempt::Failed(Outcome::Failed, detail)),
@@ -327,6 +316,14 @@
     }
 }
 
+/// Waits until the request has to give its place to more urgent work.
+async fn preempted<T>(start: &Start) -> Result<T, Attempt> {
+    match start.preempt.recv().await {
+        Ok(()) => Err(Attempt::Preempted),
+        Err(_) => future::pending().await,
+    }
+}
+
 fn check_whole(
     status: http_types::StatusCode,
     bytes: &[u8],
--- a/crates/berylwheel-router/src/jobs.rs
+++ b/crates/berylwheel-router/src/jobs.rs
@@ -2,7 +2,6 @@
 
 use async_channel::Sender;
 use berylwheel_budget::Reserve;
-use berylwheel_route::Ask;
 use berylwheel_route::Outcome;
 use berylwheel_schedule::Work;
 use berylwheel_types::BackendId;
@@ -166,25 +165,32 @@
                 self.scheduler.finished(now, &work.request, Tokens::ZERO);
                 continue;
             };
-            let Some(server) = self.routes.pick(now, &job.admit.ask) else {
+            job.stage = Stage::Running;
+            let Some(start) = self.place(now, &work.request) else {
                 let refusal = Refusal::not_run(Code::NoBackend, "no server has room");
                 self.refuse(&work.request, refusal);
                 continue;
             };
-            self.routes.started(now, &server.id);
-            let (sender, receiver) = async_channel::bounded(1);
-            job.stage = Stage::Running;
-            job.server = Some(server.id.clone());
-            job.preempt = Some(sender);
-            let tag = self.holder.tag(&work.request).map(|tag| tag.to_string());
-            let start = Start { server, preempt: receiver, tag };
             // A caller that has gone drops its ticket, and the finish that follows cleans up.
-            if let Some(reply) = job.reply.take() {
+            let reply = self.jobs.get_mut(&work.request).and_then(|job| job.reply.take());
+            if let Some(reply) = reply {
                 let _ = reply.try_send(Ok(start));
             }
         }
     }
 
+    /// Gives a request a server, or returns `None` if none has room.
+    fn place(&mut self, now: Timestamp, request: &RequestId) -> Option<Start> {
+        let job = self.jobs.get_mut(request)?;
+        let server = self.routes.pick(now, &job.admit.ask)?;
+        self.routes.started(now, &server.id);
+        let (sender, receiver) = async_channel::bounded(1);
+        job.server = Some(server.id.clone());
+        job.preempt = Some(sender);
+        let tag = self.holder.tag(request).map(|tag| tag.to_string());
+        Some(Start { server, preempt: receiver, tag })
+    }
+
     /// Cancels queued work whose deadline can no longer be met, and batch work for urgent work.
     pub fn expire_work(&mut self, now: Timestamp) {
         for (request, refusal) in self.scheduler.expired(now) {
@@ -214,17 +220,8 @@
             let _ = reply.try_send(no_backend("the retry budget of the kind is spent"));
             return;
         }
-        let ask: Ask = job.admit.ask.clone();
-        let Some(server) = self.routes.pick(now, &ask) else {
-            let _ = reply.try_send(no_backend("no other server has room"));
-            return;
-        };
-        self.routes.started(now, &server.id);
-        let (sender, receiver) = async_channel::bounded(1);
-        job.server = Some(server.id.clone());
-        job.preempt = Some(sender);
-        let tag = self.holder.tag(request).map(|tag| tag.to_string());
-        let _ = reply.try_send(Ok(Start { server, preempt: receiver, tag }));
+        let placed = self.place(now, request);
+        let _ = reply.try_send(placed.map_or_else(|| no_backend("no other server has room"), Ok));
     }
 
     fn requeue(&mut self, now: Timestamp, request: &RequestId, reply: Sender<StartResult>) {
