State the totals of budgets in the ledger by configuration version

Cause: a platform's operator states what a workspace may use as one total in the configuration, not as payments with ids, and raises or lowers it there. Change: LedgerPage::state_total applies a version's total once and never after a newer one; a lower total is owed like a cut. The holder writes the totals it knows with the first page that lacks them. HolderPolicy::unrecorded is for engines without usage records: short holdings, one page. A refusal for tokens that other routers hold carries a time to try again. Ruled out: credits with one id for each version, since a router with an older version would apply its difference to a newer total. Pages have format 2; pages of earlier builds are refused.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -99,6 +100,8 @@
     pub credits: BTreeMap<CreditId, (Tokens, Timestamp)>,
     /// The latest changes.
     pub audit: Vec<AuditEntry>,
+    /// The version of the configuration that the total comes from, if a configuration states it.
+    pub stated: Option<Version>,
 }
 
 impl Account {
--- a/crates/berylwheel-budget/src/audit.rs
+++ b/crates/berylwheel-budget/src/audit.rs
@@ -4,6 +4,7 @@
 use berylwheel_types::Incarnation;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -33,4 +34,6 @@
     Release { holder: Incarnation, returned: Tokens },
     /// The row of a dead holder was billed from usage records and the rest returned.
     Reclaim { holder: Incarnation, billed: Tokens, returned: Tokens },
+    /// A version of the configuration stated the total.
+    State { version: Version, total: Tokens },
 }
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -12,6 +12,7 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 
 use super::action::HolderAction;
 use super::action::Reserve;
@@ -58,6 +59,8 @@
     pub(super) draining: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
+    /// The totals that the configuration states, and its version.
+    pub(super) totals: (Version, FastMap<BudgetId, Tokens>),
 }
 
 impl Holder {
@@ -74,6 +77,7 @@
             draining: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
+            totals: (Version::default(), FastMap::default()),
         }
     }
 
@@ -82,6 +86,26 @@
         self.live = live.max(1);
     }
 
+    /// Takes in the totals that a version of the configuration states. They are written to the
+    /// pages that do not have them yet.
+    pub fn set_totals(
+        &mut self,
+        now: Timestamp,
+        version: Version,
+        totals: FastMap<BudgetId, Tokens>,
+    ) {
+        for budget in totals.keys() {
+            let id = page_of(budget, self.policy.pages);
+            let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
+            page.restate = true;
+        }
+        self.totals = (version, totals);
+        let ids: Vec<_> = self.pages.keys().copied().collect();
+        for id in ids {
+            self.reschedule(now, id);
+        }
+    }
+
     /// Asks for tokens. [`Holder::poll`] answers, at once if the grant in hand covers the amount.
     pub fn reserve(&mut self, now: Timestamp, ask: Reserve) {
         if self.draining {
@@ -97,8 +121,10 @@
         let id = page_of(&ask.budget, self.policy.pages);
         self.requests.insert(ask.request.clone(), (id, ask.budget.clone()));
         let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
-        let grant =
-            page.grants.entry(ask.budget).or_insert_with(|| Grant::new(now, self.first_serial));
+        let grant = page
+            .grants
+            .entry(ask.budget)
+            .or_insert_with(|| Grant::new(now, self.first_serial, &self.policy));
         grant.note_amount(now, ask.amount);
         if ask.amount <= grant.free() {
             grant.admit(ask.request.clone(), ask.amount, ask.key, page.version, now);
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -10,6 +10,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 
+use crate::HolderPolicy;
 use crate::account::Bill;
 use crate::rate::SpendRate;
 
@@ -83,7 +84,7 @@
 }
 
 impl Grant {
-    pub(crate) fn new(now: Timestamp, next_serial: u64) -> Self {
+    pub(crate) fn new(now: Timestamp, next_serial: u64, policy: &HolderPolicy) -> Self {
         Self {
             next_serial,
             held: Tokens::ZERO,
@@ -98,7 +99,7 @@
             round_gap: Millis(0),
             recalled: false,
             spare_after: Timestamp::default(),
-            rate: SpendRate::new(now),
+            rate: SpendRate::new(now, policy),
             largest: [Tokens::ZERO; 2],
             largest_since: now,
             used_at: now,
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -58,6 +58,8 @@
     pub(crate) dirty: Option<Timestamp>,
     pub(crate) retry_at: Timestamp,
     pub(crate) failures: u32,
+    /// Whether the page may lack totals that the configuration states.
+    pub(crate) restate: bool,
     /// When the page is looked at next.
     pub(crate) wake: Option<Timestamp>,
 }
@@ -77,6 +79,7 @@
             dirty: None,
             retry_at: Timestamp::default(),
             failures: 0,
+            restate: false,
             wake: None,
         }
     }
@@ -91,6 +94,7 @@
             return;
         };
         self.version = pending.content.version();
+        self.restate = false;
         self.written_at = now;
         for effect in pending.effects {
             let Some(grant) = self.grants.get_mut(&effect.budget) else {
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -42,9 +42,10 @@
     let needed = page.grants.values().filter_map(grant_need).min();
     let pending = page.pending.is_some().then_some(page.retry_at);
     let settle = page.dirty.map(|dirty| urgent.max(dirty + interval));
+    let restate = page.restate.then_some(urgent);
     let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
     let refresh = holds.then(|| urgent.max(page.written_at + REFRESH));
-    let due = [needed, pending, settle, refresh].into_iter().flatten().min()?;
+    let due = [needed, pending, settle, restate, refresh].into_iter().flatten().min()?;
     Some(due.max(page.retry_at))
 }
 
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Verdict {
     pub(crate) refused: Vec<Waiter>,
+    /// Requests that the budget would cover if other holders returned what they have.
+    pub(crate) held: Vec<Waiter>,
     pub(crate) recalled: Vec<Incarnation>,
 }
 
@@ -76,8 +78,10 @@
         let fresh = read_at.is_some_and(|at| waiter.arrived <= at);
         let out_of_reach = waiter.amount > reachable && fresh;
         let asked_all = round_done && round_started.is_some_and(|at| waiter.arrived <= at);
-        if out_of_reach || asked_all {
+        if out_of_reach {
             verdict.refused.push(waiter);
+        } else if asked_all {
+            verdict.held.push(waiter);
         } else {
             short = true;
             waiting.push_back(waiter);
@@ -93,7 +97,7 @@
     }
     if !short {
         grant.round = None;
-        if verdict.refused.is_empty() {
+        if verdict.refused.is_empty() && verdict.held.is_empty() {
             grant.round_gap = Millis(0);
             grant.next_round = Timestamp::default();
         }
@@ -116,6 +120,15 @@
         self.ready.push(HolderAction::Refused(request, refusal));
     }
 
+    /// Refuses a request that the budget would cover if other holders returned what they have.
+    pub(super) fn refuse_held(&mut self, waiter: Waiter) {
+        self.requests.remove(&waiter.request);
+        let detail = format!("other routers hold the {} tokens asked for", waiter.amount);
+        let refusal =
+            Refusal::not_run(Code::BudgetSpent, detail).retry_after(self.policy.wait_limit);
+        self.ready.push(HolderAction::Refused(waiter.request, refusal));
+    }
+
     /// Refuses every request that waits for a budget of the page.
     pub(super) fn refuse_all(&mut self, id: PageId, code: Code, detail: &str) {
         let Some(page) = self.pages.get_mut(&id) else {
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -15,9 +15,11 @@
 use super::timing::REFRESH;
 use super::wait::judge;
 use crate::Account;
+use crate::Applied;
 use crate::HolderPolicy;
 use crate::LedgerPage;
 use crate::PageId;
+use crate::page_of;
 
 /// After a recall a holder keeps no spare tokens for this long; it would take back at once what
 /// others asked for.
@@ -26,9 +28,6 @@
 /// The span of `Row::hourly`.
 const HOUR: Millis = Millis(3_600_000);
 
-/// Reservations held beyond the expected spend.
-const MARGIN: u64 = 3;
-
 /// The holding that a grant should have.
 struct Target {
     tokens: Tokens,
@@ -81,7 +80,7 @@
         // their number; two deviations are added.
         let spread = 2.0 * (spend as f64 * largest as f64).sqrt();
         let least = (bound as f64 * self.policy.least.fraction()) as u64;
-        let wanted = (spend + MARGIN * largest + spread as u64).max(least);
+        let wanted = (spend + self.policy.margin * largest + spread as u64).max(least);
         Target { tokens: needed.max(Tokens(wanted.min(bound))), bare: false }
     }
 
@@ -140,8 +139,23 @@
         self.reschedule(now, id);
     }
 
+    /// Writes the totals that the configuration states to a page that was just read, and returns
+    /// whether that changed it.
+    fn state_totals(&self, now: Timestamp, id: PageId, content: &mut LedgerPage) -> bool {
+        let (version, totals) = &self.totals;
+        let author = self.me.to_string();
+        let mut own: Vec<_> =
+            totals.iter().filter(|(budget, _)| page_of(budget, self.policy.pages) == id).collect();
+        own.sort();
+        let applied = own.into_iter().map(|(budget, total)| {
+            content.state_total(budget, *version, *total, &author, now) == Applied::Now
+        });
+        applied.fold(false, |any, one| any | one)
+    }
+
     /// Acts on a page that was just read and has no write pending.
     pub(super) fn use_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
+        let restated = self.state_totals(now, id, &mut content);
         self.refuse_unknown(id, &content);
         if let Some(page) = self.pages.get_mut(&id) {
             for (budget, grant) in &mut page.grants {
@@ -156,7 +170,8 @@
         };
         let writers: Vec<_> = content.writers.iter().map(|(h, s)| (h.clone(), *s)).collect();
         let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
-        let mut changed = holds && now >= page.written_at + REFRESH;
+        page.restate = restated;
+        let mut changed = restated || holds && now >= page.written_at + REFRESH;
         // A number is never used for two contents, so a page can tell which one it took.
         let sequence = page.sequence + 1;
         let version = content.begin_write(&self.me, sequence);
@@ -169,6 +184,7 @@
         };
         let mut effects = Vec::new();
         let mut refused = Vec::new();
+        let mut held = Vec::new();
         for (budget, grant) in &mut page.grants {
             let Some(account) = content.accounts.get_mut(budget) else {
                 continue;
@@ -176,6 +192,7 @@
             let change = sizing.apply(version, grant, account);
             let verdict =
                 judge(now, &self.policy, &self.me, page.read_at, &writers, account, grant);
+            held.extend(verdict.held);
             refused.extend(verdict.refused.into_iter().map(|waiter| (waiter, account.closed)));
             let recall = |holder| HolderAction::Recall { holder, budget: budget.clone() };
             self.ready.extend(verdict.recalled.into_iter().map(recall));
@@ -210,6 +227,9 @@
                 Some(PendingWrite { sequence, expected: page.revision, content, effects });
             self.ready.push(write);
         }
+        for waiter in held {
+            self.refuse_held(waiter);
+        }
         for (waiter, closed) in refused {
             let detail = if closed { "budget is closed" } else { "balance and grants fall short" };
             let detail = format!("{detail} for {} tokens", waiter.amount);
--- a/crates/berylwheel-budget/src/operate.rs
+++ b/crates/berylwheel-budget/src/operate.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::Refusal;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 
 use crate::Account;
 use crate::AuditEntry;
@@ -83,6 +84,43 @@
         Ok(Applied::Now)
     }
 
+    /// Sets the total that a configuration states for a budget, which is created if it is new.
+    ///
+    /// Each version applies once, and never after a newer one. What a lower total takes back is owed
+    /// as after [`LedgerPage::cut`].
+    pub fn state_total(
+        &mut self,
+        budget: &BudgetId,
+        version: Version,
+        total: Tokens,
+        author: &str,
+        now: Timestamp,
+    ) -> Applied {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        if account.stated.is_some_and(|known| known >= version) {
+            return Applied::Before;
+        }
+        let present = account.credited.saturating_sub(account.owed);
+        if account.stated.is_some() && present == total {
+            return Applied::Before;
+        }
+        account.stated = Some(version);
+        if total >= present {
+            let raised = total - present;
+            let forgiven = raised.min(account.owed);
+            account.owed -= forgiven;
+            account.credited += raised - forgiven;
+            account.balance += raised - forgiven;
+        } else {
+            account.owed += present - total;
+            account.collect_owed();
+        }
+        let change = Change::State { version, total };
+        account.record(AuditEntry { at: now, author: author.into(), change });
+        self.version += 1;
+        Applied::Now
+    }
+
     /// Takes `amount` tokens from a budget, once for each `id`.
     ///
     /// The balance is lowered at once as far as it reaches. The rest is owed and taken from
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -12,7 +12,7 @@
 use crate::Account;
 
 /// The format of an encoded page, its first byte.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Encoded sizes of the parts of a page, in bytes, as [`LedgerPage::rough_size`] takes them.
 const ACCOUNT_SIZE: usize = 32;
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -15,6 +15,13 @@
     /// Part of a holder's share that it takes even before its rate of spend is known. Without it a
     /// holder that has seen few requests runs dry at once when the store goes down.
     pub least: Share,
+    /// Largest recent reservations that a grant holds beyond the expected spend.
+    pub margin: u64,
+    /// Time over which the rate of spend is averaged. Small budgets see a request every few minutes,
+    /// and a shorter time gives them an estimate that is often near zero.
+    pub rate_window: Millis,
+    /// The least time that a new estimate of the rate divides by.
+    pub rate_start: Millis,
     /// Least time between settlements of a page without urgent need.
     pub settle_every: Millis,
     /// Longest time between settlements when the fleet's allowance of writes stretches it.
@@ -43,6 +50,37 @@
     pub idle_after: Millis,
 }
 
+impl HolderPolicy {
+    /// Returns the policy for holdings that should last for `horizon` without the store, where
+    /// engines keep no usage records: what a router has not settled when it is killed is lost to the
+    /// budget, so the holdings are as short as outages allow.
+    ///
+    /// ```
+    /// use berylwheel_budget::HolderPolicy;
+    /// use berylwheel_types::Millis;
+    /// assert_eq!(HolderPolicy::unrecorded(Millis(10_000)).horizon, Millis(10_000));
+    /// ```
+    pub fn unrecorded(horizon: Millis) -> Self {
+        Self {
+            pages: 1,
+            horizon,
+            share: Share::from_permille(700),
+            least: Share::from_permille(50),
+            margin: 1,
+            rate_window: Millis(horizon.0 * 2),
+            rate_start: Millis(horizon.0 / 5),
+            settle_every: Millis(1_000),
+            settle_limit: Millis(4_000),
+            byte_rate: 128 << 10,
+            answer_limit: Millis(1_500),
+            retry_limit: Millis(1_000),
+            wait_limit: Millis(1_000),
+            idle_after: horizon,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for HolderPolicy {
     fn default() -> Self {
         Self {
@@ -51,6 +89,9 @@
             horizon: Millis(75 * 60_000),
             share: Share::from_permille(800),
             least: Share::from_permille(100),
+            margin: 3,
+            rate_window: Millis(30 * 60_000),
+            rate_start: Millis(60_000),
             settle_every: Millis(2_000),
             settle_limit: Millis(60_000),
             // The store takes several hundred writes a second for all purposes.
