Forward requests over hyper with their bytes unchanged

Cause: http_types parses a target into a Url, which rewrites dot segments and percent-encoding, so that a forwarded request is not the caller's. Change: berylwheel-http has a second edge over hyper 1 and the same async-io: an accepting side with limits on idle time and heads and a graceful end of connections, a client with a pool that tells whether bytes were sent, and a splitter of server-sent events. A dropped answer closes its connection.

--- /dev/null
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -0,0 +1,229 @@
+//! The sending side: connections to backend servers, kept for reuse.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_executor::Executor;
+use async_executor::Task;
+use async_io::Async;
+use berylwheel_types::Clock;
+use berylwheel_types::FastMap;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+
+use super::limit::within;
+use super::socket::CountedSocket;
+
+/// Idle connections kept to one server.
+const IDLE_LIMIT: usize = 32;
+/// A connection is closed this long before the server would close it, so that a request and the
+/// close do not cross.
+const CLOSE_MARGIN: Millis = Millis(500);
+/// Time for which an idle connection is kept if the server does not say how long it keeps it.
+const IDLE_TIME: Millis = Millis(4_000);
+
+/// How a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendOptions {
+    /// How long a reused connection may have been idle; zero for a new connection.
+    pub idle_most: Millis,
+    /// Time for a new connection to be made.
+    pub connect_time: Millis,
+    /// Time for the response's head to arrive, connecting included.
+    pub head_time: Millis,
+}
+
+/// Why a request failed, and whether any of it can have reached the server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendError {
+    /// Whether bytes of the request were handed to the system for sending.
+    pub sent: bool,
+    /// Whether a time limit ran out.
+    pub timed_out: bool,
+    /// What went wrong.
+    pub detail: String,
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sent = if self.sent { "after sending" } else { "before sending" };
+        write!(f, "{} ({sent})", self.detail)
+    }
+}
+
+impl std::error::Error for SendError {}
+
+/// Connections to backend servers. Clones share them.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    executor: Arc<Executor<'static>>,
+    clock: Clock,
+    idle: Arc<Mutex<FastMap<SocketAddr, VecDeque<Link>>>>,
+    opened: Arc<AtomicU64>,
+}
+
+/// One connection and the task that drives it, which ends with it.
+#[derive(Debug)]
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    _task: Task<()>,
+    written: Arc<AtomicU64>,
+    since: Timestamp,
+    until: Timestamp,
+}
+
+/// A connection that carries a request. Dropping it closes the connection, which makes the server
+/// stop its work; [`Sent::keep`] gives it back once the answer has been read to its end.
+#[derive(Debug)]
+pub struct Sent {
+    upstream: Upstream,
+    address: SocketAddr,
+    link: Link,
+}
+
+impl Sent {
+    /// Keeps the connection for another request, for at most the time `idle` that the server states.
+    pub fn keep(mut self, idle: Option<Millis>) {
+        let now = self.upstream.clock.now();
+        let idle = idle.map_or(IDLE_TIME, |idle| Millis(idle.0.saturating_sub(CLOSE_MARGIN.0)));
+        self.link.since = now;
+        self.link.until = now + idle;
+        let mut pools = self.upstream.lock();
+        let pool = pools.entry(self.address).or_default();
+        if pool.len() < IDLE_LIMIT {
+            pool.push_back(self.link);
+        }
+    }
+}
+
+impl Upstream {
+    /// Returns a client without connections whose connections are driven by `executor`.
+    pub fn new(executor: Arc<Executor<'static>>, clock: Clock) -> Self {
+        Self { executor, clock, idle: Arc::default(), opened: Arc::default() }
+    }
+
+    /// Returns the number of connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Closes connections that have been idle for as long as they may be.
+    pub fn prune(&self) {
+        let now = self.clock.now();
+        self.lock().retain(|_, pool| {
+            pool.retain(|link| now < link.until && !link.sender.is_closed());
+            !pool.is_empty()
+        });
+    }
+
+    /// Sends a request, and returns the response once its head has arrived.
+    ///
+    /// # Errors
+    /// Fails if the server cannot be reached, breaks off, or does not answer in time.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        options: SendOptions,
+    ) -> Result<(Response<Incoming>, Sent), SendError> {
+        let mut request = request;
+        let started = self.clock.now();
+        while let Some(link) = self.take(address, options.idle_most) {
+            match self.exchange(address, link, request, options.head_time).await {
+                Ok(answer) => return Ok(answer),
+                // The server closed the connection before the request was written.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((error, None)) => return Err(error),
+            }
+        }
+        let limit = options.connect_time.min(options.head_time);
+        let link = self.open(address, limit).await?;
+        let left = Millis(options.head_time.0.saturating_sub(self.clock.now().since(started).0));
+        self.exchange(address, link, request, left).await.map_err(|(error, _)| error)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, VecDeque<Link>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the connection that has been idle for the longest allowed time: bytes that do not
+    /// belong to its last answer have arrived by then, and have closed it.
+    fn take(&self, address: SocketAddr, idle_most: Millis) -> Option<Link> {
+        let now = self.clock.now();
+        let mut pools = self.lock();
+        let pool = pools.get_mut(&address)?;
+        while let Some(link) = pool.pop_front() {
+            let fresh = now < link.until && now.since(link.since) < idle_most;
+            if fresh && link.sender.is_ready() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: SocketAddr, limit: Millis) -> Result<Link, SendError> {
+        let failed = |timed_out, detail| SendError { sent: false, timed_out, detail };
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let opening = async {
+            let stream = Async::<TcpStream>::connect(address).await?;
+            CountedSocket::new(stream)
+        };
+        let (socket, written) = match within(limit, opening).await {
+            Some(Ok(opened)) => opened,
+            Some(Err(error)) => {
+                return Err(failed(false, format!("cannot connect to {address}: {error}")));
+            }
+            None => return Err(failed(true, format!("no connection to {address} in {limit}"))),
+        };
+        let shaken = http1::Builder::new().handshake(socket).await;
+        let (sender, connection) =
+            shaken.map_err(|error| failed(false, format!("{address}: {error}")))?;
+        let task = self.executor.spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "connection to a server ended");
+            }
+        });
+        let now = self.clock.now();
+        Ok(Link { sender, _task: task, written, since: now, until: now })
+    }
+
+    /// Sends a request over a connection. An error comes with the request if it was not taken.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut link: Link,
+        request: Request<Full<Bytes>>,
+        limit: Millis,
+    ) -> Result<(Response<Incoming>, Sent), (SendError, Option<Request<Full<Bytes>>>)> {
+        let before = link.written.load(Ordering::Relaxed);
+        let failed = |link: &Link, timed_out, detail: String| SendError {
+            sent: link.written.load(Ordering::Relaxed) > before,
+            timed_out,
+            detail: format!("{address}: {detail}"),
+        };
+        match within(limit, link.sender.try_send_request(request)).await {
+            Some(Ok(response)) => Ok((response, Sent { upstream: self.clone(), address, link })),
+            Some(Err(mut error)) => {
+                let unsent = error.take_message();
+                let error = failed(&link, false, error.error().to_string());
+                Err((error, unsent))
+            }
+            None => Err((failed(&link, true, format!("no answer in {limit}")), None)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylwheel-http/src/forward/limit.rs
@@ -0,0 +1,25 @@
+//! Time limits that a thread of its own does not have to watch.
+
+use std::future::Future;
+
+use async_io::Timer;
+use berylwheel_types::Millis;
+use futures_lite::FutureExt;
+
+/// Runs `future` for at most `limit` and returns its output, or `None` when the time is over.
+///
+/// The timer belongs to the runtime, so it fires on the thread that runs the future.
+///
+/// ```
+/// use berylwheel_http::within;
+/// use berylwheel_types::Millis;
+/// let slow = futures_lite::future::pending::<()>();
+/// assert_eq!(async_io::block_on(within(Millis(1), slow)), None);
+/// ```
+pub async fn within<T>(limit: Millis, future: impl Future<Output = T>) -> Option<T> {
+    let expired = async {
+        Timer::after(limit.duration()).await;
+        None
+    };
+    async { Some(future.await) }.or(expired).await
+}
--- /dev/null
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 over `hyper` for requests that are passed on: heads and bodies keep their bytes.
+
+mod client;
+mod events;
+mod limit;
+mod server;
+mod socket;
+
+pub use client::SendError;
+pub use client::SendOptions;
+pub use client::Sent;
+pub use client::Upstream;
+pub use events::EventSplitter;
+pub use events::ServerEvent;
+pub use limit::within;
+pub use server::AcceptLimits;
+pub use server::AnswerBody;
+pub use server::Listening;
+pub use server::accept;
+pub use server::empty_body;
+pub use server::full_body;
--- /dev/null
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -0,0 +1,202 @@
+//! The accepting side.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use async_channel::Receiver;
+use async_executor::Executor;
+use async_io::Async;
+use async_io::Timer;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Millis;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use super::socket::Active;
+use super::socket::CallerSocket;
+
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Millis = Millis(10);
+
+/// The smallest head buffer that the library takes.
+const HEAD_LEAST: usize = 8 << 10;
+
+/// The body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Returns a body of `bytes`.
+///
+/// ```
+/// let body = berylwheel_http::full_body("abc");
+/// assert_eq!(http_body::Body::size_hint(&body).exact(), Some(3));
+/// ```
+pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// Returns a body without bytes.
+///
+/// ```
+/// assert!(http_body::Body::is_end_stream(&berylwheel_http::empty_body()));
+/// ```
+pub fn empty_body() -> AnswerBody {
+    Empty::new().map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// Bounds on one caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AcceptLimits {
+    /// The largest head.
+    pub head: ByteSize,
+    /// Time from the first byte of a head to its last.
+    pub head_time: Millis,
+    /// Time without a request.
+    pub idle_time: Millis,
+    /// Connections that are open at a time.
+    pub connections: usize,
+}
+
+/// What a listener shares with the one that started it.
+#[derive(Debug, Clone)]
+pub struct Listening {
+    /// Closed when connections should end after the request that they carry.
+    pub leaving: Receiver<()>,
+    /// Connections that are open.
+    pub open: Arc<AtomicUsize>,
+}
+
+/// Accepts connections and answers their requests until the listener fails.
+///
+/// `limits` is asked for each connection. A handler is dropped when its caller leaves. Once
+/// `listening.leaving` is closed, idle connections are closed and others end with their answer.
+pub async fn accept<L, H, F>(
+    listener: Async<TcpListener>,
+    executor: Arc<Executor<'static>>,
+    listening: Listening,
+    limits: L,
+    handler: H,
+) where
+    L: Fn() -> AcceptLimits,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "accept failed");
+                Timer::after(ACCEPT_PAUSE.duration()).await;
+                continue;
+            }
+        };
+        let limits = limits();
+        let guard = Open::new(listening.open.clone());
+        if guard.number > limits.connections {
+            log::warn!(open = guard.number; "connection closed: too many");
+            continue;
+        }
+        let serving = serve(stream, limits, listening.leaving.clone(), handler.clone());
+        executor
+            .spawn(async move {
+                let _guard = guard;
+                if let Err(error) = serving.await {
+                    log::debug!(error:% = error; "caller's connection ended");
+                }
+            })
+            .detach();
+    }
+}
+
+struct Open {
+    open: Arc<AtomicUsize>,
+    number: usize,
+}
+
+impl Open {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        let number = open.fetch_add(1, Ordering::Relaxed) + 1;
+        Self { open, number }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request of a connection until its answer has been handed over.
+struct Answering(Active);
+
+impl Answering {
+    fn new(active: Active) -> Self {
+        active.fetch_add(1, Ordering::Relaxed);
+        Self(active)
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve<H, F>(
+    stream: Async<TcpStream>,
+    limits: AcceptLimits,
+    leaving: Receiver<()>,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let active = Active::default();
+    let socket = CallerSocket::new(stream, active.clone(), limits.head_time, limits.idle_time)?;
+    let service = service_fn(move |request| {
+        let answering = Answering::new(active.clone());
+        let answer = handler(request);
+        async move {
+            let response = answer.await;
+            // The body keeps the count until it has been sent.
+            let response = response.map(|body| {
+                body.map_frame(move |frame| {
+                    let _ = &answering;
+                    frame
+                })
+            });
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size((limits.head.0 as usize).max(HEAD_LEAST));
+    let mut connection = pin!(builder.serve_connection(socket, service));
+    let ended = async {
+        let _ = leaving.recv().await;
+        None
+    };
+    let result = match async { Some(connection.as_mut().await) }.or(ended).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    result.map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -0,0 +1,156 @@
+//! TCP connections as `hyper` reads and writes them.
+
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use async_io::Async;
+use async_io::Timer;
+use berylwheel_types::Millis;
+use futures_lite::Future;
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use smol_hyper::rt::FuturesIo;
+
+/// A connection to a backend server that counts the bytes written, which tells whether a failed
+/// request can have reached the server.
+#[derive(Debug)]
+pub(crate) struct CountedSocket {
+    inner: FuturesIo<Async<TcpStream>>,
+    written: Arc<AtomicU64>,
+}
+
+impl CountedSocket {
+    pub(crate) fn new(stream: Async<TcpStream>) -> io::Result<(Self, Arc<AtomicU64>)> {
+        stream.get_ref().set_nodelay(true)?;
+        let written = Arc::new(AtomicU64::new(0));
+        Ok((Self { inner: FuturesIo::new(stream), written: written.clone() }, written))
+    }
+}
+
+impl Read for CountedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buffer)
+    }
+}
+
+impl Write for CountedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, bytes))?;
+        self.written.fetch_add(written as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+/// Requests that are being answered on one caller's connection.
+pub(crate) type Active = Arc<AtomicU64>;
+
+/// A caller's connection, which ends if the caller is idle or sends a head too slowly.
+#[derive(Debug)]
+pub(crate) struct CallerSocket {
+    inner: FuturesIo<Async<TcpStream>>,
+    active: Active,
+    head_time: Millis,
+    idle_time: Millis,
+    state: CallerState,
+    timer: Timer,
+}
+
+/// What the time limit of a caller's connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerState {
+    Answering,
+    Idle,
+    Head,
+}
+
+impl CallerSocket {
+    pub(crate) fn new(
+        stream: Async<TcpStream>,
+        active: Active,
+        head_time: Millis,
+        idle_time: Millis,
+    ) -> io::Result<Self> {
+        stream.get_ref().set_nodelay(true)?;
+        let inner = FuturesIo::new(stream);
+        let timer = Timer::after(idle_time.duration());
+        Ok(Self { inner, active, head_time, idle_time, state: CallerState::Idle, timer })
+    }
+
+    /// Returns whether the time limit of the present state is over.
+    fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.active.load(Ordering::Relaxed) > 0 {
+            self.state = CallerState::Answering;
+            return false;
+        }
+        if self.state == CallerState::Answering {
+            self.state = CallerState::Idle;
+            self.timer.set_after(self.idle_time.duration());
+        }
+        Pin::new(&mut self.timer).poll(cx).is_ready()
+    }
+}
+
+impl Read for CallerSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
+        if read.is_ready() {
+            if self.state == CallerState::Idle && self.active.load(Ordering::Relaxed) == 0 {
+                self.state = CallerState::Head;
+                let limit = self.head_time.duration();
+                self.timer.set_after(limit);
+            }
+            return read;
+        }
+        if self.poll_expired(cx) {
+            let detail = "the caller was idle or sent a head too slowly";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, detail)));
+        }
+        Poll::Pending
+    }
+}
+
+impl Write for CallerSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
