Lend tokens between routers; give each budget a home

Cause: each of nine routers held its own margin of each budget. Ruled out: recalls, which take two writes of the page and the store. Change: a budget has a home among the live routers, which holds tokens of it; the others reserve there by a message, and take a grant of their own only if the home does not answer or has none. A loan is a reservation in the lender's grant, billed by report or in full. Requests that nobody can cover are refused at once while the store is silent.

--- a/benches/budgets/fleet.rs
+++ b/benches/budgets/fleet.rs
@@ -273,6 +273,10 @@
                 HolderAction::Write { page, expected, content } => {
                     self.schedule(at + HOP, Event::Write(slot, page, expected, content));
                 }
+                // These routers do not lend to each other.
+                HolderAction::Borrow { .. }
+                | HolderAction::Lend { .. }
+                | HolderAction::Repay { .. } => {}
                 HolderAction::Recall { holder, budget } => {
                     self.traffic.bytes += RECALL_BYTES;
                     self.schedule(at + HOP, Event::Recall(slot_of(&holder), budget));
--- a/benches/memory/ledger.rs
+++ b/benches/memory/ledger.rs
@@ -78,7 +78,10 @@
                         if won { WriteResult::Won(expected + 1) } else { WriteResult::Lost };
                     holder.page_written(*now, id, result);
                 }
-                HolderAction::Recall { .. } => {}
+                HolderAction::Lend { .. }
+                | HolderAction::Recall { .. }
+                | HolderAction::Borrow { .. }
+                | HolderAction::Repay { .. } => {}
                 HolderAction::Reserved(_) => reserved += 1,
                 HolderAction::Refused(request, refusal) => panic!("{request}: {refusal}"),
             }
--- a/crates/berylwheel-budget/src/holder/action.rs
+++ b/crates/berylwheel-budget/src/holder/action.rs
@@ -3,6 +3,7 @@
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
@@ -37,6 +38,13 @@
     Write { page: PageId, expected: u64, content: LedgerPage },
     /// Ask another holder to return what it has not reserved.
     Recall { holder: Incarnation, budget: BudgetId },
+    /// Ask another holder to reserve tokens for a request of this one, which ends `time` from now.
+    /// The answer goes to `lent`.
+    Borrow { lender: Incarnation, id: u64, budget: BudgetId, amount: Tokens, time: Millis },
+    /// Answer another holder's question for a loan.
+    Lend { borrower: Incarnation, id: u64, granted: bool },
+    /// Report to another holder what a request used that is reserved there.
+    Repay { lender: Incarnation, id: u64, used: Tokens },
     /// The request may start.
     Reserved(RequestId),
     /// The request must not start.
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -19,6 +19,9 @@
 use super::action::WriteResult;
 use super::grant::Grant;
 use super::grant::Waiter;
+use super::loan::Borrower;
+use super::loan::Loan;
+use super::loan::LoanAsk;
 use super::pages::PageState;
 use super::pages::Step;
 use crate::HolderPolicy;
@@ -59,6 +62,18 @@
     pub(super) draining: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
+    /// Other holders that can be asked for loans.
+    pub(super) lenders: Vec<Incarnation>,
+    pub(super) asks: FastMap<u64, LoanAsk>,
+    pub(super) next_loan: u64,
+    /// Requests that are reserved at other holders.
+    pub(super) borrowed: FastMap<RequestId, Loan>,
+    /// Lenders that have not answered, and until when they are not asked.
+    pub(super) silent: FastMap<Incarnation, Timestamp>,
+    /// Requests of other holders that are not decided yet.
+    pub(super) lending: FastMap<RequestId, Borrower>,
+    /// Requests of other holders that are reserved here, by the time at which they end.
+    pub(super) loans: BTreeSet<(Timestamp, RequestId)>,
     /// The totals that the configuration states, and its version.
     pub(super) totals: (Version, FastMap<BudgetId, Tokens>),
 }
@@ -77,6 +92,13 @@
             draining: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
+            lenders: Vec::new(),
+            asks: FastMap::default(),
+            next_loan: 0,
+            borrowed: FastMap::default(),
+            silent: FastMap::default(),
+            lending: FastMap::default(),
+            loans: BTreeSet::new(),
             totals: (Version::default(), FastMap::default()),
         }
     }
@@ -113,12 +135,13 @@
             self.ready.push(HolderAction::Refused(ask.request, refusal));
             return;
         }
-        if self.requests.contains_key(&ask.request) {
+        if self.requests.contains_key(&ask.request) || self.borrowed.contains_key(&ask.request) {
             let refusal = Refusal::not_run(Code::Internal, "request id is in use");
             self.ready.push(HolderAction::Refused(ask.request, refusal));
             return;
         }
-        let id = page_of(&ask.budget, self.policy.pages);
+        let budget = ask.budget.clone();
+        let id = page_of(&budget, self.policy.pages);
         self.requests.insert(ask.request.clone(), (id, ask.budget.clone()));
         let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
         let grant = page
@@ -137,7 +160,11 @@
             key: ask.key,
             arrived: now,
             until: ask.deadline.min(now + self.policy.wait_limit),
+            deadline: ask.deadline,
+            asked: Vec::new(),
+            asking: false,
         });
+        self.borrow_for(now, id, &budget);
         self.reschedule(now, id);
     }
 
@@ -145,6 +172,9 @@
     ///
     /// Usage above the reservation is not billed.
     pub fn settle(&mut self, now: Timestamp, request: &RequestId, used: Tokens) {
+        if self.repay(request, used) {
+            return;
+        }
         let Some((id, budget)) = self.requests.get(request).cloned() else {
             return;
         };
@@ -294,6 +324,7 @@
         let pause = self.policy.retry_first.0 << page.failures.min(8);
         page.failures += 1;
         page.retry_at = now + Millis(pause.min(self.policy.retry_limit.0));
+        self.borrow_for_all(now, id);
         self.reschedule(now, id);
     }
 }
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -46,6 +46,12 @@
     pub(crate) key: Option<BillKey>,
     pub(crate) arrived: Timestamp,
     pub(crate) until: Timestamp,
+    /// When an answer is of no use any more.
+    pub(crate) deadline: Timestamp,
+    /// Holders that were asked for a loan.
+    pub(crate) asked: Vec<Incarnation>,
+    /// Whether one of them has not answered yet.
+    pub(crate) asking: bool,
 }
 
 /// Recalls that are out, with each holder's write sequence when it was asked.
@@ -75,6 +81,8 @@
     /// The pause after the next recall round without success.
     pub(crate) round_gap: Millis,
     pub(crate) recalled: bool,
+    /// The other holders as of the last page seen, those with the most tokens first.
+    pub(crate) others: Vec<Incarnation>,
     /// Until then no tokens are held beyond what requests need.
     pub(crate) spare_after: Timestamp,
     pub(crate) rate: SpendRate,
@@ -98,6 +106,7 @@
             next_round: Timestamp::default(),
             round_gap: Millis(0),
             recalled: false,
+            others: Vec::new(),
             spare_after: Timestamp::default(),
             rate: SpendRate::new(now, policy),
             largest: [Tokens::ZERO; 2],
--- /dev/null
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -0,0 +1,301 @@
+//! Loans between holders: each budget has a home among the live routers that holds tokens of it, and
+//! the others reserve there. So the fleet holds one margin of each budget and not one a router, and
+//! less is lost when routers are killed.
+//!
+//! A loan is a reservation in the lender's grant, so no tokens move and the ledger does not change.
+//! The lender bills what the borrower reports, or the whole amount if no report comes in time. When
+//! the home does not answer or has no tokens, a holder takes a grant of its own from the store.
+
+use berylwheel_types::BudgetId;
+use berylwheel_types::Code;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
+use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use berylwheel_types::stable_hash;
+
+use super::action::HolderAction;
+use super::action::Reserve;
+use super::core::Holder;
+use crate::PageId;
+
+/// Time that a lender has to answer; a message and its answer take a few milliseconds.
+const ANSWER_TIME: Millis = Millis(120);
+/// Time beyond a request's deadline for the report of what it used.
+const REPORT_TIME: Millis = Millis(3_000);
+/// Time for which a lender that has not answered is not asked.
+const SILENT_TIME: Millis = Millis(1_000);
+/// Time after which a lender's answer is not expected any more.
+const LATE_TIME: Millis = Millis(20_000);
+/// Lenders that are asked for one request before the store's word is waited for.
+const LENDER_LIMIT: usize = 4;
+
+/// A question to a lender that is not answered yet.
+#[derive(Debug)]
+pub(crate) struct LoanAsk {
+    page: PageId,
+    budget: BudgetId,
+    request: RequestId,
+    lender: Incarnation,
+    until: Timestamp,
+    /// Whether the answer is still waited for. A lender that answers later has its tokens returned.
+    open: bool,
+}
+
+/// Who asked for a loan.
+#[derive(Debug)]
+pub(crate) struct Borrower {
+    run: Incarnation,
+    id: u64,
+    deadline: Timestamp,
+}
+
+/// Where a borrowed request is reserved.
+#[derive(Debug, Clone)]
+pub(crate) struct Loan {
+    lender: Incarnation,
+    id: u64,
+}
+
+impl Holder {
+    /// Sets the other holders that can be asked for loans now.
+    pub fn set_lenders(&mut self, lenders: Vec<Incarnation>) {
+        self.lenders = lenders;
+    }
+
+    /// Returns the holder that others should ask for tokens of `budget`. Holders with different views
+    /// of who is live may have different homes; each then holds tokens.
+    pub(super) fn home_of(&self, budget: &BudgetId) -> &Incarnation {
+        let score =
+            |run: &&Incarnation| stable_hash(&["home", budget.as_str(), run.router.as_str()]);
+        let all = self.lenders.iter().chain(std::iter::once(&self.me));
+        all.max_by_key(score).unwrap_or(&self.me)
+    }
+
+    /// Reserves `amount` tokens for a request of another holder; [`HolderAction::Lend`] answers. The
+    /// reservation ends by [`Holder::repaid`], or in full some time after the request's end, which is
+    /// `time` away.
+    pub fn lend(
+        &mut self,
+        now: Timestamp,
+        borrower: &Incarnation,
+        id: u64,
+        budget: &BudgetId,
+        amount: Tokens,
+        time: Millis,
+    ) {
+        let Some(request) = loan_name(borrower, id) else { return };
+        let deadline = now + time;
+        let borrower = borrower.clone();
+        self.lending.insert(request.clone(), Borrower { run: borrower, id, deadline });
+        self.reserve(now, Reserve { request, budget: budget.clone(), key: None, amount, deadline });
+    }
+
+    /// Turns what was decided on loans into answers to their borrowers.
+    pub(super) fn answer_loans(&mut self, actions: Vec<HolderAction>) -> Vec<HolderAction> {
+        if self.lending.is_empty() {
+            return actions;
+        }
+        let answer = |action| match action {
+            HolderAction::Reserved(request) => match self.lending.remove(&request) {
+                None => HolderAction::Reserved(request),
+                Some(Borrower { run, id, deadline }) => {
+                    self.loans.insert((deadline + REPORT_TIME, request));
+                    HolderAction::Lend { borrower: run, id, granted: true }
+                }
+            },
+            HolderAction::Refused(request, refusal) => match self.lending.remove(&request) {
+                None => HolderAction::Refused(request, refusal),
+                Some(Borrower { run, id, .. }) => {
+                    HolderAction::Lend { borrower: run, id, granted: false }
+                }
+            },
+            action => action,
+        };
+        actions.into_iter().map(answer).collect()
+    }
+
+    /// Takes a borrower's report of what its request used.
+    pub fn repaid(&mut self, now: Timestamp, borrower: &Incarnation, id: u64, used: Tokens) {
+        let Some(request) = loan_name(borrower, id) else { return };
+        self.loans.retain(|(_, loan)| *loan != request);
+        self.settle(now, &request, used);
+    }
+
+    /// Takes a lender's answer.
+    pub fn lent(&mut self, now: Timestamp, id: u64, granted: bool) {
+        let Some(ask) = self.asks.remove(&id) else { return };
+        let LoanAsk { page, budget, request, lender, open, .. } = ask;
+        if !open {
+            return self.give_back(lender, id, granted);
+        }
+        let grant = self.pages.get_mut(&page).and_then(|page| page.grants.get_mut(&budget));
+        let Some(grant) = grant else { return self.give_back(lender, id, granted) };
+        let waits = grant.waiters.iter().position(|waiter| waiter.request == request);
+        let Some(at) = waits else { return self.give_back(lender, id, granted) };
+        if granted {
+            grant.waiters.remove(at);
+            self.requests.remove(&request);
+            self.borrowed.insert(request.clone(), Loan { lender, id });
+            self.ready.push(HolderAction::Reserved(request));
+        } else {
+            self.ask_next(now, page, &budget, &request);
+        }
+        self.reschedule(now, page);
+    }
+
+    /// Asks another lender for a request whose last one has no tokens for it.
+    fn ask_next(&mut self, now: Timestamp, id: PageId, budget: &BudgetId, request: &RequestId) {
+        let grant = self.pages.get_mut(&id).and_then(|page| page.grants.get_mut(budget));
+        let waiters = grant.into_iter().flat_map(|grant| &mut grant.waiters);
+        for waiter in waiters.filter(|waiter| waiter.request == *request) {
+            waiter.asking = false;
+        }
+        self.borrow_for(now, id, budget);
+        self.reschedule(now, id);
+    }
+
+    /// Returns a loan that is not used any more.
+    fn give_back(&mut self, lender: Incarnation, id: u64, granted: bool) {
+        if granted {
+            self.ready.push(HolderAction::Repay { lender, id, used: Tokens::ZERO });
+        }
+    }
+
+    /// Reports what a borrowed request used, and returns whether it was one.
+    pub(super) fn repay(&mut self, request: &RequestId, used: Tokens) -> bool {
+        let Some(Loan { lender, id }) = self.borrowed.remove(request) else { return false };
+        self.ready.push(HolderAction::Repay { lender, id, used });
+        true
+    }
+
+    /// Asks for loans for the requests that wait for `budget` and are not asked for yet. Those that
+    /// nobody is left to ask for are refused at once while the store does not answer.
+    pub(super) fn borrow_for(&mut self, now: Timestamp, id: PageId, budget: &BudgetId) {
+        if !self.policy.borrow || self.draining {
+            return;
+        }
+        let home = Some(self.home_of(budget).clone()).filter(|home| *home != self.me);
+        let Some(page) = self.pages.get_mut(&id) else { return };
+        let failing = page.failures > 0;
+        let Some(grant) = page.grants.get_mut(budget) else { return };
+        let mut lost = Vec::new();
+        let others = &grant.others;
+        for waiter in grant.waiters.iter_mut().filter(|waiter| !waiter.asking) {
+            if self.lending.contains_key(&waiter.request) {
+                // A loan comes from tokens of the lender's own.
+                if failing {
+                    lost.push(waiter.request.clone());
+                }
+                continue;
+            }
+            let holds = |lender: &&Incarnation| others.contains(lender);
+            let known = others.iter().filter(|other| self.lenders.contains(other));
+            let unknown = self.lenders.iter().filter(|lender| failing && !holds(lender));
+            let silent =
+                |lender: &&Incarnation| self.silent.get(*lender).is_some_and(|until| now < *until);
+            let first = home.iter().filter(|_| waiter.asked.is_empty());
+            let mut left = first
+                .chain(known)
+                .chain(unknown)
+                .filter(|lender| !waiter.asked.contains(lender) && !silent(lender));
+            let next = left.next().filter(|_| waiter.asked.len() < LENDER_LIMIT).cloned();
+            let Some(lender) = next else {
+                if failing {
+                    lost.push(waiter.request.clone());
+                }
+                continue;
+            };
+            waiter.asking = true;
+            waiter.asked.push(lender.clone());
+            self.next_loan += 1;
+            let ask = LoanAsk {
+                page: id,
+                budget: budget.clone(),
+                request: waiter.request.clone(),
+                lender: lender.clone(),
+                until: now + ANSWER_TIME,
+                open: true,
+            };
+            self.asks.insert(self.next_loan, ask);
+            self.ready.push(HolderAction::Borrow {
+                lender,
+                id: self.next_loan,
+                budget: budget.clone(),
+                amount: waiter.amount,
+                time: waiter.deadline.since(now),
+            });
+        }
+        grant.waiters.retain(|waiter| !lost.contains(&waiter.request));
+        for request in lost {
+            self.refuse_unreachable(request);
+        }
+    }
+
+    fn refuse_unreachable(&mut self, request: RequestId) {
+        self.requests.remove(&request);
+        let detail = "the store does not answer and no other router has tokens to lend";
+        let refusal = Refusal::not_run(Code::BudgetUnreachable, detail);
+        let refusal = refusal.retry_after(self.policy.retry_limit);
+        self.ready.push(HolderAction::Refused(request, refusal));
+    }
+
+    /// Asks for loans for all requests of a page that wait.
+    pub(super) fn borrow_for_all(&mut self, now: Timestamp, id: PageId) {
+        let Some(page) = self.pages.get(&id) else { return };
+        let waiting = page.grants.iter().filter(|(_, grant)| !grant.waiters.is_empty());
+        let budgets: Vec<BudgetId> = waiting.map(|(budget, _)| budget.clone()).collect();
+        for budget in budgets {
+            self.borrow_for(now, id, &budget);
+        }
+    }
+
+    /// Ends questions without an answer and loans without a report.
+    pub(super) fn expire_loans(&mut self, now: Timestamp) {
+        self.asks.retain(|_, ask| ask.open || now < ask.until + LATE_TIME);
+        self.silent.retain(|_, until| now < *until);
+        let late: Vec<(PageId, BudgetId, RequestId)> = self
+            .asks
+            .values_mut()
+            .filter(|ask| ask.open && ask.until <= now)
+            .map(|ask| {
+                ask.open = false;
+                self.silent.insert(ask.lender.clone(), now + SILENT_TIME);
+                (ask.page, ask.budget.clone(), ask.request.clone())
+            })
+            .collect();
+        for (page, budget, request) in late {
+            self.ask_next(now, page, &budget, &request);
+        }
+        while let Some((until, request)) = self.loans.first().cloned() {
+            if until > now {
+                return;
+            }
+            self.loans.pop_first();
+            let amount = self.reserved(&request);
+            self.settle(now, &request, amount);
+        }
+    }
+
+    /// Returns when the next question or loan ends.
+    pub(super) fn next_expiry(&self) -> Option<Timestamp> {
+        let asked = self.asks.values().filter(|ask| ask.open).map(|ask| ask.until).min();
+        let lent = self.loans.first().map(|(until, _)| *until);
+        asked.into_iter().chain(lent).min()
+    }
+
+    fn reserved(&self, request: &RequestId) -> Tokens {
+        let found = self.requests.get(request).and_then(|(page, budget)| {
+            let grant = self.pages.get(page)?.grants.get(budget)?;
+            Some(grant.reservations.get(request)?.amount)
+        });
+        found.unwrap_or_default()
+    }
+}
+
+/// Returns the name of the reservation that a loan is at the lender.
+fn loan_name(borrower: &Incarnation, id: u64) -> Option<RequestId> {
+    format!("loan:{}:{}:{id}", borrower.router, borrower.number).parse().ok()
+}
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -29,10 +29,11 @@
     let since_read = |gap| page.read_at.map(|at| at + gap).unwrap_or_default();
     let urgent = since_read(policy.urgent_gap);
     let grant_need = |grant: &Grant| {
-        let waiting = (!grant.waiters.is_empty()).then(|| match &grant.round {
-            Some(round) => round.until.min(since_read(policy.recall_read)).max(urgent),
-            None => urgent.max(grant.next_round),
-        });
+        let waiting =
+            grant.waiters.iter().any(|waiter| !waiter.asking).then(|| match &grant.round {
+                Some(round) => round.until.min(since_read(policy.recall_read)).max(urgent),
+                None => urgent.max(grant.next_round),
+            });
         let returning = grant.free() > Tokens::ZERO || !grant.spent.is_empty();
         let asked = ((grant.recalled || draining) && returning).then_some(urgent);
         let idle = (grant.held > Tokens::ZERO && grant.is_quiet())
@@ -93,7 +94,8 @@
         if !self.ready.is_empty() {
             return Some(Timestamp::default());
         }
-        self.timers.first().map(|(at, _)| *at)
+        let timer = self.timers.first().map(|(at, _)| *at);
+        timer.into_iter().chain(self.next_expiry()).min()
     }
 
     /// Returns what has to be done now.
@@ -109,7 +111,26 @@
             self.wake_page(now, id);
             self.reschedule(now + Millis(1), id);
         }
-        std::mem::take(&mut self.ready)
+        self.expire_loans(now);
+        if self.policy.borrow {
+            self.borrow_late(now);
+        }
+        let actions = std::mem::take(&mut self.ready);
+        self.answer_loans(actions)
+    }
+
+    /// Asks for loans for requests that have waited for the store for some time.
+    fn borrow_late(&mut self, now: Timestamp) {
+        let late =
+            |waiter: &Waiter| !waiter.asking && now >= waiter.arrived + self.policy.borrow_after;
+        let waiting = self
+            .pages
+            .iter()
+            .filter(|(_, page)| page.grants.values().any(|grant| grant.waiters.iter().any(late)));
+        let ids: Vec<PageId> = waiting.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.borrow_for_all(now, id);
+        }
     }
 
     fn wake_page(&mut self, now: Timestamp, id: PageId) {
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -30,6 +30,8 @@
     /// Requests that the budget would cover if other holders returned what they have.
     pub(crate) held: Vec<Waiter>,
     pub(crate) recalled: Vec<Incarnation>,
+    /// Whether loans should be asked for.
+    pub(crate) borrow: bool,
 }
 
 /// Judges the waiters that neither the grant in hand nor the balance covers.
@@ -101,6 +103,9 @@
             grant.round_gap = Millis(0);
             grant.next_round = Timestamp::default();
         }
+    } else if policy.borrow && grant.waiters.iter().any(|waiter| waiter.asked.is_empty()) {
+        // A loan is faster than a recall, which takes writes of the page.
+        verdict.borrow = true;
     } else if grant.round.is_none() && now >= grant.next_round && !others.is_empty() {
         verdict.recalled = others.iter().map(|(holder, _)| holder.clone()).collect();
         let asked = others.into_iter().cloned().collect();
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -1,6 +1,8 @@
 //! Writes of a page: settlements, grants and returns.
 
+use berylwheel_types::BudgetId;
 use berylwheel_types::Code;
+use berylwheel_types::FastMap;
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
@@ -41,6 +43,8 @@
     live: usize,
     draining: bool,
     me: &'a Incarnation,
+    /// Whether this holder is the home of the budget, where holders lend to each other.
+    home: Option<bool>,
 }
 
 impl Sizing<'_> {
@@ -59,7 +63,7 @@
             && grant.waiters.is_empty()
             && self.now >= grant.used_at + self.policy.idle_after;
         let pausing = grant.recalled || self.now < grant.spare_after;
-        if self.draining || account.closed || pausing || idle {
+        if self.draining || account.closed || pausing || idle || self.home == Some(false) {
             return bare;
         }
         let unspent = (account.balance + account.outstanding()).saturating_sub(account.owed);
@@ -69,7 +73,10 @@
         let own = grant.rate.over(self.now, HOUR).0 as f64;
         let others = account.rows.iter().filter(|(holder, _)| *holder != self.me);
         let total = own + others.map(|(_, row)| row.hourly.0 as f64).sum::<f64>();
-        let part = (own / total.max(1.0)).max(1.0 / self.live as f64);
+        let part = match self.home {
+            Some(_) => 1.0,
+            None => (own / total.max(1.0)).max(1.0 / self.live as f64),
+        };
         let bound = (shared * part) as u64;
         let largest = grant.largest().0;
         if bound < 2 * largest {
@@ -153,6 +160,14 @@
         applied.fold(false, |any, one| any | one)
     }
 
+    /// Returns whether this holder is the home of each budget of a page; nothing if holders do not
+    /// lend to each other.
+    fn homes(&self, id: PageId) -> FastMap<BudgetId, bool> {
+        let budgets = self.pages.get(&id).into_iter().flat_map(|page| page.grants.keys());
+        let budgets = budgets.filter(|_| self.policy.borrow);
+        budgets.map(|budget| (budget.clone(), *self.home_of(budget) == self.me)).collect()
+    }
+
     /// Acts on a page that was just read and has no write pending.
     pub(super) fn use_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
         let restated = self.state_totals(now, id, &mut content);
@@ -162,9 +177,11 @@
                 // The page is the authority: an operator may have released the row.
                 let account = content.account(budget);
                 grant.held = account.map(|a| a.held_by(&self.me)).unwrap_or_default();
+                grant.others = account.map(|a| others_of(a, &self.me)).unwrap_or_default();
             }
         }
         self.admit_waiters(now, id);
+        let homes = self.homes(id);
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
@@ -175,25 +192,28 @@
         // A number is never used for two contents, so a page can tell which one it took.
         let sequence = page.sequence + 1;
         let version = content.begin_write(&self.me, sequence);
-        let sizing = Sizing {
-            now,
-            policy: &self.policy,
-            live: self.live,
-            draining: self.draining,
-            me: &self.me,
-        };
         let mut effects = Vec::new();
         let mut refused = Vec::new();
         let mut held = Vec::new();
+        let mut borrowing = Vec::new();
         for (budget, grant) in &mut page.grants {
             let Some(account) = content.accounts.get_mut(budget) else {
                 continue;
             };
+            let sizing = Sizing {
+                now,
+                policy: &self.policy,
+                live: self.live,
+                draining: self.draining,
+                me: &self.me,
+                home: homes.get(budget).copied(),
+            };
             let change = sizing.apply(version, grant, account);
             let verdict =
                 judge(now, &self.policy, &self.me, page.read_at, &writers, account, grant);
             held.extend(verdict.held);
             refused.extend(verdict.refused.into_iter().map(|waiter| (waiter, account.closed)));
+            borrowing.extend(verdict.borrow.then(|| budget.clone()));
             let recall = |holder| HolderAction::Recall { holder, budget: budget.clone() };
             self.ready.extend(verdict.recalled.into_iter().map(recall));
             let open: Vec<_> = grant.unsettled_after(change.covered).collect();
@@ -227,6 +247,9 @@
                 Some(PendingWrite { sequence, expected: page.revision, content, effects });
             self.ready.push(write);
         }
+        for budget in borrowing {
+            self.borrow_for(now, id, &budget);
+        }
         for waiter in held {
             self.refuse_held(waiter);
         }
@@ -237,3 +260,15 @@
         }
     }
 }
+
+/// Returns the other holders of an account, those with the most tokens first.
+fn others_of(account: &Account, me: &Incarnation) -> Vec<Incarnation> {
+    let mut others: Vec<_> = account
+        .rows
+        .iter()
+        .filter(|(holder, row)| *holder != me && row.outstanding() > Tokens::ZERO)
+        .map(|(holder, row)| (row.outstanding(), holder.clone()))
+        .collect();
+    others.sort_by(|a, b| b.cmp(a));
+    others.into_iter().map(|(_, holder)| holder).collect()
+}
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -32,6 +32,11 @@
     pub byte_rate: u32,
     /// Least time between two reads of a page for urgent need.
     pub urgent_gap: Millis,
+    /// Whether holders lend to each other. Where engines keep usage records, a dead holder's row is
+    /// billed from them, and they do not tell for whom it had lent.
+    pub borrow: bool,
+    /// Time that a request waits for the store before other holders are asked for a loan.
+    pub borrow_after: Millis,
     /// Time that other holders have to answer a recall.
     pub recall_wait: Millis,
     /// Time between reads of a page while a recall is out.
@@ -72,9 +77,13 @@
             settle_every: Millis(1_000),
             settle_limit: Millis(4_000),
             byte_rate: 128 << 10,
+            urgent_gap: Millis(20),
+            borrow: true,
+            recall_wait: Millis(200),
+            recall_read: Millis(100),
             answer_limit: Millis(1_500),
             retry_limit: Millis(1_000),
-            wait_limit: Millis(1_000),
+            wait_limit: Millis(500),
             idle_after: horizon,
             ..Self::default()
         }
@@ -99,6 +108,8 @@
             // A node may use 20 KB/s for control in all, and pages travel as base64.
             byte_rate: 10_240,
             urgent_gap: Millis(10),
+            borrow: false,
+            borrow_after: Millis(60),
             recall_wait: Millis(300),
             recall_read: Millis(50),
             recall_gap: Millis(200),
--- a/crates/berylwheel-budget/tests/histories/world.rs
+++ b/crates/berylwheel-budget/tests/histories/world.rs
@@ -208,6 +208,10 @@
                 HolderAction::Write { page, expected, content } => {
                     self.network.push(Message::Write(me.clone(), page, expected, content));
                 }
+                // These routers do not lend to each other.
+                HolderAction::Borrow { .. }
+                | HolderAction::Lend { .. }
+                | HolderAction::Repay { .. } => {}
                 HolderAction::Recall { holder, budget } => {
                     self.network.push(Message::Recall(holder, budget));
                 }
--- a/crates/berylwheel-budget/tests/ledger/mod.rs
+++ b/crates/berylwheel-budget/tests/ledger/mod.rs
@@ -77,7 +77,10 @@
                     HolderAction::Refused(request, refusal) => {
                         answers.push((request.to_string(), Some(refusal.code)));
                     }
-                    HolderAction::Recall { .. } => {}
+                    HolderAction::Recall { .. }
+                    | HolderAction::Borrow { .. }
+                    | HolderAction::Lend { .. }
+                    | HolderAction::Repay { .. } => {}
                 }
             }
         }
--- /dev/null
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -0,0 +1,122 @@
+//! Loans between holders, while the store answers and while it does not.
+
+mod lending;
+
+use berylwheel_types::Code;
+use lending::Action;
+use lending::World;
+use lending::worlds;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestError;
+use proptest::test_runner::TestRunner;
+
+/// Guards against refusals of what the fleet holds while the store is down.
+#[test]
+fn a_holder_without_tokens_borrows_while_the_store_is_down() {
+    let mut world = World::new(2, 100_000);
+    world.request(0, 100);
+    world.advance(100);
+    let home = world.home();
+    world.store_up = false;
+    world.advance(3_000);
+    world.request(1 - home, 50);
+    world.settle_all();
+    assert_eq!(world.refused(), []);
+    world.end_all(30);
+    world.store_up = true;
+    world.advance(3_000);
+    world.settle_all();
+    assert_eq!((world.billed(), world.used()), (60, 60));
+}
+
+/// Guards against a request that waits for its whole time although nobody can answer.
+#[test]
+fn a_request_that_nobody_can_cover_is_refused_at_once() {
+    let mut world = World::new(2, 100_000);
+    world.store_up = false;
+    world.request(0, 50);
+    world.settle_all();
+    world.advance(400);
+    world.settle_all();
+    assert_eq!(world.refused(), [Code::BudgetUnreachable]);
+}
+
+/// Guards against tokens that are spent twice when a borrower ends without a report.
+#[test]
+fn a_loan_without_a_report_is_billed_in_full() {
+    let mut world = World::new(2, 100_000);
+    world.request(0, 100);
+    world.advance(100);
+    let home = world.home();
+    world.store_up = false;
+    world.advance(3_000);
+    world.request(1 - home, 50);
+    world.settle_all();
+    world.kill(1 - home);
+    world.end_all(10);
+    world.store_up = true;
+    world.advance(40_000);
+    world.settle_all();
+    assert_eq!(world.billed(), world.used());
+}
+
+/// Guards against a late answer of a lender that keeps its tokens reserved.
+#[test]
+fn a_loan_that_comes_too_late_is_returned() {
+    let mut world = World::new(2, 100_000);
+    world.request(0, 100);
+    world.advance(100);
+    let home = world.home();
+    world.store_up = false;
+    world.advance(3_000);
+    world.hold_messages = true;
+    world.request(1 - home, 50);
+    world.settle_all();
+    world.advance(2_000);
+    world.settle_all();
+    assert_eq!(world.refused(), [Code::BudgetUnreachable]);
+    world.hold_messages = false;
+    world.settle_all();
+    world.end_all(10);
+    world.store_up = true;
+    world.advance(3_000);
+    world.settle_all();
+    assert_eq!(world.billed(), 10);
+}
+
+/// Histories in an ordinary run; `LOAN_HISTORIES` sets another number.
+const CASES: u32 = 1_000;
+
+fn check(steps: &[Action]) -> Result<(), TestCaseError> {
+    let mut world = World::new(3, 5_000);
+    for step in steps {
+        world.step(step);
+        prop_assert!(world.spent() <= world.highest, "{} of {}", world.spent(), world.highest);
+    }
+    world.recover();
+    prop_assert!(world.billed() <= world.highest);
+    if !world.lossy {
+        prop_assert_eq!(world.billed(), world.used());
+    }
+    Ok(())
+}
+
+/// Guards against overspend in any history of requests, outages, kills, lost and late messages, and
+/// totals that are raised and lowered; and against bills that differ from what was used.
+#[test]
+fn loans_never_overspend() {
+    let cases = std::env::var("LOAN_HISTORIES").ok().and_then(|cases| cases.parse().ok());
+    let config = Config {
+        cases: cases.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    match TestRunner::new(config).run(&worlds(), |steps| check(&steps)) {
+        Ok(()) => {}
+        Err(TestError::Fail(fault, steps)) => panic!("{fault}: {steps:?}"),
+        Err(error) => panic!("{error}"),
+    }
+}
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::BudgetId;
 use berylwheel_types::FailureDomain;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::RequestId;
 use berylwheel_types::Tokens;
@@ -124,6 +125,37 @@
         /// The server.
         server: BackendId,
     },
+    /// The sender asks the receiver to reserve tokens for a request.
+    Borrow {
+        /// Names the loan between the two.
+        id: u64,
+        /// The sender's run.
+        owner: Incarnation,
+        /// The budget.
+        budget: BudgetId,
+        /// The most that the request can use.
+        amount: Tokens,
+        /// How long the request may take, in milliseconds.
+        time: Millis,
+    },
+    /// The answer to a question for a loan.
+    Lent {
+        /// Names the loan.
+        id: u64,
+        /// The borrower's run.
+        owner: Incarnation,
+        /// Whether the tokens are reserved.
+        granted: bool,
+    },
+    /// A request whose tokens the receiver has reserved has ended.
+    Repaid {
+        /// Names the loan.
+        id: u64,
+        /// The sender's run.
+        owner: Incarnation,
+        /// What the request used.
+        used: Tokens,
+    },
 }
 
 /// What a home router knows of a request.
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -12,6 +12,7 @@
 use berylwheel_peer::PeerState;
 use berylwheel_peer::ServedShare;
 use berylwheel_types::BillKey;
+use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
@@ -104,6 +105,15 @@
         Message::ClaimAnswer { id: 7, answer: ClaimState::Running },
         Message::ClaimEnd { key, attempt: "a1".parse().unwrap(), delivered: true },
         Message::Leaving { server: "e1".parse().unwrap() },
+        Message::Borrow {
+            id: 3,
+            owner: "r1@4".parse().unwrap(),
+            budget: "w1/main".parse().unwrap(),
+            amount: Tokens(500),
+            time: Millis(6_000),
+        },
+        Message::Lent { id: 3, owner: "r1@4".parse().unwrap(), granted: true },
+        Message::Repaid { id: 3, owner: "r1@4".parse().unwrap(), used: Tokens(120) },
     ]
 }
 
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -11,6 +11,7 @@
 use berylwheel_config::AccessTable;
 use berylwheel_config::PathTable;
 use berylwheel_config::Root;
+use berylwheel_peer::Message;
 use berylwheel_route::CacheEvent;
 use berylwheel_route::ListChange;
 use berylwheel_route::RoutePolicy;
@@ -241,6 +242,20 @@
                         self.effects.write_page(page, expected, &content);
                     }
                     HolderAction::Recall { holder, budget } => self.send_recall(&holder, budget),
+                    HolderAction::Borrow { lender, id, budget, amount, time } => {
+                        let owner = self.me.clone();
+                        let message = Message::Borrow { id, owner, budget, amount, time };
+                        self.fleet.send(&lender.router, message);
+                    }
+                    HolderAction::Lend { borrower, id, granted } => {
+                        log::debug!(borrower:% = borrower, id, granted; "loan");
+                        let to = borrower.router.clone();
+                        self.fleet.send(&to, Message::Lent { id, owner: borrower, granted });
+                    }
+                    HolderAction::Repay { lender, id, used } => {
+                        let owner = self.me.clone();
+                        self.fleet.send(&lender.router, Message::Repaid { id, owner, used });
+                    }
                     HolderAction::Reserved(request) => self.offer(now, &request),
                     HolderAction::Refused(request, refusal) => self.refuse(&request, refusal),
                 }
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Returns the runs of the other routers that are live.
+    pub(crate) fn live_runs(&self) -> Vec<Incarnation> {
+        let own = &self.own.incarnation.router;
+        let live = self.members.live().into_iter().filter(|router| router != own);
+        live.filter_map(|router| self.members.incarnation(&router).cloned()).collect()
+    }
+
     pub(crate) fn send(&self, to: &RouterId, message: Message) {
         if let (Some(link), Some(address)) = (&self.link, self.addresses.get(to)) {
             link.send(*address, message);
--- a/crates/berylwheel-router/src/peers.rs
+++ b/crates/berylwheel-router/src/peers.rs
@@ -88,6 +88,15 @@
             Message::ClaimEnd { key, attempt, delivered } => {
                 self.claims.end(now, key, &attempt, delivered);
             }
+            Message::Borrow { id, owner, budget, amount, time } => {
+                self.holder.lend(now, &owner, id, &budget, amount, time);
+            }
+            Message::Lent { id, owner, granted } if owner == self.me => {
+                self.holder.lent(now, id, granted);
+            }
+            // The answer is for an earlier run of this router, which has ended.
+            Message::Lent { .. } => {}
+            Message::Repaid { id, owner, used } => self.holder.repaid(now, &owner, id, used),
             // A list that the store keeps up to date says more than a peer.
             Message::Leaving { .. } if self.has_list() => {}
             Message::Leaving { server } => self.routes.set_leaving(now, &server),
--- a/crates/berylwheel-router/src/versions.rs
+++ b/crates/berylwheel-router/src/versions.rs
@@ -48,6 +48,7 @@
         self.holder.set_routers(live);
         self.routes.set_routers(live);
         self.share_retries();
+        self.holder.set_lenders(self.fleet.live_runs());
         if now >= self.fleet.next_vms
             && let Some(address) = self.fleet.vms
         {
--- a/crates/berylwheel-settings/src/reference.rs
+++ b/crates/berylwheel-settings/src/reference.rs
@@ -93,15 +93,19 @@
         }
         seen.push(peer);
     }
+    certificates(tree, errors);
+}
+
+/// Checks that a router has certificates: all of its own, or those of an authority in the store.
+fn certificates(tree: &Tree, errors: &mut Vec<SettingError>) {
+    let name = &SectionName::Router;
     let paths = ["ca", "cert", "key"];
-    let given = |key: &&&str| tree.get(name, key).is_some();
-    let missing = paths.iter().find(|key| !given(key));
-    if let Some(key) = missing
-        && (paths.iter().any(|key| given(&key)) || tree.get(name, "adapter") != Some("platform"))
-    {
-        let expected =
-            "all of ca, cert and key, since the store keeps no authority for the routers";
-        errors.push(tree.error(name, key, "missing", expected));
+    let given = |key: &&str| tree.get(name, key).is_some();
+    if tree.get(name, "adapter") == Some("platform") && !paths.iter().any(given) {
+        return;
+    }
+    for key in paths.iter().filter(|key| !given(key)) {
+        errors.push(tree.error(name, key, "missing", "the path of a file"));
     }
 }
 
--- a/crates/berylwheel-settings/tests/errors.rs
+++ b/crates/berylwheel-settings/tests/errors.rs
@@ -48,7 +48,7 @@
             fleet.ini:9: line `garbage`, expected [SECTION], KEY = VALUE or a comment line, without control characters
             fleet.ini:11: [fleet]: second section of this name, the first is on line 2, expected one section of a name
             fleet.ini:12: [fleet] quue: unknown key, expected a key of [fleet]; did you mean `queue`?
-            fleet.ini:13: [knid chat]: no such section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, server NAME or operator NAME; did you mean `kind chat`?
+            fleet.ini:13: [knid chat]: no such section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, pool NAME, server NAME or operator NAME; did you mean `kind chat`?
             fleet.ini:16: [kind chat] service: found `motor`, expected engine or plain
         "#]],
     );
@@ -82,16 +82,16 @@
     check(
         &text,
         expect![[r#"
-        fleet.ini:6: [kind plan] models: model `large` of [kind chat], expected a model of one kind only
-        fleet.ini:7: [kind stock] repeat: missing, expected idempotent, never or by-key, since the service is plain
-        fleet.ini:9: [kind stock] models: found `x`, expected no models, since the service is plain
-        fleet.ini:10: [workspace shop kind chatt]: no section [kind chatt], expected a kind that exists; did you mean `kind chat`?
-        fleet.ini:14: [workspace shop] key.a: no budget `trail`, expected a budget that the keys `budget` or `budgets` name; did you mean `trial`?
-        fleet.ini:15: [workspace shop] key.b: digest of [workspace shop] key.a, expected a key that no other caller has
-        fleet.ini:17: [server s] address: found `10.0.0.1:0`, expected an address IP:port with a port above 0, such as 127.0.0.1:8080
-        fleet.ini:18: [server s] kinds: no section [kind stok], expected a kind that exists; did you mean `kind stock`?
-        fleet.ini:19: [server s] models: no model `larg`, expected a model of the server's kinds; did you mean `large`?
-    "#]],
+            fleet.ini:6: [kind plan] models: model `large` of [kind chat], expected a model of one kind only
+            fleet.ini:7: [kind stock] repeat: missing, expected idempotent, never, by-key or once, since the service is plain
+            fleet.ini:9: [kind stock] models: found `x`, expected no models, since the service is plain
+            fleet.ini:10: [workspace shop kind chatt]: no section [kind chatt], expected a kind that exists; did you mean `kind chat`?
+            fleet.ini:14: [workspace shop] key.a: no budget `trail`, expected a budget that the keys `budget` or `budgets` name; did you mean `trial`?
+            fleet.ini:15: [workspace shop] key.b: digest of [workspace shop] key.a, expected a key that no other caller has
+            fleet.ini:17: [server s] address: found `10.0.0.1:0`, expected an address IP:port with a port above 0, such as 127.0.0.1:8080
+            fleet.ini:18: [server s] kinds: no section [kind stok], expected a kind that exists; did you mean `kind stock`?
+            fleet.ini:19: [server s] models: no model `larg`, expected a model of the server's kinds; did you mean `large`?
+        "#]],
     );
 }
 
