--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -239,6 +239,14 @@
                 match action {
                     HolderAction::Read(page) => self.effects.read_page(page),
                     HolderAction::Write { page, expected, content } => {
+                        for (budget, account) in content.accounts() {
+                            log::debug!(
+                                budget:% = budget, version = content.version(),
+                                credited = account.credited.0, billed = account.billed.0,
+                                balance = account.balance.0, out = account.outstanding().0,
+                                own = account.held_by(&self.me).0; "grants written"
+                            );
+                        }
                         self.effects.write_page(page, expected, &content);
                     }
                     HolderAction::Recall { holder, budget } => self.send_recall(&holder, budget),
--- a/crates/berylwheel-router/src/jobs.rs
+++ b/crates/berylwheel-router/src/jobs.rs
@@ -250,6 +250,11 @@
         if let Some(server) = &job.server {
             self.routes.ended(now, server, finish.outcome);
         }
+        log::debug!(
+            request = finish.request.as_str(), budget:% = job.admit.budget,
+            kind = job.admit.kind.as_str(), amount = job.admit.amount.0, used = finish.used.0,
+            outcome:? = finish.outcome, delivered = finish.delivered; "request ended"
+        );
         self.forget(now, &finish.request, &job, finish.used, finish.delivered);
     }
 
