Promise at each write of a page what may be spent until the next

Cause: after a kill of all routers what they held was lost to the budgets, and short holdings refuse falsely in an outage of the store. Change: a row states its open tokens; for 3.6 s after a write its holder spends no more than these. The next run at the same address returns the rest, if its clock and that of the ended run agreed with their peers'. The holder's pages are written from what the last write left, without a read. Ruled out: leases as evidence, since they pause while the store is down.

--- a/benches/memory/wire.rs
+++ b/benches/memory/wire.rs
@@ -4,6 +4,7 @@
 use berylwheel_peer::PeerState;
 use berylwheel_peer::ServedShare;
 use berylwheel_types::Rank;
+use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
 use serde_json::Value;
@@ -43,6 +44,7 @@
         draining: false,
         others: (1..=OTHERS).map(state).collect(),
         served: ranks.flat_map(|rank| (0..shares).map(move |n| (rank, n))).map(share).collect(),
+        clock: Timestamp::from_millis(1 << 41),
     };
     heartbeat.encode().expect("a heartbeat").len()
 }
--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -47,6 +47,8 @@
     pub serial: u64,
     /// Serial numbers at or above `serial` that are settled.
     pub done: Serials,
+    /// The most that the holder spends for some time after its last write; everything if not stated.
+    pub open: Option<Tokens>,
 }
 
 impl Row {
--- a/crates/berylwheel-budget/src/holder/action.rs
+++ b/crates/berylwheel-budget/src/holder/action.rs
@@ -41,8 +41,9 @@
     /// Ask another holder to reserve tokens for a request of this one, which ends `time` from now.
     /// The answer goes to `lent`.
     Borrow { lender: Incarnation, id: u64, budget: BudgetId, amount: Tokens, time: Millis },
-    /// Answer another holder's question for a loan.
-    Lend { borrower: Incarnation, id: u64, granted: bool },
+    /// Answer another holder's question for a loan. If it is not granted, the tokens may be granted
+    /// after `wait`, unless that is zero.
+    Lend { borrower: Incarnation, id: u64, granted: bool, wait: Millis },
     /// Report to another holder what a request used that is reserved there.
     Repay { lender: Incarnation, id: u64, used: Tokens },
     /// The request may start.
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use berylwheel_types::BudgetId;
 use berylwheel_types::Code;
@@ -60,6 +61,10 @@
     /// Sum of `PageState::size`.
     pub(super) page_bytes: u64,
     pub(super) draining: bool,
+    /// When the process started.
+    pub(super) started: Timestamp,
+    /// Where this router listens to its peers, while its clock agrees with theirs.
+    pub(super) address: Option<SocketAddr>,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
     /// Other holders that can be asked for loans.
@@ -90,6 +95,8 @@
             first_serial: 0,
             page_bytes: 0,
             draining: false,
+            started: Timestamp::default(),
+            address: None,
             ready: Vec::new(),
             timers: BTreeSet::new(),
             lenders: Vec::new(),
@@ -108,6 +115,24 @@
         self.live = live.max(1);
     }
 
+    /// Tells where the router listens to its peers since `started`, if its clock agrees with those of
+    /// most of them; nothing while it does not. Only then are times in pages compared with its own.
+    pub fn set_address(&mut self, now: Timestamp, started: Timestamp, address: Option<SocketAddr>) {
+        self.started = started;
+        if self.address == address {
+            return;
+        }
+        self.address = address;
+        let ids: Vec<_> = self.pages.keys().copied().collect();
+        for id in ids {
+            if let Some(page) = self.pages.get_mut(&id) {
+                // What an earlier run of this router held can be returned now.
+                page.restate |= address.is_some();
+            }
+            self.reschedule(now, id);
+        }
+    }
+
     /// Takes in the totals that a version of the configuration states. They are written to the
     /// pages that do not have them yet.
     pub fn set_totals(
@@ -149,17 +174,20 @@
             .entry(ask.budget)
             .or_insert_with(|| Grant::new(now, self.first_serial, &self.policy));
         grant.note_amount(now, ask.amount);
-        if ask.amount <= grant.free() {
+        if ask.amount <= grant.room(now, &self.policy) {
             grant.admit(ask.request.clone(), ask.amount, ask.key, page.version, now);
             self.ready.push(HolderAction::Reserved(ask.request));
             return;
         }
+        // Tokens in hand that are locked are waited for longer than tokens of others.
+        let unlocked = grant.unlocked_at(ask.amount, &self.policy).unwrap_or(now);
+        let until = unlocked.max(now) + self.policy.wait_limit;
         grant.waiters.push_back(Waiter {
             request: ask.request,
             amount: ask.amount,
             key: ask.key,
             arrived: now,
-            until: ask.deadline.min(now + self.policy.wait_limit),
+            until: ask.deadline.min(until),
             deadline: ask.deadline,
             asked: Vec::new(),
             asking: false,
@@ -282,6 +310,7 @@
         page.step = Step::Idle;
         page.failures = 0;
         page.revision = revision;
+        page.cached = self.policy.cached.then(|| content.clone());
         page.version = content.version();
         let size = content.rough_size();
         self.page_bytes = self.page_bytes + size - page.size;
@@ -310,7 +339,10 @@
             WriteResult::Won(_) => {}
             // A write whose answer was lost on the way may report `Lost` for its repetition, so
             // both are resolved by reading.
-            WriteResult::Lost | WriteResult::Unknown => page.step = Step::Idle,
+            WriteResult::Lost | WriteResult::Unknown => {
+                page.step = Step::Idle;
+                page.cached = None;
+            }
         }
         self.reschedule(now, id);
     }
@@ -321,6 +353,7 @@
             return;
         };
         page.step = Step::Idle;
+        page.cached = None;
         let pause = self.policy.retry_first.0 << page.failures.min(8);
         page.failures += 1;
         page.retry_at = now + Millis(pause.min(self.policy.retry_limit.0));
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -12,6 +12,7 @@
 
 use crate::HolderPolicy;
 use crate::account::Bill;
+use crate::holder::limit::SpendLimits;
 use crate::rate::SpendRate;
 
 /// A reservation counts as recent for one to two of these.
@@ -86,6 +87,9 @@
     /// Until then no tokens are held beyond what requests need.
     pub(crate) spare_after: Timestamp,
     pub(crate) rate: SpendRate,
+    /// What requests that ended have used, since the grant began.
+    pub(crate) total: Tokens,
+    pub(crate) limits: SpendLimits,
     largest: [Tokens; 2],
     largest_since: Timestamp,
     pub(crate) used_at: Timestamp,
@@ -109,6 +113,8 @@
             others: Vec::new(),
             spare_after: Timestamp::default(),
             rate: SpendRate::new(now, policy),
+            total: Tokens::ZERO,
+            limits: SpendLimits::default(),
             largest: [Tokens::ZERO; 2],
             largest_since: now,
             used_at: now,
@@ -120,6 +126,23 @@
         self.held.saturating_sub(self.leaving + self.reserved + self.unsettled)
     }
 
+    /// Returns what a new reservation can take now.
+    pub(crate) fn room(&self, now: Timestamp, policy: &HolderPolicy) -> Tokens {
+        let room = self.limits.room(now, policy.lock, self.total + self.reserved);
+        self.free().min(room)
+    }
+
+    /// Returns when a reservation of `amount` can start without a write, if it has only to wait.
+    pub(crate) fn unlocked_at(&self, amount: Tokens, policy: &HolderPolicy) -> Option<Timestamp> {
+        self.limits.unlocked_at(policy.lock).filter(|_| amount <= self.free())
+    }
+
+    /// Returns whether requests wait for tokens that are in hand and locked.
+    pub(crate) fn is_locked(&self, now: Timestamp, policy: &HolderPolicy) -> bool {
+        let (free, room) = (self.free(), self.room(now, policy));
+        self.waiters.iter().any(|waiter| room < waiter.amount && waiter.amount <= free)
+    }
+
     /// Returns the largest recent reservation.
     pub(crate) fn largest(&self) -> Tokens {
         self.largest[0].max(self.largest[1])
@@ -159,6 +182,7 @@
         // A request that used nothing is settled as well: an engine may have recorded usage that
         // was not delivered, which a reclaim must not bill.
         self.unsettled += used;
+        self.total += used;
         let bill = Bill { serial: admitted.serial, key, used };
         self.spent.push(Spent { admitted, bill });
         self.rate.add(now, used);
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -19,6 +19,7 @@
 use super::action::HolderAction;
 use super::action::Reserve;
 use super::core::Holder;
+use super::grant::Waiter;
 use crate::PageId;
 
 /// Time that a lender has to answer; a message and its answer take a few milliseconds.
@@ -90,7 +91,20 @@
         let deadline = now + time;
         let borrower = borrower.clone();
         self.lending.insert(request.clone(), Borrower { run: borrower, id, deadline });
-        self.reserve(now, Reserve { request, budget: budget.clone(), key: None, amount, deadline });
+        let (name, budget) = (request.clone(), budget.clone());
+        self.reserve(now, Reserve { request, budget, key: None, amount, deadline });
+        if let Some(wait) = self.locked_for(now, &name).filter(|wait| *wait > Millis(0)) {
+            let borrower = self.lending[&name].run.clone();
+            self.ready.push(HolderAction::Lend { borrower, id, granted: false, wait });
+        }
+    }
+
+    /// Returns how long a request waits at most for tokens that are in hand and locked.
+    fn locked_for(&self, now: Timestamp, request: &RequestId) -> Option<Millis> {
+        let (page, budget) = self.requests.get(request)?;
+        let grant = self.pages.get(page)?.grants.get(budget)?;
+        let waiter = grant.waiters.iter().find(|waiter| waiter.request == *request)?;
+        Some(grant.unlocked_at(waiter.amount, &self.policy)?.since(now))
     }
 
     /// Turns what was decided on loans into answers to their borrowers.
@@ -103,13 +117,13 @@
                 None => HolderAction::Reserved(request),
                 Some(Borrower { run, id, deadline }) => {
                     self.loans.insert((deadline + REPORT_TIME, request));
-                    HolderAction::Lend { borrower: run, id, granted: true }
+                    HolderAction::Lend { borrower: run, id, granted: true, wait: Millis(0) }
                 }
             },
             HolderAction::Refused(request, refusal) => match self.lending.remove(&request) {
                 None => HolderAction::Refused(request, refusal),
                 Some(Borrower { run, id, .. }) => {
-                    HolderAction::Lend { borrower: run, id, granted: false }
+                    HolderAction::Lend { borrower: run, id, granted: false, wait: Millis(0) }
                 }
             },
             action => action,
@@ -124,8 +138,11 @@
         self.settle(now, &request, used);
     }
 
-    /// Takes a lender's answer.
-    pub fn lent(&mut self, now: Timestamp, id: u64, granted: bool) {
+    /// Takes a lender's answer. With a `wait` it is not final.
+    pub fn lent(&mut self, now: Timestamp, id: u64, granted: bool, wait: Millis) {
+        if wait > Millis(0) {
+            return self.wait_for_lender(now, id, wait);
+        }
         let Some(ask) = self.asks.remove(&id) else { return };
         let LoanAsk { page, budget, request, lender, open, .. } = ask;
         if !open {
@@ -146,6 +163,20 @@
         self.reschedule(now, page);
     }
 
+    /// Waits longer for a lender whose tokens are locked for now.
+    fn wait_for_lender(&mut self, now: Timestamp, id: u64, wait: Millis) {
+        let until = now + wait + ANSWER_TIME;
+        let Some(ask) = self.asks.get_mut(&id).filter(|ask| ask.open) else { return };
+        ask.until = until;
+        let (page, budget, request) = (ask.page, ask.budget.clone(), ask.request.clone());
+        let grant = self.pages.get_mut(&page).and_then(|page| page.grants.get_mut(&budget));
+        let waiters = grant.into_iter().flat_map(|grant| &mut grant.waiters);
+        for waiter in waiters.filter(|waiter| waiter.request == request) {
+            waiter.until = waiter.until.max(until).min(waiter.deadline);
+        }
+        self.reschedule(now, page);
+    }
+
     /// Asks another lender for a request whose last one has no tokens for it.
     fn ask_next(&mut self, now: Timestamp, id: PageId, budget: &BudgetId, request: &RequestId) {
         let grant = self.pages.get_mut(&id).and_then(|page| page.grants.get_mut(budget));
@@ -183,10 +214,12 @@
         let Some(grant) = page.grants.get_mut(budget) else { return };
         let mut lost = Vec::new();
         let others = &grant.others;
+        let free = grant.free();
+        let locked = |waiter: &Waiter| waiter.amount <= free;
         for waiter in grant.waiters.iter_mut().filter(|waiter| !waiter.asking) {
             if self.lending.contains_key(&waiter.request) {
                 // A loan comes from tokens of the lender's own.
-                if failing {
+                if failing && !locked(waiter) {
                     lost.push(waiter.request.clone());
                 }
                 continue;
@@ -203,7 +236,7 @@
                 .filter(|lender| !waiter.asked.contains(lender) && !silent(lender));
             let next = left.next().filter(|_| waiter.asked.len() < LENDER_LIMIT).cloned();
             let Some(lender) = next else {
-                if failing {
+                if failing && !locked(waiter) {
                     lost.push(waiter.request.clone());
                 }
                 continue;
--- a/crates/berylwheel-budget/src/holder/mod.rs
+++ b/crates/berylwheel-budget/src/holder/mod.rs
@@ -4,6 +4,7 @@
 mod core;
 mod dump;
 mod grant;
+mod limit;
 mod loan;
 mod pages;
 mod timing;
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -48,11 +48,15 @@
     /// The last sequence number used, whether its write took effect or not.
     pub(crate) sequence: u64,
     pub(crate) revision: u64,
+    /// The page at that revision, if a write may be based on it without a read.
+    pub(crate) cached: Option<LedgerPage>,
     pub(crate) version: u64,
     /// About how many bytes the page takes.
     pub(crate) size: u64,
     /// When the latest read was asked for.
     pub(crate) read_at: Option<Timestamp>,
+    /// When the page was last looked at, by a read or as the last write left it.
+    pub(crate) seen_at: Option<Timestamp>,
     pub(crate) written_at: Timestamp,
     /// When the first unsettled change arose.
     pub(crate) dirty: Option<Timestamp>,
@@ -72,9 +76,11 @@
             pending: None,
             sequence: 0,
             revision: 0,
+            cached: None,
             version: 0,
             size: 0,
             read_at: None,
+            seen_at: None,
             written_at: now,
             dirty: None,
             retry_at: Timestamp::default(),
@@ -96,6 +102,10 @@
         self.version = pending.content.version();
         self.restate = false;
         self.written_at = now;
+        for grant in self.grants.values_mut() {
+            grant.limits.confirm();
+        }
+        self.cached = Some(pending.content);
         for effect in pending.effects {
             let Some(grant) = self.grants.get_mut(&effect.budget) else {
                 continue;
@@ -113,6 +123,9 @@
         let Some(pending) = self.pending.take() else {
             return;
         };
+        for grant in self.grants.values_mut() {
+            grant.limits.discard();
+        }
         for effect in pending.effects {
             if let Some(grant) = self.grants.get_mut(&effect.budget) {
                 grant.leaving = Tokens::ZERO;
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -16,9 +16,6 @@
 use crate::HolderPolicy;
 use crate::PageId;
 
-/// A page with grants is written at least this often, so that old bill keys can be dropped.
-pub(super) const REFRESH: Millis = Millis(600_000);
-
 /// Returns when `page` should be read next, if no operation is in flight.
 fn next_read(
     page: &PageState,
@@ -26,7 +23,7 @@
     interval: Millis,
     draining: bool,
 ) -> Option<Timestamp> {
-    let since_read = |gap| page.read_at.map(|at| at + gap).unwrap_or_default();
+    let since_read = |gap| page.read_at.max(page.seen_at).map(|at| at + gap).unwrap_or_default();
     let urgent = since_read(policy.urgent_gap);
     let grant_need = |grant: &Grant| {
         let waiting =
@@ -45,7 +42,7 @@
     let settle = page.dirty.map(|dirty| urgent.max(dirty + interval));
     let restate = page.restate.then_some(urgent);
     let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
-    let refresh = holds.then(|| urgent.max(page.written_at + REFRESH));
+    let refresh = holds.then(|| urgent.max(page.written_at + policy.refresh));
     let due = [needed, pending, settle, restate, refresh].into_iter().flatten().min()?;
     Some(due.max(page.retry_at))
 }
@@ -112,6 +109,9 @@
             self.reschedule(now + Millis(1), id);
         }
         self.expire_loans(now);
+        if self.policy.lock > Millis(0) {
+            self.admit_unlocked(now);
+        }
         if self.policy.borrow {
             self.borrow_late(now);
         }
@@ -119,6 +119,17 @@
         self.answer_loans(actions)
     }
 
+    /// Admits requests whose tokens are no longer locked.
+    fn admit_unlocked(&mut self, now: Timestamp) {
+        let waits = |page: &PageState| page.grants.values().any(|grant| !grant.waiters.is_empty());
+        let waiting: Vec<PageId> =
+            self.pages.iter().filter(|(_, page)| waits(page)).map(|(id, _)| *id).collect();
+        for id in waiting {
+            self.admit_waiters(now, id);
+            self.reschedule(now, id);
+        }
+    }
+
     /// Asks for loans for requests that have waited for the store for some time.
     fn borrow_late(&mut self, now: Timestamp) {
         let late =
@@ -148,6 +159,11 @@
             Step::Idle => {
                 let due = next_read(page, &self.policy, interval, self.draining);
                 if due.is_some_and(|due| due <= now) {
+                    let cached = page.cached.clone().filter(|_| !page.restate);
+                    if let Some(content) = cached.filter(|_| self.policy.cached) {
+                        page.seen_at = Some(now);
+                        return self.use_page(now, id, content);
+                    }
                     page.step = Step::Reading(now);
                     page.read_at = Some(now);
                     self.ready.push(HolderAction::Read(id));
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -30,6 +30,8 @@
     /// Requests that the budget would cover if other holders returned what they have.
     pub(crate) held: Vec<Waiter>,
     pub(crate) recalled: Vec<Incarnation>,
+    /// Whether requests wait that the page does not cover.
+    pub(crate) short: bool,
     /// Whether loans should be asked for.
     pub(crate) borrow: bool,
 }
@@ -90,6 +92,7 @@
         }
     }
     grant.waiters = waiting;
+    verdict.short = short || !verdict.refused.is_empty() || !verdict.held.is_empty();
     if round_done {
         let longest = policy.recall_gap.0 * GAP_GROWTH;
         let gap = (grant.round_gap.0 * 2).clamp(policy.recall_gap.0, longest);
@@ -177,7 +180,7 @@
             for waiter in std::mem::take(&mut grant.waiters) {
                 // A holder that was paused may come here long after the request should have been
                 // refused; its bill key may be forgotten by then.
-                if waiter.amount > grant.free() || waiter.until <= now {
+                if waiter.amount > grant.room(now, &self.policy) || waiter.until <= now {
                     waiting.push_back(waiter);
                     continue;
                 }
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -11,22 +11,26 @@
 use super::action::HolderAction;
 use super::core::Holder;
 use super::grant::Grant;
+use super::limit::SpendLimit;
 use super::pages::Effect;
 use super::pages::PendingWrite;
 use super::pages::Step;
-use super::timing::REFRESH;
 use super::wait::judge;
 use crate::Account;
 use crate::Applied;
 use crate::HolderPolicy;
 use crate::LedgerPage;
 use crate::PageId;
+use crate::Writer;
 use crate::page_of;
 
 /// After a recall a holder keeps no spare tokens for this long; it would take back at once what
 /// others asked for.
 const SPARE_PAUSE: Millis = Millis(5_000);
 
+/// Time between two writes of a page in use.
+const OPEN_TIME: Millis = Millis(1_000);
+
 /// The span of `Row::hourly`.
 const HOUR: Millis = Millis(3_600_000);
 
@@ -160,6 +164,26 @@
         applied.fold(false, |any, one| any | one)
     }
 
+    /// Returns the tokens that earlier runs of this router had not opened when they ended, and
+    /// returns whether there were any.
+    ///
+    /// A run has ended that listened at the same address. It had not opened them if its last write
+    /// is so young that it was still bound by it when this run began.
+    fn return_own(&self, content: &mut LedgerPage) -> bool {
+        let Some(address) = self.address.filter(|_| self.policy.lock > Millis(0)) else {
+            return false;
+        };
+        let bound = Millis(self.policy.lock.0.saturating_sub(self.policy.clock_error.0));
+        let ended = |(run, writer): (&Incarnation, &Writer)| {
+            let own = run.router == self.me.router && *run != self.me;
+            let young = writer.at <= self.started && self.started.since(writer.at) <= bound;
+            (own && young && writer.address == Some(address)).then(|| run.clone())
+        };
+        let ended: Vec<Incarnation> = content.writers.iter().filter_map(ended).collect();
+        let returned: Tokens = ended.iter().map(|run| content.return_unopened(run)).sum();
+        returned > Tokens::ZERO
+    }
+
     /// Returns whether this holder is the home of each budget of a page; nothing if holders do not
     /// lend to each other.
     fn homes(&self, id: PageId) -> FastMap<BudgetId, bool> {
@@ -170,7 +194,7 @@
 
     /// Acts on a page that was just read and has no write pending.
     pub(super) fn use_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
-        let restated = self.state_totals(now, id, &mut content);
+        let restated = self.state_totals(now, id, &mut content) | self.return_own(&mut content);
         self.refuse_unknown(id, &content);
         if let Some(page) = self.pages.get_mut(&id) {
             for (budget, grant) in &mut page.grants {
@@ -185,13 +209,17 @@
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
-        let writers: Vec<_> = content.writers.iter().map(|(h, s)| (h.clone(), *s)).collect();
+        let writers: Vec<_> =
+            content.writers.iter().map(|(holder, last)| (holder.clone(), last.sequence)).collect();
         let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
         page.restate = restated;
-        let mut changed = restated || holds && now >= page.written_at + REFRESH;
+        let mut changed = restated || holds && now >= page.written_at + self.policy.refresh;
         // A number is never used for two contents, so a page can tell which one it took.
         let sequence = page.sequence + 1;
-        let version = content.begin_write(&self.me, sequence);
+        let writer = Writer { sequence, at: now, address: self.address };
+        let version = content.begin_write(&self.me, writer);
+        let mut limits = Vec::new();
+        let mut short = false;
         let mut effects = Vec::new();
         let mut refused = Vec::new();
         let mut held = Vec::new();
@@ -212,12 +240,18 @@
             let verdict =
                 judge(now, &self.policy, &self.me, page.read_at, &writers, account, grant);
             held.extend(verdict.held);
+            short |= verdict.short;
+            // A request that only waits for tokens to be opened needs a write that opens them.
+            changed |= grant.is_locked(now, &self.policy);
             refused.extend(verdict.refused.into_iter().map(|waiter| (waiter, account.closed)));
             borrowing.extend(verdict.borrow.then(|| budget.clone()));
             let recall = |holder| HolderAction::Recall { holder, budget: budget.clone() };
             self.ready.extend(verdict.recalled.into_iter().map(recall));
             let open: Vec<_> = grant.unsettled_after(change.covered).collect();
+            let tokens = self.policy.open_tokens(now, grant, account);
             if let Some(row) = account.rows.get_mut(&self.me) {
+                row.open = (self.policy.lock > Millis(0)).then(|| tokens.min(row.outstanding()));
+                limits.push((budget.clone(), grant.total + tokens));
                 row.hourly = grant.rate.over(now, HOUR);
                 row.floor = open.iter().map(|a| a.version).min().unwrap_or(version);
                 row.since = open.iter().map(|a| a.at).min().unwrap_or(now);
@@ -238,7 +272,16 @@
             !grant.is_empty() || now < grant.used_at + idle_after
         });
         page.dirty = None;
+        if short {
+            // A request is refused only on the word of the store.
+            page.cached = None;
+        }
         if changed {
+            for (budget, cap) in limits {
+                if let Some(grant) = page.grants.get_mut(&budget) {
+                    grant.limits.promise(SpendLimit { cap, since: now });
+                }
+            }
             page.sequence = sequence;
             page.step = Step::Writing(now);
             let write =
@@ -272,3 +315,14 @@
     others.sort_by(|a, b| b.cmp(a));
     others.into_iter().map(|(_, holder)| holder).collect()
 }
+
+impl HolderPolicy {
+    /// Returns what a holder may spend for some time after a write: what its requests need, and the
+    /// expected spend until the next write.
+    fn open_tokens(&self, now: Timestamp, grant: &Grant, account: &Account) -> Tokens {
+        let waiting: Tokens = grant.waiters.iter().map(|waiter| waiter.amount).sum();
+        let unspent = account.balance + account.outstanding();
+        let part = Tokens((unspent.0 as f64 * self.open.fraction()) as u64);
+        grant.reserved + waiting + grant.rate.over(now, OPEN_TIME) + part
+    }
+}
--- a/crates/berylwheel-budget/src/lib.rs
+++ b/crates/berylwheel-budget/src/lib.rs
@@ -36,6 +36,7 @@
 pub use page::DecodePageError;
 pub use page::LedgerPage;
 pub use page::PageId;
+pub use page::Writer;
 pub use page::page_of;
 pub use policy::HolderPolicy;
 pub use reclaim::Reclaimed;
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -2,9 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use berylwheel_types::stable_hash;
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,7 +15,7 @@
 use crate::Account;
 
 /// The format of an encoded page, its first byte.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// Encoded sizes of the parts of a page, in bytes, as [`LedgerPage::rough_size`] takes them.
 const ACCOUNT_SIZE: usize = 32;
@@ -102,8 +105,20 @@
 pub struct LedgerPage {
     pub(crate) version: u64,
     pub(crate) accounts: BTreeMap<BudgetId, Account>,
-    /// The sequence number of the last write of each holder.
-    pub(crate) writers: BTreeMap<Incarnation, u64>,
+    /// The last write of each holder.
+    pub(crate) writers: BTreeMap<Incarnation, Writer>,
+}
+
+/// The last write of a holder.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Writer {
+    /// Its sequence number.
+    pub sequence: u64,
+    /// When its content was made, by the holder's clock.
+    pub at: Timestamp,
+    /// Where the holder listens to its peers, if its clock agreed with theirs; nothing else can have
+    /// listened there while the holder ran.
+    pub address: Option<SocketAddr>,
 }
 
 impl LedgerPage {
@@ -145,7 +160,7 @@
 
     /// Returns the sequence number of the last write of `holder`, zero if it has not written.
     pub fn sequence_of(&self, holder: &Incarnation) -> u64 {
-        self.writers.get(holder).copied().unwrap_or_default()
+        self.writers.get(holder).map_or(0, |writer| writer.sequence)
     }
 
     /// Returns the incarnations with tokens of any budget on this page.
@@ -184,7 +199,7 @@
     }
 
     /// Starts a write of `holder` and returns the new version of the page.
-    pub(crate) fn begin_write(&mut self, holder: &Incarnation, sequence: u64) -> u64 {
+    pub(crate) fn begin_write(&mut self, holder: &Incarnation, writer: Writer) -> u64 {
         self.version += 1;
         // A higher incarnation of the same router replaces a lower one; only entries without a row
         // may go, since a row is evidence that its holder's writes still matter.
@@ -198,7 +213,20 @@
         for old in superseded {
             self.writers.remove(&old);
         }
-        self.writers.insert(holder.clone(), sequence);
+        self.writers.insert(holder.clone(), writer);
         self.version
     }
+
+    /// Returns to the balances what an ended holder had promised not to spend yet, and returns how
+    /// much that was.
+    pub(crate) fn return_unopened(&mut self, holder: &Incarnation) -> Tokens {
+        let mut returned = Tokens::ZERO;
+        for account in self.accounts.values_mut() {
+            let Some(row) = account.rows.get(holder) else { continue };
+            let Some(open) = row.open else { continue };
+            let unopened = row.outstanding().saturating_sub(open);
+            returned += account.give_back(holder, unopened);
+        }
+        returned
+    }
 }
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -32,6 +32,17 @@
     pub byte_rate: u32,
     /// Least time between two reads of a page for urgent need.
     pub urgent_gap: Millis,
+    /// Time after a write for which a holder spends no more than the open tokens of its row; zero if
+    /// it may spend all at any time.
+    pub lock: Millis,
+    /// The part of the unspent budget that is open besides the spend of a second.
+    pub open: Share,
+    /// How far the clocks of two holders that agree with their peers can differ.
+    pub clock_error: Millis,
+    /// A page with grants is written at least this often.
+    pub refresh: Millis,
+    /// Whether a page is written from what the last write left, without a read before it.
+    pub cached: bool,
     /// Whether holders lend to each other. Where engines keep usage records, a dead holder's row is
     /// billed from them, and they do not tell for whom it had lent.
     pub borrow: bool,
@@ -67,7 +78,7 @@
     /// ```
     pub fn unrecorded(horizon: Millis) -> Self {
         Self {
-            pages: 1,
+            pages: 64,
             horizon,
             share: Share::from_permille(700),
             least: Share::from_permille(50),
@@ -78,6 +89,12 @@
             settle_limit: Millis(4_000),
             byte_rate: 128 << 10,
             urgent_gap: Millis(20),
+            // A process is back within some 2.5 s of the last write before it was killed: one second
+            // between writes, and the restart.
+            lock: Millis(3_600),
+            open: Share::from_permille(20),
+            refresh: Millis(1_000),
+            cached: true,
             borrow: true,
             recall_wait: Millis(200),
             recall_read: Millis(100),
@@ -108,6 +125,12 @@
             // A node may use 20 KB/s for control in all, and pages travel as base64.
             byte_rate: 10_240,
             urgent_gap: Millis(10),
+            lock: Millis(0),
+            open: Share::from_permille(0),
+            clock_error: Millis(1_000),
+            // So that old bill keys can be dropped.
+            refresh: Millis(600_000),
+            cached: false,
             borrow: false,
             borrow_after: Millis(60),
             recall_wait: Millis(300),
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -1,6 +1,7 @@
 //! Holders that lend to each other, a store that may be down, and messages that may be lost or late.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use berylwheel_budget::Holder;
 use berylwheel_budget::HolderAction;
@@ -55,7 +56,7 @@
 #[derive(Debug, Clone)]
 enum Message {
     Borrow(Incarnation, Incarnation, u64, BudgetId, Tokens, Millis),
-    Lent(Incarnation, u64, bool),
+    Lent(Incarnation, u64, bool, Millis),
     Repaid(Incarnation, Incarnation, u64, Tokens),
     Recall(Incarnation, BudgetId),
 }
@@ -134,7 +135,10 @@
         let mut holder = Holder::new(me.clone(), HolderPolicy::unrecorded(Millis(10_000)));
         holder.set_routers(count);
         let totals = [(budget(), Tokens(self.total))].into_iter().collect();
-        holder.set_totals(self.time(), Version(self.version), totals);
+        let now = self.time_of(&me);
+        holder.set_totals(now, Version(self.version), totals);
+        let address = SocketAddr::from(([10, 0, 0, slot as u8], 7_000));
+        holder.set_address(now, now, Some(address));
         (me, holder)
     }
 
@@ -145,8 +149,9 @@
         }
     }
 
-    fn time(&self) -> Timestamp {
-        Timestamp::from_millis(self.now)
+    /// Returns the time on a holder's clock. Clocks that agree with their peers differ this much.
+    fn time_of(&self, me: &Incarnation) -> Timestamp {
+        Timestamp::from_millis(self.now + [0, 400, 800][me.number as usize % 3])
     }
 
     pub fn step(&mut self, action: &Action) {
@@ -170,11 +175,11 @@
     }
 
     pub fn request(&mut self, at: usize, amount: u64) {
-        let now = self.time();
+        let now = self.time_of(&self.holders[at].0);
         self.requests += 1;
         let request: RequestId = format!("q{}", self.requests).parse().expect("request");
         let (me, holder) = &mut self.holders[at];
-        let asked = Asked { holder: me.clone(), amount, until: now.as_millis() + REQUEST_TIME.0 };
+        let asked = Asked { holder: me.clone(), amount, until: self.now + REQUEST_TIME.0 };
         self.waiting.insert(request.clone(), asked);
         let reserve = Reserve {
             request,
@@ -190,8 +195,8 @@
         self.version += 1;
         self.total = total;
         self.highest = self.highest.max(total);
-        let now = self.time();
-        for (_, holder) in &mut self.holders {
+        let times: Vec<_> = self.holders.iter().map(|(me, _)| self.time_of(me)).collect();
+        for ((_, holder), now) in self.holders.iter_mut().zip(times) {
             let totals = [(budget(), Tokens(total))].into_iter().collect();
             holder.set_totals(now, Version(self.version), totals);
         }
@@ -222,7 +227,7 @@
         let Some(asked) = self.running.remove(request) else { return };
         let used = used.min(asked.amount);
         self.finished += used;
-        let now = self.time();
+        let now = self.time_of(&asked.holder);
         let holder = self.holders.iter_mut().find(|(me, _)| *me == asked.holder);
         let (_, holder) = holder.expect("requests of dead holders are gone");
         holder.settle(now, request, Tokens(used));
@@ -270,7 +275,7 @@
         loop {
             let mut quiet = true;
             for at in 0..self.holders.len() {
-                let now = self.time();
+                let now = self.time_of(&self.holders[at].0);
                 let actions = self.holders[at].1.poll(now);
                 quiet &= actions.is_empty();
                 for action in actions {
@@ -290,8 +295,8 @@
     }
 
     fn carry_out(&mut self, at: usize, action: HolderAction) {
-        let now = self.time();
         let me = self.holders[at].0.clone();
+        let now = self.time_of(&me);
         let holder = &mut self.holders[at].1;
         match action {
             HolderAction::Read(page) if self.store_up => {
@@ -317,8 +322,8 @@
             HolderAction::Borrow { lender, id, budget, amount, time } => {
                 self.messages.push(Message::Borrow(lender, me, id, budget, amount, time));
             }
-            HolderAction::Lend { borrower, id, granted } => {
-                self.messages.push(Message::Lent(borrower, id, granted));
+            HolderAction::Lend { borrower, id, granted, wait } => {
+                self.messages.push(Message::Lent(borrower, id, granted, wait));
             }
             HolderAction::Repay { lender, id, used } => {
                 self.messages.push(Message::Repaid(lender, me, id, used));
@@ -335,11 +340,11 @@
     }
 
     fn deliver(&mut self, message: Message) {
-        let now = self.time();
         let to = match &message {
             Message::Recall(to, ..) | Message::Borrow(to, ..) => to,
             Message::Lent(to, ..) | Message::Repaid(to, ..) => to,
         };
+        let now = self.time_of(to);
         let found = self.holders.iter_mut().find(|(me, _)| me == to);
         let Some((_, holder)) = found else { return };
         match message {
@@ -347,7 +352,7 @@
             Message::Borrow(_, from, id, budget, amount, time) => {
                 holder.lend(now, &from, id, &budget, amount, time);
             }
-            Message::Lent(_, id, granted) => holder.lent(now, id, granted),
+            Message::Lent(_, id, granted, wait) => holder.lent(now, id, granted, wait),
             Message::Repaid(_, from, id, used) => holder.repaid(now, &from, id, used),
         }
     }
--- a/crates/berylwheel-config/src/lib.rs
+++ b/crates/berylwheel-config/src/lib.rs
@@ -5,6 +5,7 @@
 mod access;
 mod action;
 mod change;
+mod clocks;
 mod diff;
 mod fence;
 mod heartbeat;
@@ -27,6 +28,7 @@
 pub use change::Transaction;
 pub use change::outcome;
 pub use change::propose;
+pub use clocks::PeerClocks;
 pub use diff::Difference;
 pub use diff::diff;
 pub use fence::Fence;
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -11,6 +11,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::RequestId;
+use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
 use berylwheel_types::WorkspaceId;
@@ -64,6 +65,8 @@
         /// What the sender has served, for fairness across routers.
         #[serde(deserialize_with = "bounded::list::<_, _, SHARE_LIMIT>")]
         served: Vec<ServedShare>,
+        /// The sender's clock.
+        clock: Timestamp,
     },
     /// The sender has this version of the configuration.
     ConfigVersion {
@@ -146,6 +149,8 @@
         owner: Incarnation,
         /// Whether the tokens are reserved.
         granted: bool,
+        /// If they are not: the time after which they may be; zero if the answer is final.
+        wait: Millis,
     },
     /// A request whose tokens the receiver has reserved has ended.
     Repaid {
--- a/crates/berylwheel-peer/tests/link.rs
+++ b/crates/berylwheel-peer/tests/link.rs
@@ -7,6 +7,7 @@
 
 use berylwheel_peer::FRAME_LIMIT;
 use berylwheel_peer::Message;
+use berylwheel_types::Timestamp;
 use futures_lite::future;
 use quinn::ClientConfig;
 use quinn::Connection;
@@ -153,6 +154,7 @@
             draining: false,
             others: vec![],
             served: vec![],
+            clock: Timestamp::default(),
         };
         send_raw(&connection, &heartbeat.encode().unwrap()).await;
         send_raw(&connection, &version(5).encode().unwrap()).await;
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -14,6 +14,7 @@
 use berylwheel_types::BillKey;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
+use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
 use proptest::prelude::*;
@@ -84,6 +85,7 @@
         draining: own.draining,
         others: (0..others).map(other).collect(),
         served: (0..served).map(share).collect(),
+        clock: Timestamp::from_millis(1 << 41),
     }
 }
 
@@ -112,7 +114,7 @@
             amount: Tokens(500),
             time: Millis(6_000),
         },
-        Message::Lent { id: 3, owner: "r1@4".parse().unwrap(), granted: true },
+        Message::Lent { id: 3, owner: "r1@4".parse().unwrap(), granted: true, wait: Millis(0) },
         Message::Repaid { id: 3, owner: "r1@4".parse().unwrap(), used: Tokens(120) },
     ]
 }
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -93,6 +93,8 @@
     schedule: SchedulePolicy,
     settings: Option<Settings>,
     version: Version,
+    /// When this run began, after the end of any that listened at the same addresses.
+    pub(crate) started: Timestamp,
     pruned: Timestamp,
     next_tick: Timestamp,
 }
@@ -122,6 +124,7 @@
             schedule: SchedulePolicy::default(),
             settings: None,
             version: Version::default(),
+            started: clock.now(),
             pruned: clock.now(),
             next_tick: clock.now(),
             clock,
@@ -255,10 +258,10 @@
                         let message = Message::Borrow { id, owner, budget, amount, time };
                         self.fleet.send(&lender.router, message);
                     }
-                    HolderAction::Lend { borrower, id, granted } => {
+                    HolderAction::Lend { borrower, id, granted, wait } => {
                         log::debug!(borrower:% = borrower, id, granted; "loan");
                         let to = borrower.router.clone();
-                        self.fleet.send(&to, Message::Lent { id, owner: borrower, granted });
+                        self.fleet.send(&to, Message::Lent { id, owner: borrower, granted, wait });
                     }
                     HolderAction::Repay { lender, id, used } => {
                         let owner = self.me.clone();
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet.rs
@@ -7,6 +7,7 @@
 use berylwheel_config::ConfigState;
 use berylwheel_config::MemberPolicy;
 use berylwheel_config::Members;
+use berylwheel_config::PeerClocks;
 use berylwheel_config::SpreadPolicy;
 use berylwheel_peer::Inbound;
 use berylwheel_peer::Message;
@@ -39,6 +40,7 @@
     pub(crate) link: Option<PeerLink>,
     pub(crate) address: SocketAddr,
     pub(crate) own: Registered,
+    pub(crate) clocks: PeerClocks,
     pub(crate) adapter: Adapter,
     pub(crate) vms: Option<SocketAddr>,
     pub(crate) addresses: FastMap<RouterId, SocketAddr>,
@@ -93,6 +95,7 @@
             link,
             address,
             own,
+            clocks: PeerClocks::default(),
             adapter: settings.adapter,
             vms: settings.vms,
             addresses: settings.peers.iter().cloned().collect(),
--- a/crates/berylwheel-router/src/peers.rs
+++ b/crates/berylwheel-router/src/peers.rs
@@ -42,8 +42,10 @@
                 others,
                 served,
                 domain,
+                clock,
                 ..
             } => {
+                self.fleet.clocks.heard(now, &from, clock);
                 let version = version.unwrap_or_default();
                 let own = MemberEntry {
                     incarnation: incarnation.clone(),
@@ -91,8 +93,8 @@
             Message::Borrow { id, owner, budget, amount, time } => {
                 self.holder.lend(now, &owner, id, &budget, amount, time);
             }
-            Message::Lent { id, owner, granted } if owner == self.me => {
-                self.holder.lent(now, id, granted);
+            Message::Lent { id, owner, granted, wait } if owner == self.me => {
+                self.holder.lent(now, id, granted, wait);
             }
             // The answer is for an earlier run of this router, which has ended.
             Message::Lent { .. } => {}
--- a/crates/berylwheel-router/src/translate.rs
+++ b/crates/berylwheel-router/src/translate.rs
@@ -11,6 +11,7 @@
 use berylwheel_peer::ServedShare;
 use berylwheel_schedule::Served;
 use berylwheel_types::FailureDomain;
+use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
 
 use crate::claims::ClaimAnswer;
@@ -19,6 +20,7 @@
 pub fn heartbeat_message(
     heartbeat: Heartbeat,
     served: Vec<Served>,
+    clock: Timestamp,
     domain: &FailureDomain,
 ) -> Message {
     let Heartbeat { own, others } = heartbeat;
@@ -45,6 +47,7 @@
         draining: own.leaving,
         others: others.collect(),
         served: served.collect(),
+        clock,
     }
 }
 
--- a/crates/berylwheel-router/src/versions.rs
+++ b/crates/berylwheel-router/src/versions.rs
@@ -40,7 +40,8 @@
         if !heartbeats.is_empty() {
             let served = self.scheduler.served();
             for (to, heartbeat) in heartbeats {
-                let message = heartbeat_message(heartbeat, served.clone(), &self.fleet.own.domain);
+                let domain = &self.fleet.own.domain;
+                let message = heartbeat_message(heartbeat, served.clone(), now, domain);
                 self.fleet.send(&to, message);
             }
         }
@@ -49,6 +50,8 @@
         self.routes.set_routers(live);
         self.share_retries();
         self.holder.set_lenders(self.fleet.live_runs());
+        let address = self.fleet.clocks.agree(now).then_some(self.fleet.address);
+        self.holder.set_address(now, self.started, address);
         if now >= self.fleet.next_vms
             && let Some(address) = self.fleet.vms
         {
