Refuse on the home's word, and count only live holders as reachable

Change: the home tells why it refuses (LoanAnswer), and the borrower refuses with it; a page known for less than 500 ms is word enough; tokens of holders that are not live cannot be recalled, so the request is refused at once.

--- a/crates/berylwheel-budget/src/holder/action.rs
+++ b/crates/berylwheel-budget/src/holder/action.rs
@@ -3,6 +3,7 @@
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::LoanAnswer;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
@@ -41,9 +42,8 @@
     /// Ask another holder to reserve tokens for a request of this one, which ends `time` from now.
     /// The answer goes to `lent`.
     Borrow { lender: Incarnation, id: u64, budget: BudgetId, amount: Tokens, time: Millis },
-    /// Answer another holder's question for a loan. If it is not granted, the tokens may be granted
-    /// after `wait`, unless that is zero.
-    Lend { borrower: Incarnation, id: u64, granted: bool, wait: Millis },
+    /// Answer another holder's question for a loan.
+    Lend { borrower: Incarnation, id: u64, answer: LoanAnswer },
     /// Report to another holder what a request used that is reserved there.
     Repay { lender: Incarnation, id: u64, used: Tokens },
     /// The request may start.
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -9,6 +9,7 @@
 use berylwheel_types::BudgetId;
 use berylwheel_types::Code;
 use berylwheel_types::Incarnation;
+use berylwheel_types::LoanAnswer;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
@@ -95,7 +96,8 @@
         self.reserve(now, Reserve { request, budget, key: None, amount, deadline });
         if let Some(wait) = self.locked_for(now, &name).filter(|wait| *wait > Millis(0)) {
             let borrower = self.lending[&name].run.clone();
-            self.ready.push(HolderAction::Lend { borrower, id, granted: false, wait });
+            let answer = LoanAnswer::Wait(wait);
+            self.ready.push(HolderAction::Lend { borrower, id, answer });
         }
     }
 
@@ -117,13 +119,13 @@
                 None => HolderAction::Reserved(request),
                 Some(Borrower { run, id, deadline }) => {
                     self.loans.insert((deadline + REPORT_TIME, request));
-                    HolderAction::Lend { borrower: run, id, granted: true, wait: Millis(0) }
+                    HolderAction::Lend { borrower: run, id, answer: LoanAnswer::Granted }
                 }
             },
             HolderAction::Refused(request, refusal) => match self.lending.remove(&request) {
                 None => HolderAction::Refused(request, refusal),
                 Some(Borrower { run, id, .. }) => {
-                    HolderAction::Lend { borrower: run, id, granted: false, wait: Millis(0) }
+                    HolderAction::Lend { borrower: run, id, answer: answer_of(&refusal) }
                 }
             },
             action => action,
@@ -138,11 +140,12 @@
         self.settle(now, &request, used);
     }
 
-    /// Takes a lender's answer. With a `wait` it is not final.
-    pub fn lent(&mut self, now: Timestamp, id: u64, granted: bool, wait: Millis) {
-        if wait > Millis(0) {
+    /// Takes a lender's answer.
+    pub fn lent(&mut self, now: Timestamp, id: u64, answer: LoanAnswer) {
+        if let LoanAnswer::Wait(wait) = answer {
             return self.wait_for_lender(now, id, wait);
         }
+        let granted = answer == LoanAnswer::Granted;
         let Some(ask) = self.asks.remove(&id) else { return };
         let LoanAsk { page, budget, request, lender, open, .. } = ask;
         if !open {
@@ -157,12 +160,25 @@
             self.requests.remove(&request);
             self.borrowed.insert(request.clone(), Loan { lender, id });
             self.ready.push(HolderAction::Reserved(request));
+        } else if let LoanAnswer::Spent | LoanAnswer::Held = answer {
+            // The lender has asked the store and the other holders.
+            if let Some(waiter) = grant.waiters.remove(at) {
+                self.refuse_for_lender(waiter, answer);
+            }
         } else {
             self.ask_next(now, page, &budget, &request);
         }
         self.reschedule(now, page);
     }
 
+    fn refuse_for_lender(&mut self, waiter: Waiter, answer: LoanAnswer) {
+        if answer == LoanAnswer::Held {
+            return self.refuse_held(waiter);
+        }
+        let detail = format!("the budget does not cover {} tokens", waiter.amount);
+        self.refuse(waiter.request, Code::BudgetSpent, detail);
+    }
+
     /// Waits longer for a lender whose tokens are locked for now.
     fn wait_for_lender(&mut self, now: Timestamp, id: u64, wait: Millis) {
         let until = now + wait + ANSWER_TIME;
@@ -328,6 +344,14 @@
     }
 }
 
+fn answer_of(refusal: &Refusal) -> LoanAnswer {
+    match (refusal.code, refusal.retry_after) {
+        (Code::BudgetSpent, None) => LoanAnswer::Spent,
+        (Code::BudgetSpent, Some(_)) => LoanAnswer::Held,
+        _ => LoanAnswer::Unavailable,
+    }
+}
+
 /// Returns the name of the reservation that a loan is at the lender.
 fn loan_name(borrower: &Incarnation, id: u64) -> Option<RequestId> {
     format!("loan:{}:{}:{id}", borrower.router, borrower.number).parse().ok()
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -102,6 +102,10 @@
         self.version = pending.content.version();
         self.restate = false;
         self.written_at = now;
+        if let Step::Writing(since) = self.step {
+            // The page was as expected when the write arrived, so it is known as of then.
+            self.read_at = self.read_at.max(Some(since));
+        }
         for grant in self.grants.values_mut() {
             grant.limits.confirm();
         }
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -48,14 +48,17 @@
     writers: &[(Incarnation, u64)],
     account: &Account,
     grant: &mut Grant,
+    lenders: &[Incarnation],
 ) -> Verdict {
     let held = account.held_by(me).saturating_sub(grant.reserved);
     let mut left = held + if account.closed { Tokens::ZERO } else { account.balance };
     let mut verdict = Verdict::default();
-    let others: Vec<&(Incarnation, u64)> = writers
-        .iter()
-        .filter(|(holder, _)| holder != me && account.held_by(holder) > Tokens::ZERO)
-        .collect();
+    let holds = |holder: &Incarnation| holder != me && account.held_by(holder) > Tokens::ZERO;
+    let holders = writers.iter().filter(|(holder, _)| holds(holder));
+    let all: Tokens = left + holders.clone().map(|(holder, _)| account.held_by(holder)).sum();
+    // Where holders lend to each other, they know which of the others are there to return tokens.
+    let live = |holder: &Incarnation| !policy.borrow || lenders.contains(holder);
+    let others: Vec<&(Incarnation, u64)> = holders.filter(|(holder, _)| live(holder)).collect();
     let mut reachable: Tokens =
         left + others.iter().map(|(holder, _)| account.held_by(holder)).sum();
     if account.closed {
@@ -79,12 +82,13 @@
             continue;
         }
         // A read that was asked for before the request arrived may miss a later top-up.
-        let fresh = read_at.is_some_and(|at| waiter.arrived <= at);
+        let fresh = read_at.is_some_and(|at| waiter.arrived <= at + policy.fresh);
         let out_of_reach = waiter.amount > reachable && fresh;
+        let lost = out_of_reach && !account.closed && waiter.amount <= all;
         let asked_all = round_done && round_started.is_some_and(|at| waiter.arrived <= at);
-        if out_of_reach {
+        if out_of_reach && !lost {
             verdict.refused.push(waiter);
-        } else if asked_all {
+        } else if lost || asked_all {
             verdict.held.push(waiter);
         } else {
             short = true;
@@ -92,7 +96,7 @@
         }
     }
     grant.waiters = waiting;
-    verdict.short = short || !verdict.refused.is_empty() || !verdict.held.is_empty();
+    verdict.short = short;
     if round_done {
         let longest = policy.recall_gap.0 * GAP_GROWTH;
         let gap = (grant.round_gap.0 * 2).clamp(policy.recall_gap.0, longest);
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -237,8 +237,16 @@
                 home: homes.get(budget).copied(),
             };
             let change = sizing.apply(version, grant, account);
-            let verdict =
-                judge(now, &self.policy, &self.me, page.read_at, &writers, account, grant);
+            let verdict = judge(
+                now,
+                &self.policy,
+                &self.me,
+                page.read_at,
+                &writers,
+                account,
+                grant,
+                &self.lenders,
+            );
             held.extend(verdict.held);
             short |= verdict.short;
             // A request that only waits for tokens to be opened needs a write that opens them.
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -41,6 +41,8 @@
     pub clock_error: Millis,
     /// A page with grants is written at least this often.
     pub refresh: Millis,
+    /// Age of what is known of a page up to which requests are refused on its word.
+    pub fresh: Millis,
     /// Whether a page is written from what the last write left, without a read before it.
     pub cached: bool,
     /// Whether holders lend to each other. Where engines keep usage records, a dead holder's row is
@@ -94,6 +96,7 @@
             lock: Millis(3_600),
             open: Share::from_permille(20),
             refresh: Millis(1_000),
+            fresh: Millis(500),
             cached: true,
             borrow: true,
             recall_wait: Millis(200),
@@ -130,6 +133,7 @@
             clock_error: Millis(1_000),
             // So that old bill keys can be dropped.
             refresh: Millis(600_000),
+            fresh: Millis(0),
             cached: false,
             borrow: false,
             borrow_after: Millis(60),
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -13,6 +13,7 @@
 use berylwheel_types::Code;
 use berylwheel_types::FastMap;
 use berylwheel_types::Incarnation;
+use berylwheel_types::LoanAnswer;
 use berylwheel_types::Millis;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
@@ -56,7 +57,7 @@
 #[derive(Debug, Clone)]
 enum Message {
     Borrow(Incarnation, Incarnation, u64, BudgetId, Tokens, Millis),
-    Lent(Incarnation, u64, bool, Millis),
+    Lent(Incarnation, u64, LoanAnswer),
     Repaid(Incarnation, Incarnation, u64, Tokens),
     Recall(Incarnation, BudgetId),
 }
@@ -322,8 +323,8 @@
             HolderAction::Borrow { lender, id, budget, amount, time } => {
                 self.messages.push(Message::Borrow(lender, me, id, budget, amount, time));
             }
-            HolderAction::Lend { borrower, id, granted, wait } => {
-                self.messages.push(Message::Lent(borrower, id, granted, wait));
+            HolderAction::Lend { borrower, id, answer } => {
+                self.messages.push(Message::Lent(borrower, id, answer));
             }
             HolderAction::Repay { lender, id, used } => {
                 self.messages.push(Message::Repaid(lender, me, id, used));
@@ -352,7 +353,7 @@
             Message::Borrow(_, from, id, budget, amount, time) => {
                 holder.lend(now, &from, id, &budget, amount, time);
             }
-            Message::Lent(_, id, granted, wait) => holder.lent(now, id, granted, wait),
+            Message::Lent(_, id, answer) => holder.lent(now, id, answer),
             Message::Repaid(_, from, id, used) => holder.repaid(now, &from, id, used),
         }
     }
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::BudgetId;
 use berylwheel_types::FailureDomain;
 use berylwheel_types::Incarnation;
+use berylwheel_types::LoanAnswer;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::RequestId;
@@ -148,9 +149,7 @@
         /// The borrower's run.
         owner: Incarnation,
         /// Whether the tokens are reserved.
-        granted: bool,
-        /// If they are not: the time after which they may be; zero if the answer is final.
-        wait: Millis,
+        answer: LoanAnswer,
     },
     /// A request whose tokens the receiver has reserved has ended.
     Repaid {
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -240,7 +240,10 @@
             }
             for action in actions {
                 match action {
-                    HolderAction::Read(page) => self.effects.read_page(page),
+                    HolderAction::Read(page) => {
+                        log::debug!(page:% = page; "page read");
+                        self.effects.read_page(page);
+                    }
                     HolderAction::Write { page, expected, content } => {
                         for (budget, account) in content.accounts() {
                             log::debug!(
@@ -258,10 +261,10 @@
                         let message = Message::Borrow { id, owner, budget, amount, time };
                         self.fleet.send(&lender.router, message);
                     }
-                    HolderAction::Lend { borrower, id, granted, wait } => {
-                        log::debug!(borrower:% = borrower, id, granted; "loan");
+                    HolderAction::Lend { borrower, id, answer } => {
+                        log::debug!(borrower:% = borrower, id, answer:? = answer; "loan");
                         let to = borrower.router.clone();
-                        self.fleet.send(&to, Message::Lent { id, owner: borrower, granted, wait });
+                        self.fleet.send(&to, Message::Lent { id, owner: borrower, answer });
                     }
                     HolderAction::Repay { lender, id, used } => {
                         let owner = self.me.clone();
--- a/crates/berylwheel-router/src/peers.rs
+++ b/crates/berylwheel-router/src/peers.rs
@@ -93,8 +93,8 @@
             Message::Borrow { id, owner, budget, amount, time } => {
                 self.holder.lend(now, &owner, id, &budget, amount, time);
             }
-            Message::Lent { id, owner, granted, wait } if owner == self.me => {
-                self.holder.lent(now, id, granted, wait);
+            Message::Lent { id, owner, answer } if owner == self.me => {
+                self.holder.lent(now, id, answer);
             }
             // The answer is for an earlier run of this router, which has ended.
             Message::Lent { .. } => {}
