Keep a shared prefix at its first home until that is well over the mean

Change: RoutePolicy has a slack in requests and takes the first home that fits; a platform's policy uses six and three homes.

--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -36,20 +36,25 @@
     pub(crate) borrow: bool,
 }
 
+/// What a holder knows when it judges the requests that wait.
+pub(crate) struct View<'a> {
+    pub(crate) now: Timestamp,
+    pub(crate) policy: &'a HolderPolicy,
+    pub(crate) me: &'a Incarnation,
+    /// When the page was last known as the store has it.
+    pub(crate) read_at: Option<Timestamp>,
+    /// All holders with the sequence numbers of their last writes.
+    pub(crate) writers: &'a [(Incarnation, u64)],
+    /// The holders that can be asked for loans.
+    pub(crate) lenders: &'a [Incarnation],
+}
+
 /// Judges the waiters that neither the grant in hand nor the balance covers.
 ///
 /// A waiter is refused only after a recall that started after it arrived has been answered or has
 /// timed out, or when no other holder has anything to return.
-pub(crate) fn judge(
-    now: Timestamp,
-    policy: &HolderPolicy,
-    me: &Incarnation,
-    read_at: Option<Timestamp>,
-    writers: &[(Incarnation, u64)],
-    account: &Account,
-    grant: &mut Grant,
-    lenders: &[Incarnation],
-) -> Verdict {
+pub(crate) fn judge(view: &View<'_>, account: &Account, grant: &mut Grant) -> Verdict {
+    let View { now, policy, me, read_at, writers, lenders } = *view;
     let held = account.held_by(me).saturating_sub(grant.reserved);
     let mut left = held + if account.closed { Tokens::ZERO } else { account.balance };
     let mut verdict = Verdict::default();
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -15,6 +15,7 @@
 use super::pages::Effect;
 use super::pages::PendingWrite;
 use super::pages::Step;
+use super::wait::View;
 use super::wait::judge;
 use crate::Account;
 use crate::Applied;
@@ -237,16 +238,15 @@
                 home: homes.get(budget).copied(),
             };
             let change = sizing.apply(version, grant, account);
-            let verdict = judge(
+            let view = View {
                 now,
-                &self.policy,
-                &self.me,
-                page.read_at,
-                &writers,
-                account,
-                grant,
-                &self.lenders,
-            );
+                policy: &self.policy,
+                me: &self.me,
+                read_at: page.read_at,
+                writers: &writers,
+                lenders: &self.lenders,
+            };
+            let verdict = judge(&view, account, grant);
             held.extend(verdict.held);
             short |= verdict.short;
             // A request that only waits for tokens to be opened needs a write that opens them.
--- a/crates/berylwheel-route/src/choice.rs
+++ b/crates/berylwheel-route/src/choice.rs
@@ -62,8 +62,10 @@
     let load: f64 = candidates.iter().map(|c| c.load).sum();
     let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
     // Rounded up, so that a server without work may always take one request.
-    let bound =
-        |c: &Candidate| (policy.affinity_bound * (load + 1.0) * c.capacity / capacity).ceil();
+    let bound = |c: &Candidate| {
+        let share = (policy.affinity_bound * (load + 1.0) * c.capacity / capacity).ceil();
+        share + policy.affinity_slack
+    };
     let fits = |c: &&Candidate| c.room && c.load + 1.0 <= bound(c);
 
     let holder = candidates
@@ -78,6 +80,9 @@
     let mut homes: Vec<(u64, &Candidate)> =
         candidates.iter().map(|c| (stable_hash(&[&text, c.state.server.id.as_str()]), c)).collect();
     homes.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    let homes = homes.into_iter().take(policy.affinity_homes).map(|(_, c)| c).filter(fits);
+    let mut homes = homes.into_iter().take(policy.affinity_homes).map(|(_, c)| c).filter(fits);
+    if policy.affinity_first {
+        return homes.next();
+    }
     homes.min_by(|a, b| a.cost().total_cmp(&b.cost()))
 }
--- a/crates/berylwheel-route/src/policy.rs
+++ b/crates/berylwheel-route/src/policy.rs
@@ -16,9 +16,15 @@
     pub subset: usize,
     /// How far over the mean load prefix affinity may take a server.
     pub affinity_bound: f64,
+    /// Requests that prefix affinity may take a server over that, whatever the mean is. Reading a
+    /// long prefix again costs more than a wait behind a few requests.
+    pub affinity_slack: f64,
     /// How many servers of the rendezvous order of a prefix are its homes. The less loaded one is
     /// taken; with the first that fits, imbalance is up to 2.3 when no cache events come.
     pub affinity_homes: usize,
+    /// Whether the first home that fits is taken, so that each prefix is read at one server. This
+    /// pays where prefixes are long against what belongs to one request.
+    pub affinity_first: bool,
     /// Over which time the share of a new server rises.
     pub slow_start: Millis,
     /// Failures in a row that eject a server.
@@ -47,7 +53,9 @@
         Self {
             subset: 48,
             affinity_bound: 1.25,
+            affinity_slack: 0.0,
             affinity_homes: 2,
+            affinity_first: false,
             slow_start: Millis(10_000),
             eject_after: 5,
             eject_base: Millis(5_000),
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -470,6 +470,9 @@
         Adapter::None => RoutePolicy::default(),
         Adapter::Platform => RoutePolicy {
             subset: usize::MAX,
+            affinity_slack: 6.0,
+            affinity_homes: 3,
+            affinity_first: true,
             slow_start: Millis(1_000),
             eject_after: 3,
             eject_base: Millis(1_000),
