Hold at least a tenth of what a home may hold

Cause: a budget that is used little when an outage begins has a low estimate of its rate, and its home runs dry in the outage.

--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -83,7 +83,7 @@
             pages: 64,
             horizon,
             share: Share::from_permille(700),
-            least: Share::from_permille(50),
+            least: Share::from_permille(100),
             margin: 1,
             rate_window: Millis(horizon.0 * 2),
             rate_start: Millis(horizon.0 / 5),
