--- a/crates/berylwheel-budget/tests/operate.rs
+++ b/crates/berylwheel-budget/tests/operate.rs
@@ -10,6 +10,7 @@
 use berylwheel_budget::UsageTag;
 use berylwheel_types::Code;
 use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 use ledger::Ledger;
 use ledger::ask;
 use ledger::at;
@@ -102,3 +103,38 @@
     assert!(LedgerPage::decode(&bytes[..bytes.len() - 1]).is_err());
     assert!(LedgerPage::decode(&[9, 0]).is_err());
 }
+
+/// Guards against a total that is added twice, or that an older configuration takes back.
+#[test]
+fn a_stated_total_applies_once_and_in_order() {
+    let mut page = LedgerPage::default();
+    let mut state = |version, total| {
+        page.state_total(&budget(), Version(version), Tokens(total), "r1@1", at(version));
+        page.check().expect("conserved");
+        page.account(&budget()).expect("stated").credited
+    };
+    let table = [(3, 500, 500), (3, 900, 500), (2, 900, 500), (4, 500, 500), (6, 800, 800)];
+    for (version, total, credited) in table {
+        assert_eq!(state(version, total), Tokens(credited), "version {version} states {total}");
+    }
+    assert_eq!(state(5, 500), Tokens(800), "version 6 was there first");
+    assert_eq!(state(7, 300), Tokens(300));
+}
+
+/// Guards against a lowered total that leaves holders with more than it covers, and a raised one that
+/// forgets what was owed.
+#[test]
+fn a_lowered_total_is_owed_by_what_is_out() {
+    let (mut ledger, mut holder) = (Ledger::new(1_000), holder("r1@1", 1));
+    holder.reserve(at(0), ask("q1", 400, None));
+    ledger.serve(at(0), &mut holder);
+    let page = &mut ledger.page;
+    page.state_total(&budget(), Version(1), Tokens(100), "r1@1", at(1));
+    let account = page.account(&budget()).expect("account");
+    assert_eq!(account.balance, Tokens::ZERO);
+    assert_eq!(account.credited.saturating_sub(account.owed), Tokens(100));
+    page.state_total(&budget(), Version(2), Tokens(2_000), "r1@1", at(2));
+    let account = page.account(&budget()).expect("account");
+    assert_eq!((account.owed, account.credited), (Tokens::ZERO, Tokens(2_000)));
+    page.check().expect("conserved");
+}
--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -5,10 +5,13 @@
 use std::io;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 
 use async_channel::Receiver;
 use async_executor::Executor;
@@ -18,6 +21,9 @@
 use berylwheel_types::Millis;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
@@ -157,6 +163,32 @@
     }
 }
 
+/// A body that counts its request as being answered until it has been sent.
+struct CountedBody {
+    body: AnswerBody,
+    _answering: Answering,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 async fn serve<H, F>(
     stream: Async<TcpStream>,
     limits: AcceptLimits,
@@ -174,13 +206,7 @@
         let answer = handler(request);
         async move {
             let response = answer.await;
-            // The body keeps the count until it has been sent.
-            let response = response.map(|body| {
-                body.map_frame(move |frame| {
-                    let _ = &answering;
-                    frame
-                })
-            });
+            let response = response.map(|body| CountedBody { body, _answering: answering });
             Ok::<_, Infallible>(response)
         }
     });
--- /dev/null
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -0,0 +1,210 @@
+//! Requests that are passed on: their bytes, connections that are reused, and failures.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+
+use async_executor::Executor;
+use async_io::Async;
+use async_io::block_on;
+use berylwheel_http::AcceptLimits;
+use berylwheel_http::EventSplitter;
+use berylwheel_http::Listening;
+use berylwheel_http::SendOptions;
+use berylwheel_http::Upstream;
+use berylwheel_http::accept;
+use berylwheel_http::full_body;
+use berylwheel_types::ByteSize;
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+const LIMITS: AcceptLimits = AcceptLimits {
+    head: ByteSize(16 << 10),
+    head_time: Millis(300),
+    idle_time: Millis(5_000),
+    connections: 8,
+};
+
+const OPTIONS: SendOptions =
+    SendOptions { idle_most: Millis(5_000), connect_time: Millis(2_000), head_time: Millis(5_000) };
+
+/// Starts a server that answers with the target and the body that it was sent.
+fn echo() -> SocketAddr {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = listener.get_ref().local_addr().unwrap();
+    thread::spawn(move || {
+        let executor = Arc::new(Executor::new());
+        let (_leave, leaving) = async_channel::bounded(1);
+        let listening = Listening { leaving, open: Arc::default() };
+        let serving = accept(
+            listener,
+            executor.clone(),
+            listening,
+            || LIMITS,
+            |request| async {
+                let (head, body) = Request::<Incoming>::into_parts(request);
+                let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+                let header = head.headers.get("x-raw").map(|value| value.as_bytes().to_vec());
+                let text =
+                    [head.uri.to_string().into_bytes(), header.unwrap_or_default(), body.to_vec()];
+                Response::new(full_body(text.join(&b'|')))
+            },
+        );
+        block_on(executor.run(serving));
+    });
+    address
+}
+
+fn exchange(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    answer
+}
+
+/// Guards against a target, a header or a body that arrives in another form than it was sent.
+#[test]
+fn targets_headers_and_bodies_keep_their_bytes() {
+    let address = echo();
+    let targets = ["/a/../b", "//a", "/%2F%2e", "/a?b=c%20d&&e", "/?x=/../y", "/a;b=1,2"];
+    for target in targets {
+        let request = format!(
+            "POST {target} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+        );
+        let answer = String::from_utf8(exchange(address, request.as_bytes())).unwrap();
+        assert!(answer.ends_with(&format!("{target}||ok")), "{target}: {answer}");
+    }
+    let raw = b"GET / HTTP/1.1\r\nHost: h\r\nX-Raw: \xe9\xff\r\nConnection: close\r\n\r\n";
+    assert!(exchange(address, raw).ends_with(b"/|\xe9\xff|"));
+    let chunked =
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
+        2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+    assert!(exchange(address, chunked).ends_with(b"/||abc"));
+}
+
+/// Guards against input that is no request and reaches a handler, or holds a connection.
+#[test]
+fn malformed_and_slow_heads_end_their_connection() {
+    let address = echo();
+    let table: [(&str, &[u8]); 4] = [
+        ("a space in the target", b"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n"),
+        ("no request", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+        (
+            "two lengths",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        ),
+        ("a head without end", b"GET / HTTP/1.1\r\nHost:"),
+    ];
+    for (what, bytes) in table {
+        let answer = exchange(address, bytes);
+        assert!(!answer.starts_with(b"HTTP/1.1 200"), "{what}");
+    }
+}
+
+/// Answers on one connection after another with the given bytes, then closes them if told to.
+fn scripted(answers: Vec<(Vec<u8>, bool)>) -> (SocketAddr, mpsc::Receiver<usize>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, connections) = mpsc::channel();
+    thread::spawn(move || -> io::Result<()> {
+        let mut answers = answers.into_iter();
+        for number in 0.. {
+            let (mut stream, _) = listener.accept()?;
+            let _ = seen.send(number);
+            let mut head = vec![0; 4_096];
+            while stream.read(&mut head)? > 0 {
+                let Some((answer, close)) = answers.next() else { return Ok(()) };
+                stream.write_all(&answer)?;
+                if close {
+                    break;
+                }
+            }
+        }
+        Ok(())
+    });
+    (address, connections)
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::builder().uri("/").header("host", "h").body(Full::default()).unwrap()
+}
+
+fn with_upstream<T>(run: impl AsyncFnOnce(Upstream) -> T) -> T {
+    let executor = Arc::new(Executor::new());
+    let upstream = Upstream::new(executor.clone(), Clock::real());
+    block_on(executor.run(run(upstream)))
+}
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Guards against a new connection for each request, and against the reuse of one that is closed.
+#[test]
+fn connections_are_reused_while_they_are_open() {
+    let answers = vec![(OK.to_vec(), false), (OK.to_vec(), true), (OK.to_vec(), false)];
+    let (address, connections) = scripted(answers);
+    with_upstream(async |upstream| {
+        for _ in 0..3 {
+            let (response, sent) = upstream.send(address, request(), OPTIONS).await.unwrap();
+            response.into_body().collect().await.unwrap();
+            sent.keep(None);
+            // The close of the second connection arrives before the third request.
+            async_io::Timer::after(Millis(50).duration()).await;
+        }
+    });
+    assert_eq!(connections.try_iter().count(), 2);
+}
+
+/// Guards against a failure that is told as unsent though the server may have the request, and the
+/// other way round.
+#[test]
+fn failures_tell_whether_the_request_was_sent() {
+    let closed = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+    let (silent, _) = scripted(vec![(Vec::new(), false)]);
+    let (broken, _) = scripted(vec![(b"HTTP/1.1 2".to_vec(), true)]);
+    let (foreign, _) = scripted(vec![(b"no answer in the protocol\r\n\r\n".to_vec(), false)]);
+    let table = [
+        ("nobody listens", closed, false, false),
+        ("no answer", silent, true, true),
+        ("closed within the head", broken, true, false),
+        ("not HTTP", foreign, true, false),
+    ];
+    for (what, address, sent, timed_out) in table {
+        let options = SendOptions { head_time: Millis(300), ..OPTIONS };
+        let error =
+            with_upstream(async |upstream| upstream.send(address, request(), options).await);
+        let error = error.map(|_| ()).unwrap_err();
+        assert_eq!((error.sent, error.timed_out), (sent, timed_out), "{what}: {error}");
+    }
+}
+
+/// Guards against events that are joined, cut or lost where reads divide them.
+#[test]
+fn events_are_the_same_however_they_arrive() {
+    let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nnote: x\nid: 30\ndata: c\n\nid: 4\nda";
+    for step in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let (mut ids, mut bytes) = (Vec::new(), Vec::new());
+        for part in text.chunks(step) {
+            splitter.push(part);
+            while let Some(event) = splitter.next_event() {
+                ids.push(event.id);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        assert_eq!(ids, [Some(1), Some(2), Some(30)], "in steps of {step}");
+        assert!(text.starts_with(&bytes) && splitter.has_rest());
+    }
+}
--- a/crates/berylwheel-route/tests/choice.rs
+++ b/crates/berylwheel-route/tests/choice.rs
@@ -124,3 +124,31 @@
     let mut routes = engines(60, 10);
     assert_eq!(spread(&mut routes, at(0), &ask("m1", 0), 5_000).len(), 48);
 }
+
+/// Guards against a long shared prefix that is read at one server after the other: with few requests
+/// a server, a bound relative to their mean sends every second request elsewhere. Answers bursts of
+/// requests about one subject.
+#[test]
+fn a_prefix_stays_at_its_first_home_within_the_slack() {
+    let servers_of = |policy: RoutePolicy| {
+        let mut routes = Routes::new("r1".parse().unwrap(), policy, SEED);
+        routes.set_servers(at(0), (0..12).map(|n| engine(&format!("e{n}"), &["m1"], 64)).collect());
+        let mut used = Vec::new();
+        for _ in 0..6 {
+            let server = routes.pick(at(0), &ask("m1", 77)).unwrap().id;
+            routes.started(at(0), &server);
+            used.push(server);
+        }
+        used.sort();
+        used.dedup();
+        used.len()
+    };
+    let policy = RoutePolicy {
+        affinity_slack: 6.0,
+        affinity_homes: 3,
+        affinity_first: true,
+        ..RoutePolicy::default()
+    };
+    assert_eq!(servers_of(policy), 1);
+    assert!(servers_of(RoutePolicy::default()) > 1, "the bound alone spreads the prefix");
+}
--- /dev/null
+++ b/crates/berylwheel-route/tests/listed.rs
@@ -0,0 +1,76 @@
+//! The platform's list of servers, over outages of its store.
+
+mod support;
+
+use berylwheel_route::ListedServer;
+use berylwheel_route::Listing;
+use berylwheel_route::ServerList;
+use berylwheel_route::ServerNews;
+use berylwheel_types::Millis;
+use support::at;
+use support::id;
+use support::service;
+
+const LAPSE_TIME: Millis = Millis(2_000);
+
+fn entry(name: &str) -> ListedServer {
+    ListedServer { server: service(name, "chat", 4), listing: Listing::Ready, born: Some(1) }
+}
+
+fn usable(list: &mut ServerList, ms: u64) -> Option<String> {
+    let change = list.poll(at(ms))?;
+    let names: Vec<String> = change.servers.iter().map(|server| server.id.to_string()).collect();
+    Some(names.join(" "))
+}
+
+fn list_of(names: &[&str]) -> ServerList {
+    let mut list = ServerList::new(LAPSE_TIME);
+    list.take(at(0), ServerNews::All(names.iter().map(|name| entry(name)).collect()));
+    list.poll(at(0));
+    list
+}
+
+/// Guards against work for a server that drains, or whose entry is gone or cannot be read.
+#[test]
+fn a_server_that_leaves_is_not_used() {
+    let mut list = list_of(&["a", "b", "c"]);
+    let draining = ListedServer { listing: Listing::Draining, ..entry("a") };
+    list.take(at(10), ServerNews::Changed(Box::new(draining)));
+    let change = list.poll(at(10)).unwrap();
+    assert_eq!(change.left, [id("a")]);
+    list.take(at(20), ServerNews::Removed(id("b")));
+    assert_eq!(usable(&mut list, 20).as_deref(), Some("c"));
+    assert_eq!(usable(&mut list, 21), None);
+}
+
+/// Guards against servers that are given up because their entries lapsed while the store was down.
+#[test]
+fn entries_that_lapsed_in_an_outage_count_until_they_had_time_to_return() {
+    let mut list = list_of(&["a", "b"]);
+    list.take(at(100), ServerNews::StoreFailed);
+    list.take(at(4_000), ServerNews::StoreFailed);
+    list.take(at(5_000), ServerNews::All(vec![]));
+    assert_eq!(usable(&mut list, 5_000).as_deref(), Some("a b"));
+    list.take(at(6_000), ServerNews::Changed(Box::new(entry("a"))));
+    assert_eq!(usable(&mut list, 7_000).as_deref(), Some("a"));
+}
+
+/// Guards against work for a server whose entry went while the store answered: a short failure, such
+/// as a watch that is cut, lets no entry lapse.
+#[test]
+fn a_short_failure_excuses_no_missing_entry() {
+    let mut list = list_of(&["a", "b"]);
+    list.take(at(100), ServerNews::StoreFailed);
+    list.take(at(500), ServerNews::All(vec![entry("a")]));
+    assert_eq!(usable(&mut list, 500).as_deref(), Some("a"));
+}
+
+/// Guards against what was learnt about a process that counts for the next one under its id.
+#[test]
+fn a_later_start_under_the_same_id_is_told() {
+    let mut list = list_of(&["a"]);
+    list.take(at(10), ServerNews::Changed(Box::new(ListedServer { born: Some(2), ..entry("a") })));
+    assert_eq!(list.poll(at(10)).unwrap().restarted, [id("a")]);
+    list.take(at(20), ServerNews::Changed(Box::new(ListedServer { born: Some(1), ..entry("a") })));
+    assert!(list.poll(at(20)).unwrap().restarted.is_empty());
+}
--- /dev/null
+++ b/crates/berylwheel-router/tests/verdict.rs
@@ -0,0 +1,82 @@
+//! What answers and failures of backend servers mean.
+
+use berylwheel_router::AnswerHead;
+use berylwheel_router::Failure;
+use berylwheel_router::Verdict;
+use berylwheel_router::judge;
+use berylwheel_router::may_repeat;
+use berylwheel_settings::KindSettings;
+use berylwheel_settings::Settings;
+use berylwheel_types::Millis;
+use berylwheel_types::Ran;
+
+fn head(id: Option<&str>, sealed: bool) -> AnswerHead {
+    AnswerHead { id: id.map(str::to_owned), sealed, ..AnswerHead::default() }
+}
+
+/// Guards against a success that is not the server's answer to this request.
+#[test]
+fn only_a_sealed_answer_with_the_id_is_a_success() {
+    let encoded = AnswerHead { encoded: true, ..head(Some("a"), true) };
+    let not_run = AnswerHead { not_run: true, ..head(Some("a"), true) };
+    let table = [
+        (200, head(Some("a"), true), Verdict::Success),
+        (200, head(Some("b"), true), Verdict::Foreign),
+        (200, head(Some("a"), false), Verdict::Foreign),
+        (200, head(None, true), Verdict::Foreign),
+        (200, encoded, Verdict::Foreign),
+        (500, head(Some("a"), true), Verdict::Failure),
+        (500, head(Some("b"), true), Verdict::Foreign),
+        (404, head(None, false), Verdict::Failure),
+        (503, not_run.clone(), Verdict::NotRun),
+        (503, head(Some("a"), true), Verdict::Failure),
+        (421, head(None, false), Verdict::NotRun),
+        (429, not_run, Verdict::NotRun),
+    ];
+    for (status, head, expected) in table {
+        assert_eq!(judge("a", status, &head), expected, "{status} {head:?}");
+    }
+}
+
+fn kind(text: &str) -> KindSettings {
+    let text = format!(
+        "[pool p]\n[kind k]\nservice = plain\nhost = h\npath = /\npools = p\nattempts = 2\n{text}"
+    );
+    Settings::parse("test", &text).unwrap().kinds()[0].clone()
+}
+
+/// Guards against a request that is sent twice though it may have run once only.
+#[test]
+fn only_requests_that_cannot_have_run_twice_are_repeated() {
+    let not_sent = Failure::NotSent { timed_out: false, detail: String::new() };
+    let not_run = Failure::NotRun { detail: String::new() };
+    let unknown = Failure::Unknown { timed_out: false, detail: String::new() };
+    let lookup = kind("repeat = idempotent");
+    let booking = kind("repeat = once");
+    let stream = kind("repeat = once\nanswer = stream");
+    let resumable = kind("repeat = once\nanswer = stream\nresume = yes");
+    let table = [
+        ("lookup", &lookup, [true, true, true]),
+        ("booking", &booking, [true, true, false]),
+        ("stream", &stream, [true, true, false]),
+        ("resumable stream", &resumable, [true, true, true]),
+    ];
+    for (what, kind, expected) in table {
+        let found = [&not_sent, &not_run, &unknown].map(|failure| may_repeat(kind, failure, 1));
+        assert_eq!(found, expected, "{what}");
+        assert!(!may_repeat(kind, &unknown, 2), "{what} has two attempts");
+    }
+}
+
+/// Guards against a "not run" that is not true: it may be told only if no attempt can have run.
+#[test]
+fn a_refusal_tells_what_is_known() {
+    let not_run = Failure::NotRun { detail: String::new() };
+    let unknown = Failure::Unknown { timed_out: true, detail: String::new() };
+    let ran = |failure: &Failure, before| failure.refusal(before, Millis(100)).ran;
+    assert_eq!(ran(&not_run, false), Ran::NotRun);
+    assert_eq!(ran(&not_run, true), Ran::Unknown);
+    assert_eq!(ran(&unknown, false), Ran::Unknown);
+    assert_eq!(unknown.refusal(false, Millis(100)).retry_after, None);
+    assert_eq!(not_run.refusal(false, Millis(100)).retry_after, Some(Millis(100)));
+}
