--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -82,7 +82,7 @@
         Self {
             pages: 64,
             horizon,
-            share: Share::from_permille(700),
+            share: Share::from_permille(850),
             least: Share::from_permille(100),
             margin: 1,
             rate_window: Millis(horizon.0 * 2),
@@ -94,7 +94,7 @@
             // A process is back within some 2.5 s of the last write before it was killed: one second
             // between writes, and the restart.
             lock: Millis(3_600),
-            open: Share::from_permille(20),
+            open: Share::from_permille(80),
             refresh: Millis(1_000),
             fresh: Millis(500),
             cached: true,
