--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -65,6 +65,8 @@
     pub(super) started: Timestamp,
     /// Where this router listens to its peers, while its clock agrees with theirs.
     pub(super) address: Option<SocketAddr>,
+    /// Whether all pages were looked at for what an earlier run of this router held.
+    pub(super) visited: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
     /// Other holders that can be asked for loans.
@@ -97,6 +99,7 @@
             draining: false,
             started: Timestamp::default(),
             address: None,
+            visited: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
             lenders: Vec::new(),
@@ -119,16 +122,16 @@
     /// most of them; nothing while it does not. Only then are times in pages compared with its own.
     pub fn set_address(&mut self, now: Timestamp, started: Timestamp, address: Option<SocketAddr>) {
         self.started = started;
-        if self.address == address {
+        self.address = address;
+        if address.is_none() || self.visited || self.totals.1.is_empty() {
             return;
         }
-        self.address = address;
-        let ids: Vec<_> = self.pages.keys().copied().collect();
-        for id in ids {
-            if let Some(page) = self.pages.get_mut(&id) {
-                // What an earlier run of this router held can be returned now.
-                page.restate |= address.is_some();
-            }
+        // What an earlier run of this router held can be returned now, from whatever page.
+        self.visited = true;
+        let budgets = self.totals.1.keys().map(|budget| page_of(budget, self.policy.pages));
+        for id in budgets.collect::<Vec<_>>() {
+            let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
+            page.restate = true;
             self.reschedule(now, id);
         }
     }
@@ -141,7 +144,13 @@
         version: Version,
         totals: FastMap<BudgetId, Tokens>,
     ) {
-        for budget in totals.keys() {
+        for (budget, total) in &totals {
+            // Every holder that reads a page for a need of its own states the totals too, so it is
+            // enough that the home looks at once.
+            let other = self.policy.borrow && *self.home_of(budget) != self.me;
+            if other || self.totals.1.get(budget) == Some(total) {
+                continue;
+            }
             let id = page_of(budget, self.policy.pages);
             let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
             page.restate = true;
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control.rs
@@ -240,10 +240,7 @@
             }
             for action in actions {
                 match action {
-                    HolderAction::Read(page) => {
-                        log::debug!(page:% = page; "page read");
-                        self.effects.read_page(page);
-                    }
+                    HolderAction::Read(page) => self.effects.read_page(page),
                     HolderAction::Write { page, expected, content } => {
                         for (budget, account) in content.accounts() {
                             log::debug!(
@@ -257,6 +254,7 @@
                     }
                     HolderAction::Recall { holder, budget } => self.send_recall(&holder, budget),
                     HolderAction::Borrow { lender, id, budget, amount, time } => {
+                        log::debug!(lender:% = lender, id, budget:% = budget, amount = amount.0; "loan asked for");
                         let owner = self.me.clone();
                         let message = Message::Borrow { id, owner, budget, amount, time };
                         self.fleet.send(&lender.router, message);
--- a/crates/berylwheel-router/src/jobs.rs
+++ b/crates/berylwheel-router/src/jobs.rs
@@ -239,6 +239,10 @@
     pub fn refuse(&mut self, request: &RequestId, refusal: Refusal) {
         let now = self.clock.now();
         let Some(mut job) = self.jobs.remove(request) else { return };
+        log::debug!(
+            request = request.as_str(), budget:% = job.admit.budget, amount = job.admit.amount.0,
+            code = refusal.code.number(); "request refused: {}", refusal.detail
+        );
         if let Some(reply) = job.reply.take() {
             let _ = reply.try_send(Err(refusal));
         }
