Divide the router crate into slices by duty

Cause: 29 files in one folder, in which control, fleet, jobs and ended import each other, so that no name told where a step of a request is. Change: calls, control, fleet, forward and operate are folders; files moved as they were, imports follow. Behaviour is the same.

--- a/crates/berylwheel-router/src/call_once.rs
+++ b/crates/berylwheel-router/src/calls/call_once.rs
@@ -23,19 +23,19 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::command::Admit;
-use crate::command::Start;
-use crate::effects::fetch_json;
-use crate::once::OnceStore;
-use crate::once::RecordError;
-use crate::once::done;
-use crate::service::ServiceCall;
-use crate::service::failure;
-use crate::service::outcome_of;
-use crate::service::respond;
-use crate::ticket::Ticket;
-use crate::traffic::Call;
-use crate::traffic::Traffic;
+use crate::calls::once::OnceStore;
+use crate::calls::once::RecordError;
+use crate::calls::once::done;
+use crate::calls::service::ServiceCall;
+use crate::calls::service::failure;
+use crate::calls::service::outcome_of;
+use crate::calls::service::respond;
+use crate::calls::ticket::Ticket;
+use crate::calls::traffic::Call;
+use crate::calls::traffic::Traffic;
+use crate::control::command::Admit;
+use crate::control::command::Start;
+use crate::control::effects::fetch_json;
 
 /// Time to write the result of a call before the caller is answered; it is retried afterwards.
 const RESULT_TIME: Millis = Millis(500);
--- a/crates/berylwheel-router/src/engine.rs
+++ b/crates/berylwheel-router/src/calls/engine.rs
@@ -23,17 +23,17 @@
 use http_types::Response;
 use serde_json::Value;
 
-use crate::chat::ChatRequest;
-use crate::chat::EngineEvent;
-use crate::command::Admit;
-use crate::command::Start;
-use crate::event::Event;
-use crate::memory::BodyBytes;
-use crate::ticket::Ticket;
-use crate::traffic::Body;
-use crate::traffic::Call;
-use crate::traffic::Traffic;
-use crate::traffic::kind_of_model;
+use crate::calls::chat::ChatRequest;
+use crate::calls::chat::EngineEvent;
+use crate::calls::memory::BodyBytes;
+use crate::calls::ticket::Ticket;
+use crate::calls::traffic::Body;
+use crate::calls::traffic::Call;
+use crate::calls::traffic::Traffic;
+use crate::calls::traffic::kind_of_model;
+use crate::control::command::Admit;
+use crate::control::command::Start;
+use crate::control::event::Event;
 
 /// The largest answer that is not streamed, in bytes.
 const ANSWER_LIMIT: u64 = 8 << 20;
--- a/crates/berylwheel-router/src/relay.rs
+++ b/crates/berylwheel-router/src/calls/relay.rs
@@ -16,12 +16,12 @@
 use berylwheel_types::Tokens;
 use serde_json::json;
 
-use crate::chat::EngineEvent;
-use crate::command::Start;
-use crate::engine::Job;
-use crate::engine::Opened;
-use crate::ticket::Ticket;
-use crate::traffic::Traffic;
+use crate::calls::chat::EngineEvent;
+use crate::calls::engine::Job;
+use crate::calls::engine::Opened;
+use crate::calls::ticket::Ticket;
+use crate::calls::traffic::Traffic;
+use crate::control::command::Start;
 
 /// Time that a caller may take to receive one event before it counts as gone.
 const STALL_LIMIT: Millis = Millis(30_000);
--- a/crates/berylwheel-router/src/service.rs
+++ b/crates/berylwheel-router/src/calls/service.rs
@@ -18,11 +18,11 @@
 use http_types::Request;
 use http_types::Response;
 
-use crate::command::Admit;
-use crate::command::Start;
-use crate::memory::BodyBytes;
-use crate::traffic::Body;
-use crate::traffic::Traffic;
+use crate::calls::memory::BodyBytes;
+use crate::calls::traffic::Body;
+use crate::calls::traffic::Traffic;
+use crate::control::command::Admit;
+use crate::control::command::Start;
 
 /// The largest answer of a plain service, in bytes.
 const ANSWER_LIMIT: u64 = 1 << 20;
--- a/crates/berylwheel-router/src/ticket.rs
+++ b/crates/berylwheel-router/src/calls/ticket.rs
@@ -8,12 +8,12 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Tokens;
 
-use crate::command::Admit;
-use crate::command::Command;
-use crate::command::Finish;
-use crate::command::Start;
-use crate::command::StartResult;
-use crate::event::Event;
+use crate::control::command::Admit;
+use crate::control::command::Command;
+use crate::control::command::Finish;
+use crate::control::command::Start;
+use crate::control::command::StartResult;
+use crate::control::event::Event;
 
 /// An admitted request. Dropping it ends the request as cancelled with what was used so far, so
 /// that a caller that leaves, or a task that fails, keeps neither reservation nor capacity.
--- a/crates/berylwheel-router/src/traffic.rs
+++ b/crates/berylwheel-router/src/calls/traffic.rs
@@ -41,14 +41,14 @@
 use http_types::Response;
 use serde_json::json;
 
-use crate::command::Admit;
-use crate::command::Start;
-use crate::event::Event;
-use crate::memory::BodyBytes;
-use crate::memory::BodyMemory;
+use crate::calls::memory::BodyBytes;
+use crate::calls::memory::BodyMemory;
+use crate::calls::ticket::Ticket;
+use crate::control::command::Admit;
+use crate::control::command::Start;
+use crate::control::event::Event;
+use crate::control::snapshot::SharedSnapshot;
 use crate::metrics::Metrics;
-use crate::snapshot::SharedSnapshot;
-use crate::ticket::Ticket;
 
 /// The longest idempotency key, in bytes; it becomes part of a store key.
 const KEY_LIMIT: usize = 128;
--- a/crates/berylwheel-router/src/control.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -46,18 +46,18 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::claims::Claims;
-use crate::effects::CacheReport;
-use crate::effects::Effects;
-use crate::event::Event;
-use crate::event::Vm;
-use crate::event::VmState;
-use crate::fleet::Fleet;
+use crate::control::effects::CacheReport;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
+use crate::control::event::Vm;
+use crate::control::event::VmState;
+use crate::control::jobs::Job;
+use crate::control::snapshot::Serving;
+use crate::control::snapshot::SharedSnapshot;
+use crate::control::snapshot::Snapshot;
+use crate::fleet::claims::Claims;
+use crate::fleet::state::Fleet;
 use crate::forward::Stated;
-use crate::jobs::Job;
-use crate::snapshot::Serving;
-use crate::snapshot::SharedSnapshot;
-use crate::snapshot::Snapshot;
 
 /// Interval of the timer that drives everything that depends on time alone.
 const TICK: Millis = Millis(20);
--- a/crates/berylwheel-router/src/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -24,7 +24,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::event::Event;
+use crate::control::event::Event;
 
 /// Time that a load report may take.
 const PROBE_TIME: Millis = Millis(1_000);
--- a/crates/berylwheel-router/src/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -17,10 +17,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::command::Command;
-use crate::effects::CacheReport;
+use crate::control::command::Command;
+use crate::control::effects::CacheReport;
+use crate::fleet::registry::Registered;
 use crate::forward::Stated;
-use crate::registry::Registered;
 
 /// State of a VM in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/berylwheel-router/src/jobs.rs
+++ b/crates/berylwheel-router/src/control/jobs.rs
@@ -12,13 +12,13 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 
-use crate::claims::ClaimAnswer;
-use crate::command::Admit;
-use crate::command::Command;
-use crate::command::Finish;
-use crate::command::Start;
-use crate::command::StartResult;
-use crate::control::Control;
+use crate::control::command::Admit;
+use crate::control::command::Command;
+use crate::control::command::Finish;
+use crate::control::command::Start;
+use crate::control::command::StartResult;
+use crate::control::core::Control;
+use crate::fleet::claims::ClaimAnswer;
 
 /// Time that the home router of a key may take to answer a claim. Without an answer the request
 /// runs: its bill key still bills it once. It leaves time for the first token within the target of
--- /dev/null
+++ b/crates/berylwheel-router/src/control/mod.rs
@@ -0,0 +1,8 @@
+//! The control thread: its state, the messages to it, and the life of a request on it.
+
+pub(crate) mod command;
+pub(crate) mod core;
+pub(crate) mod effects;
+pub(crate) mod event;
+pub(crate) mod jobs;
+pub(crate) mod snapshot;
--- a/crates/berylwheel-router/src/ended.rs
+++ b/crates/berylwheel-router/src/fleet/ended.rs
@@ -9,13 +9,13 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::stable_hash;
 
-use crate::control::Control;
-use crate::event::Event;
-use crate::event::Vm;
-use crate::event::VmState;
-use crate::ledger::Ledger;
-use crate::registry;
-use crate::registry::Registered;
+use crate::control::core::Control;
+use crate::control::event::Event;
+use crate::control::event::Vm;
+use crate::control::event::VmState;
+use crate::fleet::registry;
+use crate::fleet::registry::Registered;
+use crate::operate::ledger::Ledger;
 
 /// Interval between attempts to reclaim what a router that ended held.
 const RECLAIM_INTERVAL: Millis = Millis(5_000);
--- a/crates/berylwheel-router/src/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -14,16 +14,16 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::stable_hash;
 
-use crate::claims::ClaimAnswer;
-use crate::claims::home_of;
-use crate::control::Control;
-use crate::translate::claim_answer;
-use crate::translate::claim_state;
-use crate::translate::digests_of;
-use crate::translate::member_of;
-use crate::translate::parts_message;
-use crate::translate::parts_of;
-use crate::translate::served_of;
+use crate::control::core::Control;
+use crate::fleet::claims::ClaimAnswer;
+use crate::fleet::claims::home_of;
+use crate::fleet::translate::claim_answer;
+use crate::fleet::translate::claim_state;
+use crate::fleet::translate::digests_of;
+use crate::fleet::translate::member_of;
+use crate::fleet::translate::parts_message;
+use crate::fleet::translate::parts_of;
+use crate::fleet::translate::served_of;
 
 /// Peers that learn of a leaving server from one router.
 const LEAVING_PEERS: usize = 4;
--- a/crates/berylwheel-router/src/registry.rs
+++ b/crates/berylwheel-router/src/fleet/registry.rs
@@ -17,8 +17,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::effects::Effects;
-use crate::event::Event;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
 
 const PREFIX: &str = "/berylwheel/routers/";
 /// Earlier runs that an entry names. One is enough unless a router ends again before it has reclaimed
--- a/crates/berylwheel-router/src/fleet.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -24,11 +24,11 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::effects::Effects;
-use crate::ended::Reclaim;
-use crate::event::Event;
-use crate::registry;
-use crate::registry::Registered;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
+use crate::fleet::ended::Reclaim;
+use crate::fleet::registry;
+use crate::fleet::registry::Registered;
 
 /// What one router knows of the others.
 pub struct Fleet {
--- a/crates/berylwheel-router/src/translate.rs
+++ b/crates/berylwheel-router/src/fleet/translate.rs
@@ -14,7 +14,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
 
-use crate::claims::ClaimAnswer;
+use crate::fleet::claims::ClaimAnswer;
 
 /// Returns the message for a heartbeat of a router in `domain`.
 pub fn heartbeat_message(
--- a/crates/berylwheel-router/src/versions.rs
+++ b/crates/berylwheel-router/src/fleet/versions.rs
@@ -14,12 +14,12 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 
-use crate::change::read_parts;
-use crate::change::read_root;
-use crate::control::Control;
-use crate::effects::Effects;
-use crate::event::Event;
-use crate::translate::heartbeat_message;
+use crate::control::core::Control;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
+use crate::fleet::translate::heartbeat_message;
+use crate::operate::change::read_parts;
+use crate::operate::change::read_root;
 
 /// Interval between reads of the platform's VM list; a lost message about a leaving server costs at
 /// most this long.
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -24,9 +24,9 @@
 use super::verdict::is_repeatable;
 use super::verdict::judge;
 use super::verdict::may_repeat;
-use crate::command::Start;
-use crate::event::Event;
-use crate::ticket::Ticket;
+use crate::calls::ticket::Ticket;
+use crate::control::command::Start;
+use crate::control::event::Event;
 
 /// Time for a connection to a server to be made. Servers are at most a few milliseconds away.
 const CONNECT_TIME: Millis = Millis(250);
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -34,8 +34,8 @@
 use super::platform::CallerHead;
 use super::platform::PromptPart;
 use super::respond::refusal_response;
-use crate::command::Admit;
-use crate::memory::BodyBytes;
+use crate::calls::memory::BodyBytes;
+use crate::control::command::Admit;
 
 /// The workspace that requests of open kinds count for.
 const OPEN_WORKSPACE: &str = "open";
--- a/crates/berylwheel-router/src/follow.rs
+++ b/crates/berylwheel-router/src/forward/follow.rs
@@ -15,8 +15,8 @@
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
 
-use crate::effects::Effects;
-use crate::event::Event;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
 use crate::forward::Platform;
 
 /// The store key of the routers' authority.
--- a/crates/berylwheel-router/src/forward/listen.rs
+++ b/crates/berylwheel-router/src/forward/listen.rs
@@ -27,10 +27,10 @@
 use hyper::body::Incoming;
 
 use super::platform::Platform;
-use crate::event::Event;
-use crate::memory::BodyMemory;
+use crate::calls::memory::BodyMemory;
+use crate::control::event::Event;
+use crate::control::snapshot::SharedSnapshot;
 use crate::metrics::Metrics;
-use crate::snapshot::SharedSnapshot;
 
 /// Interval at which idle connections to servers are closed.
 const PRUNE_INTERVAL: Millis = Millis(1_000);
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+pub(crate) mod follow;
 mod listen;
 mod platform;
 mod relay;
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -26,9 +26,9 @@
 use super::verdict::Failure;
 use super::verdict::Verdict;
 use super::verdict::is_repeatable;
-use crate::command::Admit;
-use crate::command::Start;
-use crate::ticket::Ticket;
+use crate::calls::ticket::Ticket;
+use crate::control::command::Admit;
+use crate::control::command::Start;
 
 /// A first event that could come from another server is waited for this many times the kind's
 /// target.
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -20,9 +20,9 @@
 use super::verdict::Failure;
 use super::verdict::Verdict;
 use super::verdict::is_repeatable;
-use crate::command::Admit;
-use crate::command::Start;
-use crate::ticket::Ticket;
+use crate::calls::ticket::Ticket;
+use crate::control::command::Admit;
+use crate::control::command::Start;
 
 /// The largest answer that is collected, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
--- a/crates/berylwheel-router/src/admin.rs
+++ b/crates/berylwheel-router/src/operate/admin.rs
@@ -28,17 +28,17 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use crate::change::ChangeRequest;
-use crate::change::Configuration;
-use crate::change::RollbackRequest;
-use crate::event::Event;
-use crate::ledger::BudgetChange;
-use crate::ledger::Ledger;
-use crate::orders::Order;
-use crate::orders::Orders;
-use crate::snapshot::SharedSnapshot;
-use crate::traffic::header;
-use crate::traffic::json_response;
+use crate::calls::traffic::header;
+use crate::calls::traffic::json_response;
+use crate::control::event::Event;
+use crate::control::snapshot::SharedSnapshot;
+use crate::operate::change::ChangeRequest;
+use crate::operate::change::Configuration;
+use crate::operate::change::RollbackRequest;
+use crate::operate::ledger::BudgetChange;
+use crate::operate::ledger::Ledger;
+use crate::operate::orders::Order;
+use crate::operate::orders::Orders;
 
 /// The largest request of an operator.
 const BODY_LIMIT: ByteSize = ByteSize(1 << 20);
--- a/crates/berylwheel-router/src/ledger.rs
+++ b/crates/berylwheel-router/src/operate/ledger.rs
@@ -28,7 +28,7 @@
 use http_types::Method;
 use serde::Deserialize;
 
-use crate::effects::fetch_json;
+use crate::control::effects::fetch_json;
 
 /// Attempts at one change; other writers of the page may be first many times.
 const ATTEMPT_LIMIT: u32 = 100;
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -40,23 +40,23 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 
-use crate::admin::Admin;
-use crate::control::Control;
-use crate::effects::Effects;
-use crate::event::Event;
-use crate::fleet::Fleet;
-use crate::follow::fetch_identity;
-use crate::follow::follow_configuration;
-use crate::follow::follow_servers;
+use crate::calls::memory::BodyMemory;
+use crate::calls::traffic::Traffic;
+use crate::control::core::Control;
+use crate::control::effects::Effects;
+use crate::control::event::Event;
+use crate::control::snapshot::Serving;
+use crate::control::snapshot::SharedSnapshot;
+use crate::control::snapshot::Snapshot;
+use crate::fleet::state::Fleet;
 use crate::forward::Forwarder;
 use crate::forward::Platform;
-use crate::memory::BodyMemory;
+use crate::forward::follow::fetch_identity;
+use crate::forward::follow::follow_configuration;
+use crate::forward::follow::follow_servers;
 use crate::metrics::Metrics;
-use crate::orders::Orders;
-use crate::snapshot::Serving;
-use crate::snapshot::SharedSnapshot;
-use crate::snapshot::Snapshot;
-use crate::traffic::Traffic;
+use crate::operate::admin::Admin;
+use crate::operate::orders::Orders;
 
 /// Time that answers may take to leave the process after the last request has ended.
 const FLUSH_LIMIT: Millis = Millis(10_000);
