Write log lines through a bounded queue that never blocks

Cause: a pipe that nobody reads would have stopped the router at its next log line, and a fault that concerns each request writes without bound. Change: lines go to a thread of their own through 1,024 places, at most 1,000 a second; the rest is dropped and counted.

--- a/crates/berylwheel-command/src/lib.rs
+++ b/crates/berylwheel-command/src/lib.rs
@@ -10,6 +10,7 @@
 mod entity;
 mod key;
 mod kind;
+mod logging;
 mod order;
 mod rank;
 mod run;
@@ -18,4 +19,5 @@
 mod standin;
 mod workspace;
 
+pub use logging::LineQueue;
 pub use run::run;
--- /dev/null
+++ b/crates/berylwheel-command/src/logging.rs
@@ -0,0 +1,179 @@
+//! Log lines through a bounded queue, so that a reader that is slow or gone never holds up a request.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::thread;
+use std::time::Duration;
+
+use berylwheel_types::Clock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use env_logger::Env;
+use env_logger::Target;
+
+/// Lines that wait for a slow reader.
+const QUEUE_LINES: usize = 1_024;
+/// Lines that are written in a second; a fault that concerns each request must not cost more than the
+/// requests.
+const LINES_PER_SECOND: u64 = 1_000;
+/// Time that the lines before the end of the process have to be written.
+const FLUSH_TIME: Millis = Millis(200);
+
+/// How often a flush looks for room in the queue in that time.
+const FLUSH_TRIES: u64 = 20;
+
+/// Whether lines go to standard output.
+static TO_STDOUT: AtomicBool = AtomicBool::new(false);
+
+/// Writes to the stream that was chosen last.
+struct Chosen;
+
+impl Write for Chosen {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match TO_STDOUT.load(Ordering::Relaxed) {
+            true => io::stdout().write(bytes),
+            false => io::stderr().write(bytes),
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        io::stdout().flush()
+    }
+}
+
+/// Starts the log, at the level `info` unless `RUST_LOG` says otherwise.
+pub(crate) fn init() {
+    let queue = LineQueue::new(Chosen, QUEUE_LINES, LINES_PER_SECOND);
+    env_logger::Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(queue)))
+        .init();
+}
+
+/// Writes the log to standard output from now on.
+pub(crate) fn use_stdout() {
+    TO_STDOUT.store(true, Ordering::Relaxed);
+}
+
+enum Line {
+    Text(Vec<u8>),
+    /// Answered once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
+/// A writer that takes whole lines and never blocks. Lines beyond its bounds are dropped and counted;
+/// the count is written as soon as there is room.
+///
+/// ```
+/// use std::io::Write;
+/// use berylwheel_command::LineQueue;
+/// let mut queue = LineQueue::new(std::io::sink(), 8, 1_000);
+/// writeln!(queue, "a line").unwrap();
+/// queue.flush().unwrap();
+/// assert_eq!(queue.dropped(), 0);
+/// ```
+#[derive(Debug)]
+pub struct LineQueue {
+    sender: SyncSender<Line>,
+    dropped: Arc<AtomicU64>,
+    partial: Vec<u8>,
+    clock: Clock,
+    /// The second that is counted, and its lines.
+    second: Mutex<(Timestamp, u64)>,
+    rate: u64,
+}
+
+impl LineQueue {
+    /// Returns a queue of `lines` lines before `writer`, which takes at most `rate` lines a second.
+    pub fn new(writer: impl Write + Send + 'static, lines: usize, rate: u64) -> Self {
+        let (sender, receiver) = mpsc::sync_channel(lines);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = dropped.clone();
+        // Without the thread lines are dropped and counted, and the router goes on.
+        let _ = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(writer, &receiver, &counted));
+        let clock = Clock::real();
+        let second = Mutex::new((clock.now(), 0));
+        Self { sender, dropped, partial: Vec::new(), clock, second, rate }
+    }
+
+    /// Returns the number of lines that were dropped and not yet told.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    fn within_rate(&self) -> bool {
+        let now = self.clock.now();
+        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.since(second.0) >= Millis(1_000) {
+            *second = (now, 0);
+        }
+        second.1 += 1;
+        second.1 <= self.rate
+    }
+
+    fn push(&self, line: Vec<u8>) {
+        if !self.within_rate() || self.sender.try_send(Line::Text(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.partial.extend_from_slice(bytes);
+        while let Some(end) = self.partial.iter().position(|byte| *byte == b'\n') {
+            let rest = self.partial.split_off(end + 1);
+            let line = std::mem::replace(&mut self.partial, rest);
+            self.push(line);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let (done, written) = mpsc::sync_channel(1);
+        let pause = Duration::from_millis(FLUSH_TIME.0 / FLUSH_TRIES);
+        // A reader that is gone must not hold up the end of the process.
+        for _ in 0..FLUSH_TRIES {
+            match self.sender.try_send(Line::Flush(done.clone())) {
+                Ok(()) => break,
+                Err(TrySendError::Full(_)) => {
+                    if written.recv_timeout(pause).is_ok() {
+                        return Ok(());
+                    }
+                }
+                Err(TrySendError::Disconnected(_)) => return Ok(()),
+            }
+        }
+        let _ = written.recv_timeout(Duration::from_millis(FLUSH_TIME.0));
+        Ok(())
+    }
+}
+
+fn write_lines(mut writer: impl Write, lines: &Receiver<Line>, dropped: &AtomicU64) {
+    while let Ok(line) = lines.recv() {
+        // There is nowhere to tell that the log cannot be written.
+        let _ = match line {
+            Line::Text(text) => writer.write_all(&text),
+            Line::Flush(done) => {
+                let flushed = writer.flush();
+                let _ = done.send(());
+                flushed
+            }
+        };
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let _ = writer.write_all(format!("log lines dropped count={lost}\n").as_bytes());
+        }
+    }
+}
--- a/crates/berylwheel-command/src/run.rs
+++ b/crates/berylwheel-command/src/run.rs
@@ -12,6 +12,7 @@
 use crate::dump;
 use crate::key;
 use crate::kind;
+use crate::logging;
 use crate::order;
 use crate::rank;
 use crate::serve;
@@ -23,8 +24,7 @@
 ///
 /// The exit status is 0 on success, 1 on failure and 2 for wrong arguments.
 pub fn run() -> ExitCode {
-    let env = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(env).init();
+    logging::init();
     let matches = cli().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", args)) => serve::run(args),
@@ -43,6 +43,7 @@
         Some(("standin", args)) => standin::run(args),
         _ => unreachable!("clap requires a known subcommand"),
     };
+    log::logger().flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -29,6 +29,7 @@
 use serde_json::json;
 
 use crate::check::read_settings;
+use crate::logging;
 
 /// Interval between looks at the settings file, which may change without a signal.
 const LOOK_INTERVAL: Millis = Millis(5_000);
@@ -59,7 +60,10 @@
                 read_identity(router).context("cannot read the certificates of [router]")?;
             start(router, identity)
         }
-        Adapter::Platform => start_on(router, Arc::new(PlatformAdapter)),
+        Adapter::Platform => {
+            logging::use_stdout();
+            start_on(router, Arc::new(PlatformAdapter))
+        }
     };
     let running = running.context("cannot start")?;
     let ready = json!({
@@ -149,5 +153,6 @@
         return Ok(());
     }
     log::error!(requests = running.active(); "stopped with work left: second signal or drain limit");
+    log::logger().flush();
     process::exit(1);
 }
--- /dev/null
+++ b/crates/berylwheel-command/tests/logging.rs
@@ -0,0 +1,86 @@
+//! The log's queue under a reader that is slow or gone.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+
+use berylwheel_command::LineQueue;
+use berylwheel_types::Clock;
+
+/// A writer that blocks until it is told to go on.
+struct Blocked {
+    go: Receiver<()>,
+    open: bool,
+    text: Arc<Mutex<String>>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.open {
+            self.open = self.go.recv().is_ok();
+        }
+        self.text.lock().unwrap().push_str(&String::from_utf8_lossy(bytes));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a full pipe that blocks whoever writes a line, and against losses that are not told.
+#[test]
+fn a_blocked_reader_costs_lines_and_not_time() {
+    let (go, blocked) = mpsc::channel();
+    let text: Arc<Mutex<String>> = Arc::default();
+    let writer = Blocked { go: blocked, open: false, text: text.clone() };
+    let mut queue = LineQueue::new(writer, 8, 1_000_000);
+    for n in 0..1_000 {
+        writeln!(queue, "line {n}").unwrap();
+    }
+    let lost = queue.dropped();
+    assert!(lost >= 1_000 - 9, "{lost}");
+    go.send(()).unwrap();
+    while queue.dropped() > 0 {
+        queue.flush().unwrap();
+    }
+    queue.flush().unwrap();
+    let text = text.lock().unwrap().clone();
+    assert!(
+        text.starts_with("line 0\n") && text.contains(&format!("dropped count={lost}")),
+        "{text}"
+    );
+}
+
+/// Counts the lines that reach it.
+struct Counted(Arc<Mutex<usize>>);
+
+impl Write for Counted {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let lines = bytes.split(|byte| *byte == b'\n').filter(|line| line.starts_with(b"line"));
+        *self.0.lock().unwrap() += lines.count();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a fault that writes a line for each request without bound.
+#[test]
+fn lines_beyond_the_rate_are_dropped() {
+    let (count, clock) = (Arc::new(Mutex::new(0)), Clock::real());
+    let start = clock.now();
+    let mut queue = LineQueue::new(Counted(count.clone()), 10_000, 100);
+    for n in 0..50_000 {
+        writeln!(queue, "line {n}").unwrap();
+    }
+    queue.flush().unwrap();
+    let seconds = clock.now().since(start).0 as usize / 1_000 + 1;
+    let written = *count.lock().unwrap();
+    assert!(written > 0 && written <= 100 * (seconds + 1), "{written} lines in {seconds} s");
+}
