Announce a planned stop at once, so that budgets move before the drain

Cause: no router told the others that it was shutting down. They asked it for loans until it had been silent for five seconds, and what it held as a home came back only with its drain. Change: at the signal a router tells all live ones by a heartbeat out of turn and is the home of no budget; it returns its tokens while it still serves.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -61,6 +61,8 @@
     /// Sum of `PageState::size`.
     pub(super) page_bytes: u64,
     pub(super) draining: bool,
+    /// Whether the router will stop soon, so that others take its budgets over.
+    pub(super) departing: bool,
     /// When the process started.
     pub(super) started: Timestamp,
     /// Where this router listens to its peers, while its clock agrees with theirs.
@@ -97,6 +99,7 @@
             first_serial: 0,
             page_bytes: 0,
             draining: false,
+            departing: false,
             started: Timestamp::default(),
             address: None,
             visited: false,
@@ -267,6 +270,19 @@
         }
     }
 
+    /// Leaves the budgets of which this holder is the home to others. Requests are served until
+    /// [`Holder::drain`].
+    pub fn depart(&mut self, now: Timestamp) {
+        self.departing = true;
+        let ids: Vec<_> = self.pages.keys().copied().collect();
+        for id in ids {
+            if let Some(page) = self.pages.get_mut(&id) {
+                page.mark_dirty(now);
+            }
+            self.reschedule(now, id);
+        }
+    }
+
     /// Starts to return everything. Requests in progress keep their reservations until they end.
     pub fn drain(&mut self, now: Timestamp) {
         self.draining = true;
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -72,7 +72,8 @@
     pub(super) fn home_of(&self, budget: &BudgetId) -> &Incarnation {
         let score =
             |run: &&Incarnation| stable_hash(&["home", budget.as_str(), run.router.as_str()]);
-        let all = self.lenders.iter().chain(std::iter::once(&self.me));
+        let own = std::iter::once(&self.me).filter(|_| !self.departing);
+        let all = self.lenders.iter().chain(own);
         all.max_by_key(score).unwrap_or(&self.me)
     }
 
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -216,6 +216,18 @@
         self.know_each_other();
     }
 
+    /// Announces that a holder stops; the others no longer ask it.
+    pub fn depart(&mut self, at: usize) {
+        let leaving = self.holders[at].0.clone();
+        let now = self.time_of(&leaving);
+        self.holders[at].1.depart(now);
+        let all: Vec<Incarnation> = self.holders.iter().map(|(me, _)| me.clone()).collect();
+        for (me, holder) in &mut self.holders {
+            let others = all.iter().filter(|other| **other != *me && **other != leaving);
+            holder.set_lenders(others.cloned().collect());
+        }
+    }
+
     /// Ends the oldest request that runs, which used at most `used`.
     pub fn end_one(&mut self, used: u64) {
         let first = self.running.keys().next().cloned();
@@ -379,6 +391,11 @@
         self.holders.iter().position(holds).expect("one holds tokens")
     }
 
+    pub fn held_by(&self, at: usize) -> u64 {
+        let account = self.page.account(&budget()).expect("stated");
+        account.held_by(&self.holders[at].0).0
+    }
+
     pub fn refused(&self) -> &[Code] {
         &self.refused
     }
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -86,6 +86,24 @@
     assert_eq!(world.billed(), 10);
 }
 
+/// Guards against a stop that strands what the home of a budget holds, or that refuses meanwhile: the
+/// tokens are back before the drain begins, and another holder is the home.
+#[test]
+fn a_departing_home_returns_its_tokens_and_others_serve() {
+    let mut world = World::new(2, 100_000);
+    world.request(0, 100);
+    world.advance(100);
+    let home = world.home();
+    world.end_all(100);
+    world.depart(home);
+    world.advance(1_500);
+    assert_eq!(world.held_by(home), 0);
+    world.request(home, 50);
+    world.request(1 - home, 50);
+    world.advance(100);
+    assert_eq!(world.refused(), []);
+}
+
 /// Histories in an ordinary run; `LOAN_HISTORIES` sets another number.
 const CASES: u32 = 1_000;
 
--- a/crates/berylwheel-config/src/member.rs
+++ b/crates/berylwheel-config/src/member.rs
@@ -107,6 +107,25 @@
         self.own.leaving = true;
     }
 
+    /// Returns a heartbeat out of turn for all other routers that are live, such as one that tells
+    /// that this router is shutting down.
+    ///
+    /// ```
+    /// use berylwheel_config::{MemberPolicy, Members};
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let mut members = Members::new("r1@1".parse().unwrap(), address, MemberPolicy::default());
+    /// members.set_peers(["r2".parse().unwrap()]);
+    /// members.set_leaving();
+    /// let told = members.announce();
+    /// assert_eq!((told.len(), told[0].1.own.leaving), (1, true));
+    /// ```
+    pub fn announce(&mut self) -> Vec<(RouterId, Heartbeat)> {
+        self.own.counter += 1;
+        let mut live = self.live();
+        live.retain(|id| *id != self.own.incarnation.router);
+        live.into_iter().map(|to| (to, self.heartbeat())).collect()
+    }
+
     /// Returns the heartbeats that are due, and the peers to send them to.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(RouterId, Heartbeat)> {
         if now < self.next {
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -193,6 +193,7 @@
                 self.own.retry_extra = own.retry_extra;
             }
             Event::Reload(identity) => self.fleet.reload(identity),
+            Event::Depart => self.depart(now),
             Event::Drain => self.drain(now),
         }
     }
@@ -428,10 +429,17 @@
         self.router_vms(now, vms);
     }
 
+    /// Tells the other routers that this one stops, so that they take its budgets over.
+    fn depart(&mut self, now: Timestamp) {
+        self.holder.depart(now);
+        self.announce_leaving(now);
+    }
+
     fn drain(&mut self, now: Timestamp) {
         if self.draining {
             return;
         }
+        self.announce_leaving(now);
         log::info!(requests = self.jobs.len(); "draining");
         self.draining = true;
         self.holder.drain(now);
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -96,6 +96,8 @@
     Settings(Box<RouterSettings>),
     /// Brings the certificates of the link to the other routers.
     Reload(PeerIdentity),
+    /// Tells that a graceful shutdown follows soon.
+    Depart,
     /// Asks for a graceful shutdown.
     Drain,
 }
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -20,6 +20,7 @@
 use crate::fleet::translate::claim_answer;
 use crate::fleet::translate::claim_state;
 use crate::fleet::translate::digests_of;
+use crate::fleet::translate::heartbeat_message;
 use crate::fleet::translate::member_of;
 use crate::fleet::translate::parts_message;
 use crate::fleet::translate::parts_of;
@@ -168,6 +169,16 @@
         self.fleet.adapter == Adapter::Platform && !self.listed.is_failing()
     }
 
+    /// Tells the other routers at once that this one is shutting down.
+    pub(crate) fn announce_leaving(&mut self, now: Timestamp) {
+        self.fleet.members.set_leaving();
+        for (to, heartbeat) in self.fleet.members.announce() {
+            let domain = &self.fleet.own.domain;
+            let message = heartbeat_message(heartbeat, Vec::new(), now, domain);
+            self.fleet.send(&to, message);
+        }
+    }
+
     /// Asks another router to return what it does not need of a budget.
     pub(crate) fn send_recall(&self, holder: &Incarnation, budget: BudgetId) {
         self.fleet.send(&holder.router, Message::Recall { budget });
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -284,6 +284,7 @@
     /// Returns how long to wait before the drain.
     pub fn leave(&self) -> Millis {
         self.departing.store(true, Ordering::Relaxed);
+        let _ = self.events.try_send(Event::Depart);
         self.leave.close();
         self.stop_limit.map_or(Millis(0), |limit| LEAVE_TIME.min(Millis(limit.0 / 2)))
     }
