Split the router's control state and the ejection rules by duty

core.rs held the state, what a settings change does to it, and the grants of the token holder in 620 lines. The two readers of a whole answer share whole::whole_response. No behavior changes.

--- /dev/null
+++ b/crates/berylwheel-route/src/ejection.rs
@@ -0,0 +1,52 @@
+//! How many servers may be out because they fail.
+
+use berylwheel_types::BackendId;
+use berylwheel_types::Timestamp;
+
+use crate::routes::Routes;
+use crate::state::State;
+use crate::subset::Subset;
+
+impl Routes {
+    /// Returns the groups of servers of which at most a third may be out: each subset, and all
+    /// servers that this router uses.
+    fn ejection_groups(&self) -> Vec<Vec<&State>> {
+        let stays = |s: &&State| s.present && s.used && !self.is_leaving(&s.server.id);
+        let all = self.states.values().filter(stays).collect();
+        let subset = |subset: &Subset| {
+            subset.members.iter().filter_map(|id| self.states.get(id)).filter(stays).collect()
+        };
+        std::iter::once(all).chain(self.pools.values().map(subset)).collect()
+    }
+
+    pub(crate) fn may_eject(&self, now: Timestamp, server: &BackendId) -> bool {
+        let mut groups = self.ejection_groups();
+        groups.retain(|group| group.iter().any(|s| s.server.id == *server));
+        let out = |group: &[&State]| group.iter().filter(|s| s.health.is_ejected(now)).count();
+        !groups.is_empty() && groups.iter().all(|group| out(group) < ejection_limit(group.len()))
+    }
+
+    /// Readmits servers, those that are due first, while more than a third of a group is out. A
+    /// group shrinks when servers leave or are dropped.
+    pub(crate) fn limit_ejections(&mut self, now: Timestamp) {
+        loop {
+            let mut surplus = None;
+            for group in self.ejection_groups() {
+                let out = group.iter().filter(|s| s.health.is_ejected(now));
+                if out.clone().count() > ejection_limit(group.len()) {
+                    let first = out.min_by_key(|s| (s.health.until(), &s.server.id));
+                    surplus = first.map(|s| s.server.id.clone());
+                    break;
+                }
+            }
+            let Some(state) = surplus.and_then(|id| self.states.get_mut(&id)) else { return };
+            state.health.readmit(now);
+        }
+    }
+}
+
+/// Returns how many servers of a group may be out: a third, and one of two. Of two servers a failing
+/// one would otherwise stay in use until the retry budget is spent on it.
+const fn ejection_limit(group: usize) -> usize {
+    if group == 2 { 1 } else { group / 3 }
+}
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod choice;
 mod dump;
+mod ejection;
 mod health;
 mod listed;
 mod load;
--- /dev/null
+++ b/crates/berylwheel-router/src/control/grants.rs
@@ -0,0 +1,53 @@
+//! What the holder of grants asks for, carried out.
+
+use berylwheel_budget::HolderAction;
+use berylwheel_peer::Message;
+use berylwheel_types::Timestamp;
+
+use crate::control::core::Control;
+
+impl Control {
+    pub(super) fn drive_holder(&mut self, now: Timestamp) {
+        // A decision may free or use tokens, so the holder is asked until it has nothing to say.
+        loop {
+            let actions = self.holder.poll(now);
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    HolderAction::Read(page) => self.effects.read_page(page),
+                    HolderAction::Write { page, expected, content } => {
+                        for (budget, account) in content.accounts() {
+                            log::debug!(
+                                budget:% = budget, version = content.version(),
+                                credited = account.credited.0, billed = account.billed.0,
+                                balance = account.balance.0, out = account.outstanding().0,
+                                own = account.held_by(&self.me).0; "grants written"
+                            );
+                        }
+                        self.effects.write_page(page, expected, &content);
+                    }
+                    HolderAction::Recall { holder, budget } => self.send_recall(&holder, budget),
+                    HolderAction::Borrow { lender, id, budget, amount, time } => {
+                        log::debug!(lender:% = lender, id, budget:% = budget, amount = amount.0; "loan asked for");
+                        let owner = self.me.clone();
+                        let message = Message::Borrow { id, owner, budget, amount, time };
+                        self.fleet.send(&lender.router, message);
+                    }
+                    HolderAction::Lend { borrower, id, answer } => {
+                        log::debug!(borrower:% = borrower, id, answer:? = answer; "loan");
+                        let to = borrower.router.clone();
+                        self.fleet.send(&to, Message::Lent { id, owner: borrower, answer });
+                    }
+                    HolderAction::Repay { lender, id, used } => {
+                        let owner = self.me.clone();
+                        self.fleet.send(&lender.router, Message::Repaid { id, owner, used });
+                    }
+                    HolderAction::Reserved(request) => self.offer(now, &request),
+                    HolderAction::Refused(request, refusal) => self.refuse(&request, refusal),
+                }
+            }
+        }
+    }
+}
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -5,13 +5,11 @@
 use berylwheel_http::AnswerBody;
 use berylwheel_http::EventSplitter;
 use berylwheel_http::ServerEvent;
-use berylwheel_http::full_body;
 use berylwheel_http::within;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::Tokens;
 use bytes::Bytes;
-use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
@@ -26,6 +24,7 @@
 use super::verdict::Failure;
 use super::verdict::Verdict;
 use super::verdict::is_repeatable;
+use super::whole::whole_response;
 use crate::calls::ticket::Ticket;
 use crate::control::command::Admit;
 use crate::control::command::Start;
@@ -206,8 +205,3 @@
         Err(error) => Err(Failure::Unknown { timed_out: false, detail: error.to_string() }),
     }
 }
-
-fn whole_response(mut head: Parts, body: Bytes) -> Response<AnswerBody> {
-    remove_connection_headers(&mut head.headers);
-    Response::from_parts(head, full_body(body))
-}
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -60,7 +60,7 @@
                         }
                     }
                     ticket.finish(outcome, true);
-                    return Ok(response(head, body));
+                    return Ok(whole_response(head, body));
                 }
                 Err(failure) => failure,
             };
@@ -108,7 +108,7 @@
 }
 
 /// Returns a server's answer for the caller.
-fn response(mut head: Parts, body: Bytes) -> Response<AnswerBody> {
+pub(crate) fn whole_response(mut head: Parts, body: Bytes) -> Response<AnswerBody> {
     remove_connection_headers(&mut head.headers);
     Response::from_parts(head, full_body(body))
 }
