Tell refused callers to wait as long as the shortage has lasted

Cause: Retry-After was the same half second or second however long the store had been silent or other routers had kept a budget's tokens, so callers of a long outage came back in vain many times. Ruled out: one longer fixed time, which keeps callers away after short gaps. Change: holder/again.rs tells the time that the shortage has lasted, at least the time of before and at most 8 s. Test: tests/come_back.rs, which failed first.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -18,6 +18,7 @@
 use super::action::HolderAction;
 use super::action::Reserve;
 use super::action::WriteResult;
+use super::again::Shortage;
 use super::grant::Grant;
 use super::grant::Waiter;
 use super::loan::Borrower;
@@ -83,6 +84,8 @@
     pub(super) lending: FastMap<RequestId, Borrower>,
     /// Requests of other holders that are reserved here, by the time at which they end.
     pub(super) loans: BTreeSet<(Timestamp, RequestId)>,
+    /// Times without an answer of the store.
+    pub(super) outage: Shortage,
     /// The totals that the configuration states, and its version.
     pub(super) totals: (Version, FastMap<BudgetId, Tokens>),
 }
@@ -112,6 +115,7 @@
             silent: FastMap::default(),
             lending: FastMap::default(),
             loans: BTreeSet::new(),
+            outage: Shortage::default(),
             totals: (Version::default(), FastMap::default()),
         }
     }
@@ -288,7 +292,7 @@
         self.draining = true;
         let ids: Vec<_> = self.pages.keys().copied().collect();
         for id in ids {
-            self.refuse_all(id, Code::Draining, "grants are being returned");
+            self.refuse_all(now, id, Code::Draining, "grants are being returned");
             if let Some(page) = self.pages.get_mut(&id) {
                 page.mark_dirty(now);
             }
@@ -307,6 +311,7 @@
     ///
     /// A page whose tokens do not add up counts as unreadable: writing it would hide the fault.
     pub fn page_read(&mut self, now: Timestamp, id: PageId, revision: u64, content: LedgerPage) {
+        self.outage.end();
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
@@ -346,6 +351,10 @@
 
     /// The store has answered a write, or failed to.
     pub fn page_written(&mut self, now: Timestamp, id: PageId, result: WriteResult) {
+        match result {
+            WriteResult::Won(_) | WriteResult::Lost => self.outage.end(),
+            WriteResult::Unknown => self.outage.note(now),
+        }
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
@@ -374,6 +383,7 @@
 
     /// The store has not answered a read.
     pub fn read_failed(&mut self, now: Timestamp, id: PageId) {
+        self.outage.note(now);
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -12,6 +12,7 @@
 
 use crate::HolderPolicy;
 use crate::account::Bill;
+use crate::holder::again::Shortage;
 use crate::holder::limit::SpendLimits;
 use crate::rate::SpendRate;
 
@@ -82,6 +83,8 @@
     /// The pause after the next recall round without success.
     pub(crate) round_gap: Millis,
     pub(crate) recalled: bool,
+    /// Since when requests are refused because other holders keep the tokens.
+    pub(crate) kept: Shortage,
     /// The other holders as of the last page seen, those with the most tokens first.
     pub(crate) others: Vec<Incarnation>,
     /// Until then no tokens are held beyond what requests need.
@@ -110,6 +113,7 @@
             next_round: Timestamp::default(),
             round_gap: Millis(0),
             recalled: false,
+            kept: Shortage::default(),
             others: Vec::new(),
             spare_after: Timestamp::default(),
             rate: SpendRate::new(now, policy),
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -159,12 +159,13 @@
         if granted {
             grant.waiters.remove(at);
             self.requests.remove(&request);
+            grant.kept.end();
             self.borrowed.insert(request.clone(), Loan { lender, id });
             self.ready.push(HolderAction::Reserved(request));
         } else if let LoanAnswer::Spent | LoanAnswer::Held = answer {
             // The lender has asked the store and the other holders.
             if let Some(waiter) = grant.waiters.remove(at) {
-                self.refuse_for_lender(waiter, answer);
+                self.refuse_for_lender(now, waiter, answer);
             }
         } else {
             self.ask_next(now, page, &budget, &request);
@@ -172,12 +173,12 @@
         self.reschedule(now, page);
     }
 
-    fn refuse_for_lender(&mut self, waiter: Waiter, answer: LoanAnswer) {
+    fn refuse_for_lender(&mut self, now: Timestamp, waiter: Waiter, answer: LoanAnswer) {
         if answer == LoanAnswer::Held {
-            return self.refuse_held(waiter);
+            return self.refuse_held(now, waiter);
         }
         let detail = format!("the budget does not cover {} tokens", waiter.amount);
-        self.refuse(waiter.request, Code::BudgetSpent, detail);
+        self.refuse(now, waiter.request, Code::BudgetSpent, detail);
     }
 
     /// Waits longer for a lender whose tokens are locked for now.
@@ -280,15 +281,16 @@
         }
         grant.waiters.retain(|waiter| !lost.contains(&waiter.request));
         for request in lost {
-            self.refuse_unreachable(request);
+            self.refuse_unreachable(now, request);
         }
     }
 
-    fn refuse_unreachable(&mut self, request: RequestId) {
+    fn refuse_unreachable(&mut self, now: Timestamp, request: RequestId) {
         self.requests.remove(&request);
         let detail = "the store does not answer and no other router has tokens to lend";
         let refusal = Refusal::not_run(Code::BudgetUnreachable, detail);
-        let refusal = refusal.retry_after(self.policy.retry_limit);
+        let span = self.outage.come_back(now, self.policy.retry_limit);
+        let refusal = refusal.retry_after(span);
         self.ready.push(HolderAction::Refused(request, refusal));
     }
 
--- a/crates/berylwheel-budget/src/holder/mod.rs
+++ b/crates/berylwheel-budget/src/holder/mod.rs
@@ -1,6 +1,7 @@
 //! What one router holds of the budgets, and the requests that draw on it.
 
 mod action;
+mod again;
 mod core;
 mod dump;
 mod grant;
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -188,7 +188,7 @@
         }
         for waiter in expired {
             let detail = format!("no grant for {} tokens in time", waiter.amount);
-            self.refuse(waiter.request, Code::BudgetUnreachable, detail);
+            self.refuse(now, waiter.request, Code::BudgetUnreachable, detail);
         }
     }
 }
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -127,38 +127,52 @@
 }
 
 impl Holder {
-    pub(super) fn refuse(&mut self, request: RequestId, code: Code, detail: impl Into<String>) {
+    pub(super) fn refuse(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        code: Code,
+        detail: impl Into<String>,
+    ) {
         self.requests.remove(&request);
         let refusal = Refusal::not_run(code, detail);
+        let span = self.outage.come_back(now, self.policy.wait_limit);
         let refusal = match code {
-            Code::BudgetUnreachable => refusal.retry_after(self.policy.wait_limit),
+            Code::BudgetUnreachable => refusal.retry_after(span),
             _ => refusal,
         };
         self.ready.push(HolderAction::Refused(request, refusal));
     }
 
     /// Refuses a request that the budget would cover if other holders returned what they have.
-    pub(super) fn refuse_held(&mut self, waiter: Waiter) {
-        self.requests.remove(&waiter.request);
+    pub(super) fn refuse_held(&mut self, now: Timestamp, waiter: Waiter) {
+        let least = self.policy.wait_limit;
+        let mut span = least;
+        if let Some((id, budget)) = self.requests.remove(&waiter.request)
+            && let Some(grant) =
+                self.pages.get_mut(&id).and_then(|page| page.grants.get_mut(&budget))
+        {
+            grant.kept.note(now);
+            span = grant.kept.come_back(now, least);
+        }
         let detail = format!("other routers hold the {} tokens asked for", waiter.amount);
-        let refusal =
-            Refusal::not_run(Code::BudgetSpent, detail).retry_after(self.policy.wait_limit);
+        let refusal = Refusal::not_run(Code::BudgetSpent, detail).retry_after(span);
         self.ready.push(HolderAction::Refused(waiter.request, refusal));
     }
 
     /// Refuses every request that waits for a budget of the page.
-    pub(super) fn refuse_all(&mut self, id: PageId, code: Code, detail: &str) {
+    pub(super) fn refuse_all(&mut self, now: Timestamp, id: PageId, code: Code, detail: &str) {
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
         let waiters = page.grants.values_mut().flat_map(|grant| std::mem::take(&mut grant.waiters));
         for waiter in waiters.collect::<Vec<_>>() {
-            self.refuse(waiter.request, code, detail);
+            self.refuse(now, waiter.request, code, detail);
         }
     }
 
     /// Refuses requests for budgets that the page does not have, and forgets these budgets.
-    pub(super) fn refuse_unknown(&mut self, id: PageId, content: &LedgerPage) {
+    pub(super) fn refuse_unknown(&mut self, now: Timestamp, id: PageId, content: &LedgerPage) {
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
@@ -175,7 +189,7 @@
             !grant.is_empty()
         });
         for (request, detail) in refused {
-            self.refuse(request, Code::UnknownBudget, detail);
+            self.refuse(now, request, Code::UnknownBudget, detail);
         }
     }
 
@@ -195,6 +209,7 @@
                 }
                 let Waiter { request, amount, key, .. } = waiter;
                 grant.admit(request.clone(), amount, key, page.version, now);
+                grant.kept.end();
                 self.ready.push(HolderAction::Reserved(request));
             }
             grant.waiters = waiting;
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -196,7 +196,7 @@
     /// Acts on a page that was just read and has no write pending.
     pub(super) fn use_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
         let restated = self.state_totals(now, id, &mut content) | self.return_own(&mut content);
-        self.refuse_unknown(id, &content);
+        self.refuse_unknown(now, id, &content);
         if let Some(page) = self.pages.get_mut(&id) {
             for (budget, grant) in &mut page.grants {
                 // The page is the authority: an operator may have released the row.
@@ -302,12 +302,12 @@
             self.borrow_for(now, id, &budget);
         }
         for waiter in held {
-            self.refuse_held(waiter);
+            self.refuse_held(now, waiter);
         }
         for (waiter, closed) in refused {
             let detail = if closed { "budget is closed" } else { "balance and grants fall short" };
             let detail = format!("{detail} for {} tokens", waiter.amount);
-            self.refuse(waiter.request, Code::BudgetSpent, detail);
+            self.refuse(now, waiter.request, Code::BudgetSpent, detail);
         }
     }
 }
--- /dev/null
+++ b/crates/berylwheel-budget/tests/come_back.rs
@@ -0,0 +1,80 @@
+//! When a refused caller is told to come back.
+
+mod ledger;
+
+use berylwheel_budget::Holder;
+use berylwheel_budget::HolderAction;
+use berylwheel_types::Millis;
+use ledger::Ledger;
+use ledger::ask;
+use ledger::at;
+use ledger::holder;
+
+/// Returns the times to come back that a holder tells between two times while the store is down.
+fn told_in_outage(holder: &mut Holder, from: u64, to: u64) -> Vec<Millis> {
+    let mut told = Vec::new();
+    for ms in (from..to).step_by(50) {
+        for action in holder.poll(at(ms)) {
+            match action {
+                HolderAction::Read(page) => holder.read_failed(at(ms), page),
+                HolderAction::Refused(_, refusal) => told.extend(refusal.retry_after),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    told
+}
+
+/// Guards against callers that are told to come back every second through a long outage: the longer
+/// the store has been silent, the later it is worth to ask again, up to a limit.
+#[test]
+fn the_time_to_come_back_grows_with_the_outage() {
+    let mut ledger = Ledger::new(1_000);
+    let mut holder = holder("r1@1", 1);
+    holder.reserve(at(0), ask("q1", 10, None));
+    assert_eq!(told_in_outage(&mut holder, 0, 3_000), [Millis(2_000)]);
+    holder.reserve(at(5_000), ask("q2", 10, None));
+    assert_eq!(told_in_outage(&mut holder, 5_000, 9_000), [Millis(7_000)]);
+    holder.reserve(at(60_000), ask("q3", 10, None));
+    assert_eq!(told_in_outage(&mut holder, 60_000, 64_000), [Millis(8_000)]);
+    // The store answers for a while, so that the next outage counts from its own beginning.
+    holder.reserve(at(65_000), ask("q4", 10, None));
+    let mut served = Vec::new();
+    for ms in (65_000..68_000).step_by(50) {
+        served.extend(ledger.serve(at(ms), &mut holder));
+    }
+    assert_eq!(served, [("q4".into(), None)]);
+    holder.reserve(at(70_000), ask("q5", 2_000, None));
+    assert!(told_in_outage(&mut holder, 70_000, 74_000).iter().all(|span| *span <= Millis(2_500)));
+}
+
+/// Guards against callers that are told to come back as often as the first time to a budget whose
+/// tokens others have held for seconds.
+#[test]
+fn the_time_to_come_back_grows_while_others_hold_the_tokens() {
+    let mut ledger = Ledger::new(1_000);
+    let (mut first, mut second) = (holder("r1@1", 1), holder("r2@1", 1));
+    first.reserve(at(0), ask("q1", 800, None));
+    ledger.serve(at(0), &mut first);
+    let mut told = Vec::new();
+    for (number, start) in [(2, 10_u64), (3, 3_000), (4, 6_000)] {
+        second.reserve(at(start), ask(&format!("q{number}"), 500, None));
+        for ms in start..start + 2_500 {
+            for action in second.poll(at(ms)) {
+                match action {
+                    HolderAction::Read(page) => {
+                        second.page_read(at(ms), page, ledger.revision, ledger.page.clone());
+                    }
+                    HolderAction::Write { page, expected, content } => {
+                        let result = ledger.write(expected, content);
+                        second.page_written(at(ms), page, result);
+                    }
+                    HolderAction::Refused(_, refusal) => told.extend(refusal.retry_after),
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert_eq!((told.len(), ledger.balance(), ledger.billed()), (3, 200, 0));
+    assert!(told[0] < told[1] && told[1] < told[2], "{told:?}");
+}
