Log failed reads and writes of the ledger and the configuration

Cause: a read or write of a ledger page that failed, and a configuration that could not be read, left no log line; events to an ended control thread were dropped silently. Change: one line each with page and error; Effects::send and Running::tell say when the control thread has ended. No decision changes.

--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -15,7 +15,6 @@
 use berylwheel_store::Compare;
 use berylwheel_store::Put;
 use berylwheel_store::Store;
-use berylwheel_store::StoreError;
 use berylwheel_store::SwapResult;
 use berylwheel_types::BackendId;
 use berylwheel_types::Clock;
@@ -49,23 +48,33 @@
 impl Effects {
     /// Runs `task` and sends the event that it returns.
     pub fn start(&self, task: impl Future<Output = Option<Event>> + Send + 'static) {
-        let events = self.events.clone();
+        let effects = self.clone();
         self.executor
             .spawn(async move {
                 if let Some(event) = task.await {
-                    let _ = events.send(event).await;
+                    effects.send(event).await;
                 }
             })
             .detach();
     }
 
+    /// Sends an event to the control thread, which is gone only when the process ends.
+    pub async fn send(&self, event: Event) {
+        if self.events.send(event).await.is_err() {
+            log::debug!("the control thread has ended");
+        }
+    }
+
     /// Reads a ledger page.
     pub fn read_page(&self, page: PageId) {
         let store = self.store.clone();
         self.start(async move {
             let entries = match store.range(&page.key(), false, 1).await {
                 Ok(entries) => entries,
-                Err(_) => return Some(Event::ReadFailed(page)),
+                Err(error) => {
+                    log::info!(page:% = page, error:% = error; "ledger page not read");
+                    return Some(Event::ReadFailed(page));
+                }
             };
             let Some(entry) = entries.first() else {
                 return Some(Event::PageRead(page, 0, LedgerPage::default()));
@@ -89,9 +98,12 @@
             let result = match store.swap(vec![compare], vec![put]).await {
                 Ok(SwapResult::Won(revision)) => WriteResult::Won(revision),
                 Ok(SwapResult::Lost(_)) => WriteResult::Lost,
-                Err(StoreError::Unknown) => WriteResult::Unknown,
-                // Not sent, or refused: the holder reads the page again, as after a lost answer.
-                Err(_) => WriteResult::Unknown,
+                // Also where it was not sent, or refused: the holder reads the page again, as after a
+                // lost answer.
+                Err(error) => {
+                    log::info!(page:% = page, error:% = error; "ledger page not written");
+                    WriteResult::Unknown
+                }
             };
             Some(Event::PageWritten(page, result))
         });
--- a/crates/berylwheel-router/src/fleet/registry.rs
+++ b/crates/berylwheel-router/src/fleet/registry.rs
@@ -100,7 +100,7 @@
                 continue;
             }
         };
-        let _ = effects.events.send(Event::Registered).await;
+        effects.send(Event::Registered).await;
         loop {
             Timer::after(RENEWAL.duration()).await;
             match store.keep_alive(lease).await {
@@ -139,12 +139,17 @@
 /// Removes a router that has returned all its grants.
 pub async fn deregister(store: &Arc<dyn Store>, own: &Incarnation) {
     let key = key_of(&own.router);
-    let Ok(entries) = store.range(&key, false, 1).await else { return };
+    let entries = match store.range(&key, false, 1).await {
+        Ok(entries) => entries,
+        Err(error) => return log::warn!(error:% = error; "router not taken off the list"),
+    };
     for entry in entries {
         let found: Option<Registered> = serde_json::from_slice(&entry.value).ok();
         if found.is_some_and(|found| found.incarnation == *own) {
             let compare = Compare::new(key.clone(), entry.revision);
-            let _ = store.swap(vec![compare], vec![Put::delete(key.clone())]).await;
+            if let Err(error) = store.swap(vec![compare], vec![Put::delete(key.clone())]).await {
+                log::warn!(error:% = error; "router not taken off the list");
+            }
         }
     }
 }
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -233,8 +233,8 @@
         Adapter::None => registry::register(&effects.store, &own).await,
         Adapter::Platform => return registry::hold_entry(&effects, &own).await,
     };
-    let _ = effects.events.send(Event::Registered).await;
+    effects.send(Event::Registered).await;
     for run in entry.ended {
-        let _ = effects.events.send(Event::Ended(run)).await;
+        effects.send(Event::Ended(run)).await;
     }
 }
--- a/crates/berylwheel-router/src/fleet/versions.rs
+++ b/crates/berylwheel-router/src/fleet/versions.rs
@@ -115,7 +115,10 @@
             };
             match read_parts(&store, &wanted).await {
                 Ok(parts) => Some(Event::PartsRead(root, parts)),
-                Err(_) => Some(Event::ConfigFailed),
+                Err(error) => {
+                    log::info!(error:% = error; "parts of the configuration not read");
+                    Some(Event::ConfigFailed)
+                }
             }
         });
     }
@@ -134,7 +137,10 @@
 async fn root_event(store: &Arc<dyn Store>) -> Event {
     match read_root(store).await {
         Ok(root) => Event::RootRead(root.map(|(root, _)| root)),
-        Err(_) => Event::ConfigFailed,
+        Err(error) => {
+            log::info!(error:% = error; "configuration not read");
+            Event::ConfigFailed
+        }
     }
 }
 
@@ -147,10 +153,11 @@
                 if let Some(entry) = entries.last() {
                     revision = entry.revision + 1;
                     let event = root_event(&effects.store).await;
-                    let _ = effects.events.send(event).await;
+                    effects.send(event).await;
                 }
             }
-            Err(_) => {
+            Err(error) => {
+                log::debug!(error:% = error; "watch of the configuration ended");
                 revision = 0;
                 Timer::after(WATCH_PAUSE.duration()).await;
             }
--- a/crates/berylwheel-router/src/forward/follow.rs
+++ b/crates/berylwheel-router/src/forward/follow.rs
@@ -63,7 +63,7 @@
 async fn take_configuration(effects: &Effects, platform: &dyn Platform, entry: &Entry) {
     match platform.configuration(&entry.value) {
         Ok(stated) => {
-            let _ = effects.events.send(Event::Stated(Box::new(stated))).await;
+            effects.send(Event::Stated(Box::new(stated))).await;
         }
         Err(error) => log::error!(revision = entry.revision; "configuration refused: {error}"),
     }
@@ -77,7 +77,7 @@
             Ok(read) => read,
             Err(error) => {
                 log::debug!(error:% = error; "list of servers not read");
-                let _ = effects.events.send(Event::Servers(ServerNews::StoreFailed)).await;
+                effects.send(Event::Servers(ServerNews::StoreFailed)).await;
                 Timer::after(PAUSE.duration()).await;
                 continue;
             }
@@ -87,14 +87,14 @@
             _ => None,
         });
         let news = ServerNews::All(listed.collect());
-        let _ = effects.events.send(Event::Servers(news)).await;
+        effects.send(Event::Servers(news)).await;
         loop {
             match effects.store.watch(&prefix, revision + 1).await {
                 Ok(changes) => {
                     for change in &changes {
                         revision = revision.max(change.revision);
                         if let Some(news) = news_of(platform.as_ref(), change) {
-                            let _ = effects.events.send(Event::Servers(news)).await;
+                            effects.send(Event::Servers(news)).await;
                         }
                     }
                 }
@@ -102,7 +102,7 @@
                     log_failure("list of servers", &error);
                     if !matches!(error, StoreError::Compacted(_)) {
                         let news = ServerNews::StoreFailed;
-                        let _ = effects.events.send(Event::Servers(news)).await;
+                        effects.send(Event::Servers(news)).await;
                     }
                     break;
                 }
@@ -133,7 +133,7 @@
             Ok(authority) => {
                 match authority.identity(&name) {
                     Ok(identity) => {
-                        let _ = effects.events.send(Event::Identity(identity)).await;
+                        effects.send(Event::Identity(identity)).await;
                     }
                     Err(error) => log::error!("no certificate for this router: {error}"),
                 }
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -284,25 +284,32 @@
     /// Returns how long to wait before the drain.
     pub fn leave(&self) -> Millis {
         self.departing.store(true, Ordering::Relaxed);
-        let _ = self.events.try_send(Event::Depart);
+        self.tell(Event::Depart);
         self.leave.close();
         self.stop_limit.map_or(Millis(0), |limit| LEAVE_TIME.min(Millis(limit.0 / 2)))
     }
 
+    fn tell(&self, event: Event) {
+        // The channel is unbounded: this fails only once the control thread has ended.
+        if self.events.try_send(event).is_err() {
+            log::debug!("the control thread has ended");
+        }
+    }
+
     /// Starts a graceful shutdown: new work is refused, requests in progress finish.
     pub fn drain(&self) {
-        let _ = self.events.try_send(Event::Drain);
+        self.tell(Event::Drain);
     }
 
     /// Uses new certificates for the link to the other routers. Wrong ones are logged and change
     /// nothing.
     pub fn reload(&self, identity: PeerIdentity) {
-        let _ = self.events.try_send(Event::Reload(identity));
+        self.tell(Event::Reload(identity));
     }
 
     /// Uses the settings of a router that may change while it runs: its part of the retries.
     pub fn reconfigure(&self, settings: RouterSettings) {
-        let _ = self.events.try_send(Event::Settings(Box::new(settings)));
+        self.tell(Event::Settings(Box::new(settings)));
     }
 
     /// Waits until a graceful shutdown has ended, at most for the drain limit of the settings, and
