Bill a stream with its first event, not with its attempt

Cause: an attempt was billed its prompt before it was sent and kept that bill if it might have run. A caller that got nothing sends the request again and was billed a second time.

Ruled out as the way out: recognising the repeated request, as callers send a new id each time.

Change: the bill starts with the first event that is passed on. A failure that a server states is billed nothing.

Budgets reach further, and callers pay for what they got.

--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -8,7 +8,6 @@
 use berylwheel_http::within;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
-use berylwheel_types::Tokens;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -57,12 +56,11 @@
         call: Call,
         admit: Admit,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let (mut ticket, mut start) = Ticket::admit(&self.events, admit).await?;
+        let (ticket, mut start) = Ticket::admit(&self.events, admit).await?;
         let mut tries = Tries::default();
         let opened = loop {
-            // Until the server states otherwise the request counts as run, also if its caller leaves.
-            let before = ticket.used();
-            ticket.set_used(call.prompt + Tokens(call.event_tokens));
+            // Nothing is billed before the first event is passed on: a caller that got nothing sends
+            // the request again, and it would be billed twice.
             let failure = match self.open(&call, &start, &tries).await {
                 Ok(Opening::Stream(opened)) => break opened,
                 Ok(Opening::Whole(answered, body)) => {
@@ -74,9 +72,6 @@
                 }
                 Err(failure) => failure,
             };
-            if !failure.may_have_run() {
-                ticket.set_used(before);
-            }
             let outcome = failure.outcome();
             start = match self.next_server(&call, &ticket, &start, &mut tries, failure).await {
                 Ok(next) => next,
