Put a circuit breaker before the platform's store

Cause: in an outage every page, watch and lease of a router tried again on its own, and each call counts, also one that is refused.

Ruled out: longer pauses in each follower alone; a router has some twenty of them, and the pause has to stay under a second for changes to be in force.

Change: after three failures in a row calls fail at once, and one probe goes out after 250 ms, then each second at most. A lost and a regained store are told once. Tests on a paused clock: at most 15 calls in nine seconds of outage, back within a second, single lost answers do not count; a property.

--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -28,6 +28,7 @@
 use berylwheel_http::timeout;
 use berylwheel_peer::PeerIdentity;
 use berylwheel_settings::RouterSettings;
+use berylwheel_store::GuardedStore;
 use berylwheel_store::HttpStore;
 use berylwheel_store::Store;
 use berylwheel_store::StoreOptions;
@@ -154,7 +155,9 @@
     let store: Arc<dyn Store> = match &edge {
         Edge::Own(_) => Arc::new(HttpStore::new(StoreOptions::new(settings.store.clone()))),
         Edge::Platform(platform) => {
-            platform.store(&settings.store, Upstream::new(executor.clone(), clock.clone()))
+            let upstream = Upstream::new(executor.clone(), clock.clone());
+            let store = platform.store(&settings.store, upstream);
+            Arc::new(GuardedStore::new(store, clock.clone()))
         }
     };
     let effects = Effects {
--- a/crates/berylwheel-store/src/lib.rs
+++ b/crates/berylwheel-store/src/lib.rs
@@ -1,11 +1,15 @@
-//! The key-value service: the trait [`Store`], its HTTP/JSON client and an in-memory fake.
+//! The key-value service: the trait [`Store`], its HTTP/JSON client, a circuit breaker and an
+//! in-memory fake.
 
+mod breaker;
 mod client;
 mod fault;
 mod memory;
 mod store;
 pub mod wire;
 
+pub use breaker::Breaker;
+pub use breaker::GuardedStore;
 pub use client::HttpStore;
 pub use client::StoreOptions;
 pub use fault::Lost;
--- /dev/null
+++ b/crates/berylwheel-store/tests/breaker.rs
@@ -0,0 +1,110 @@
+//! The circuit breaker: how many calls go out while the store fails, and how soon it is used again.
+
+use std::sync::Arc;
+
+use berylwheel_store::Breaker;
+use berylwheel_store::GuardedStore;
+use berylwheel_store::Lost;
+use berylwheel_store::MemoryStore;
+use berylwheel_store::Put;
+use berylwheel_store::Store;
+use berylwheel_store::StoreError;
+use berylwheel_store::StoreFaults;
+use berylwheel_types::Clock;
+use berylwheel_types::ManualClock;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use futures_lite::future::block_on;
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn guarded() -> (ManualClock, MemoryStore, GuardedStore) {
+    let time = ManualClock::new(at(1_000));
+    let clock = Clock::Manual(time.clone());
+    let store = MemoryStore::new(clock.clone());
+    let guarded = GuardedStore::new(Arc::new(store.clone()), clock);
+    (time, store, guarded)
+}
+
+/// Guards against a router that asks a failing store over and over: each call has its price, and the
+/// store needs them least then.
+#[test]
+fn few_calls_go_out_in_an_outage() {
+    let (time, store, guarded) = guarded();
+    store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    let before = store.counts().reads;
+    for _ in 0..90 {
+        for _ in 0..20 {
+            let read = block_on(guarded.range("k", false, 0));
+            assert_eq!(read, Err(StoreError::Unavailable));
+        }
+        time.advance(Millis(100));
+    }
+    let sent = store.counts().reads - before;
+    assert!((9..=15).contains(&sent), "{sent} calls in nine seconds");
+}
+
+/// Guards against a router that finds out late that the store is back.
+#[test]
+fn calls_go_out_again_within_a_second_of_the_return() {
+    let (time, store, guarded) = guarded();
+    store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    for _ in 0..80 {
+        assert!(block_on(guarded.range("k", false, 0)).is_err());
+        time.advance(Millis(100));
+    }
+    store.set_faults(StoreFaults::default());
+    let back = (0..10).any(|_| {
+        time.advance(Millis(100));
+        block_on(guarded.range("k", false, 0)).is_ok()
+    });
+    assert!(back);
+    let all = (0..10).all(|_| block_on(guarded.range("k", false, 0)).is_ok());
+    assert!(all, "after the probe every call goes out");
+}
+
+/// Guards against a breaker that opens on single lost answers, which come while the store is well.
+#[test]
+fn single_lost_answers_do_not_count_as_an_outage() {
+    let (_, store, guarded) = guarded();
+    for _ in 0..20 {
+        store.set_faults(StoreFaults { lose_answers: Lost::Count(1), ..StoreFaults::default() });
+        let put = vec![Put::new("k", "v")];
+        assert_eq!(block_on(guarded.swap(Vec::new(), put)), Err(StoreError::Unknown));
+        assert!(block_on(guarded.range("k", false, 0)).is_ok());
+    }
+}
+
+proptest! {
+    /// Guards against a breaker that stays open after the store is back, whatever came before, and
+    /// against more than one probe in the shortest pause.
+    #[test]
+    fn a_probe_goes_out_every_second(steps in prop::collection::vec((0..400_u64, 0..3_u8), 1..200)) {
+        let mut breaker = Breaker::default();
+        let (mut now, mut last) = (at(1_000), None::<Timestamp>);
+        let mut lost = false;
+        for (span, step) in steps {
+            now += Millis(span);
+            match step {
+                0 => {
+                    lost |= breaker.failed(now);
+                }
+                1 if breaker.admit(now) => {
+                    if lost && let Some(last) = last {
+                        prop_assert!(now.since(last) >= Millis(250));
+                    }
+                    last = lost.then_some(now);
+                }
+                2 => {
+                    lost &= breaker.succeeded(now).is_none();
+                    last = None;
+                }
+                _ => {}
+            }
+        }
+        prop_assert!(breaker.admit(now + Millis(1_000)));
+    }
+}
