Ask the store less often for what changes in batches, or not at all

Ruled out: looking back only where the entry of an earlier run is listed.

Change: 250 ms between an answer with changes and the next watch; entries live for 12 s and are renewed every 3.5 s, as heartbeats tell sooner that a router is gone; a new setting first_start, which the platform states, leaves out the look back. A test of the look back with both cases.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -68,8 +68,8 @@
     pub(super) started: Timestamp,
     /// Where this router listens to its peers, while its clock agrees with theirs.
     pub(super) address: Option<SocketAddr>,
-    /// Whether all pages were looked at for what an earlier run of this router held.
-    pub(super) visited: bool,
+    /// Whether all pages are to be looked at for what an earlier run of this router held.
+    pub(super) look_back: bool,
     pub(super) ready: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
     /// Other holders that can be asked for loans.
@@ -105,7 +105,7 @@
             departing: false,
             started: Timestamp::default(),
             address: None,
-            visited: false,
+            look_back: false,
             ready: Vec::new(),
             timers: BTreeSet::new(),
             lenders: Vec::new(),
@@ -130,11 +130,11 @@
     pub fn set_address(&mut self, now: Timestamp, started: Timestamp, address: Option<SocketAddr>) {
         self.started = started;
         self.address = address;
-        if address.is_none() || self.visited || self.totals.1.is_empty() {
+        if address.is_none() || !self.look_back || self.totals.1.is_empty() {
             return;
         }
         // What an earlier run of this router held can be returned now, from whatever page.
-        self.visited = true;
+        self.look_back = false;
         let budgets = self.totals.1.keys().map(|budget| page_of(budget, self.policy.pages));
         for id in budgets.collect::<Vec<_>>() {
             let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Tells that an earlier run of this router may have left tokens, on whatever page.
+    pub fn note_earlier(&mut self) {
+        self.look_back = true;
+    }
+
     /// Takes in the totals that a version of the configuration states. They are written to the
     /// pages that do not have them yet.
     pub fn set_totals(
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -141,6 +141,9 @@
         let now = self.time_of(&me);
         holder.set_totals(now, Version(self.version), totals);
         let address = SocketAddr::from(([10, 0, 0, slot as u8], 7_000));
+        if self.runs > count as u64 {
+            holder.note_earlier();
+        }
         holder.set_address(now, now, Some(address));
         (me, holder)
     }
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -2,7 +2,17 @@
 
 mod lending;
 
+use std::net::SocketAddr;
+
+use berylwheel_budget::Holder;
+use berylwheel_budget::HolderAction;
+use berylwheel_budget::HolderPolicy;
 use berylwheel_types::Code;
+use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
+use berylwheel_types::Version;
 use lending::Action;
 use lending::World;
 use lending::worlds;
@@ -156,3 +166,28 @@
         Err(error) => panic!("{error}"),
     }
 }
+
+/// Guards against a first run that reads every page for what an earlier run cannot have left, and
+/// against a later run that leaves it there.
+#[test]
+fn only_a_later_run_looks_for_what_was_left() {
+    let reads = |later: bool| {
+        let now = Timestamp::from_millis(1_000_000);
+        let mut holder = Holder::new(run("r1@2"), HolderPolicy::unrecorded(Millis(10_000)));
+        holder.set_lenders((2..40).map(|n| run(&format!("r{n}@1"))).collect());
+        let total = |n: u32| (format!("w{n}/main").parse().expect("budget"), Tokens(1_000));
+        holder.set_totals(now, Version(1), (0..24).map(total).collect());
+        if later {
+            holder.note_earlier();
+        }
+        holder.set_address(now, now, Some(SocketAddr::from(([10, 0, 0, 1], 7_000))));
+        let actions = holder.poll(now + Millis(1_000));
+        actions.iter().filter(|action| matches!(action, HolderAction::Read(_))).count()
+    };
+    let (first, later) = (reads(false), reads(true));
+    assert!(first <= 3 && later >= 15, "{first} and {later} pages");
+}
+
+fn run(name: &str) -> Incarnation {
+    name.parse().expect("incarnation")
+}
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -68,6 +68,9 @@
         if self.settings.is_none() {
             // The number of pages is fixed once budgets exist, and no request comes before this.
             self.holder = Holder::new(self.me.clone(), self.holder_policy(&settings));
+            if !self.own.first_start {
+                self.holder.note_earlier();
+            }
         }
         self.holder.set_totals(now, version, stated_totals(&settings));
         log::info!(version = version.0; "configuration in force");
--- a/crates/berylwheel-router/src/fleet/registry.rs
+++ b/crates/berylwheel-router/src/fleet/registry.rs
@@ -25,9 +25,10 @@
 /// what its last run held.
 const ENDED_LIMIT: usize = 16;
 /// Time after which the entry of a router that does not renew it lapses.
-const ENTRY_TTL: Millis = Millis(6_000);
-/// Interval between renewals: three may fail before the entry lapses.
-const RENEWAL: Millis = Millis(1_500);
+const ENTRY_TTL: Millis = Millis(12_000);
+/// Interval between renewals: two may fail before the entry lapses. Heartbeats tell sooner that a
+/// router is gone; the entry only has to go at all.
+const RENEWAL: Millis = Millis(3_500);
 /// Pause after a failed attempt to register.
 const RETRY_PAUSE: Millis = Millis(1_000);
 
--- a/crates/berylwheel-router/src/forward/follow.rs
+++ b/crates/berylwheel-router/src/forward/follow.rs
@@ -23,6 +23,9 @@
 const AUTHORITY_KEY: &str = "/berylwheel/authority";
 /// Pause after a call of the store that failed. Each call costs, also one that is refused.
 const PAUSE: Millis = Millis(300);
+/// Pause between an answer of a watch with changes and the next watch. Servers come and go in numbers,
+/// and each change would otherwise end a watch of every router.
+const BATCH_TIME: Millis = Millis(250);
 /// Pause between looks for a configuration before the operator has written the first.
 const FIRST_PAUSE: Millis = Millis(200);
 
@@ -50,6 +53,7 @@
                         revision = change.revision;
                         take_configuration(&effects, platform.as_ref(), change).await;
                     }
+                    pause_after(&changes).await;
                 }
                 Err(error) => {
                     log_failure("configuration", &error);
@@ -60,6 +64,13 @@
     }
 }
 
+/// Lets further changes gather for the next watch. One that ended without changes has waited already.
+async fn pause_after(changes: &[Entry]) {
+    if !changes.is_empty() {
+        Timer::after(BATCH_TIME.duration()).await;
+    }
+}
+
 async fn take_configuration(effects: &Effects, platform: &dyn Platform, entry: &Entry) {
     match platform.configuration(&entry.value) {
         Ok(stated) => {
@@ -97,6 +108,7 @@
                             effects.send(Event::Servers(news)).await;
                         }
                     }
+                    pause_after(&changes).await;
                 }
                 Err(error) => {
                     log_failure("list of servers", &error);
--- a/crates/berylwheel-settings/src/model.rs
+++ b/crates/berylwheel-settings/src/model.rs
@@ -142,6 +142,8 @@
     pub retry_share: Option<Share>,
     /// Retries that the fleet may send in ten seconds beyond that share.
     pub retry_extra: Option<u32>,
+    /// Whether the fleet starts for the first time, so that no earlier run has left tokens.
+    pub first_start: bool,
     /// How long a holding of tokens should last without the store.
     pub holding_time: Option<Millis>,
 }
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -156,6 +156,7 @@
         stop_limit: reader.optional("stop_limit")?,
         retry_share: reader.optional("retry_share")?,
         retry_extra: reader.optional("retry_extra")?,
+        first_start: reader.yes_no("first_start")?,
         holding_time: reader.optional("holding_time")?,
     })
 }
@@ -184,6 +185,7 @@
         stop_limit: None,
         retry_share: None,
         retry_extra: None,
+        first_start: false,
         holding_time: None,
     })
 }
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -210,11 +210,11 @@
     text.split(',').map(str::trim).filter(move |_| !text.is_empty())
 }
 
-/// Reads `yes` or `no`.
+/// Reads `yes` or `no`, or what templates write for them.
 pub(crate) fn yes_no(text: &str) -> Option<bool> {
     match text {
-        "yes" => Some(true),
-        "no" => Some(false),
+        "yes" | "true" => Some(true),
+        "no" | "false" => Some(false),
         _ => None,
     }
 }
