Send callers elsewhere while a VM's link is full

Connections to servers of all failure domains, calls of the store and messages of peers time out behind the prompts; so the router learns late of leaving servers.

Ruled out: processor time (the same without it; 6% of a core), the number of sockets (1,316 of 4,100), a full queue of one server (60 servers alike), loss between failure domains (servers of the router's own are hit alike).

Change: a router counts what requests and answers carry. From 70% of the link on it is not ready for 5 s, and answers end their callers' connections while the link is full. The rate is a new setting, link.

--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -20,6 +20,7 @@
 use berylwheel_types::stable_hash;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Uri;
 use http::header;
@@ -80,7 +81,7 @@
         let named = head.id.as_deref().and_then(|id| id.parse().ok());
         let id = named.unwrap_or_else(|| self.next_id());
         let served = Box::pin(self.forward(parts, body, head, id.clone(), arrived)).await;
-        match served {
+        let mut response = match served {
             Ok(response) => response,
             Err(refusal) => {
                 self.metrics.refused(refusal.code);
@@ -91,7 +92,12 @@
                 );
                 refusal_response(self.platform.as_ref(), &refusal, id.as_str())
             }
+        };
+        if self.link.is_full(self.clock.now()) {
+            // The caller's next connection goes to another router, as this one is not ready.
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        response
     }
 
     async fn forward(
@@ -154,7 +160,11 @@
             return Err(Refusal::not_run(Code::BodyTooLarge, detail));
         }
         let memory = self.memory.take(announced.unwrap_or(fleet.body_limit.0))?;
-        let limited = Limited::new(body, fleet.body_limit.0 as usize);
+        let counted = body.map_frame(|frame| {
+            self.link.note(self.clock.now(), frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
+        let limited = Limited::new(counted, fleet.body_limit.0 as usize);
         let read = within(fleet.receive_time, limited.collect()).await;
         match read {
             None => {
--- /dev/null
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -0,0 +1,127 @@
+//! Whether the VM's network link is full, and callers had better go to another VM.
+//!
+//! Answers the load of callers that a balancer sends to few routers: prompts are large, a small VM's
+//! link carries some thirty a second, and behind a full link connections to servers, the store and
+//! the peers time out while other VMs of the failure domain are idle.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use berylwheel_types::BitRate;
+use berylwheel_types::Millis;
+use berylwheel_types::Share;
+use berylwheel_types::Timestamp;
+
+/// The time over which bytes are counted.
+const WINDOW: Millis = Millis(1_000);
+/// Bytes that arrive within this time are counted together.
+const PART_TIME: Millis = Millis(100);
+/// The share of the link that requests and answers may fill. Packet headers take a tenth, and the
+/// store and the peers have to get through.
+const FULL_SHARE: Share = Share::from_permille(700);
+/// How long a router asks for no more callers once its link was full. A balancer takes some two
+/// seconds to notice, and callers that it sends back at once would fill the link again.
+const HOLD_TIME: Millis = Millis(5_000);
+
+/// Counts what requests and answers carry over a link.
+///
+/// ```
+/// use berylwheel_router::LinkLoad;
+/// use berylwheel_types::{BitRate, Millis, Timestamp};
+/// let now = Timestamp::from_millis(0);
+/// let mut load = LinkLoad::new(BitRate(8_000_000));
+/// load.note(now, 800_000);
+/// assert!(load.is_full(now) && !load.wants_callers(now));
+/// let later = now + Millis(2_000);
+/// assert!(!load.is_full(later) && !load.wants_callers(later));
+/// assert!(load.wants_callers(now + Millis(5_000)));
+/// ```
+#[derive(Debug)]
+pub struct LinkLoad {
+    /// Bytes in a window from which the link counts as full.
+    limit: u64,
+    parts: VecDeque<(Timestamp, u64)>,
+    sum: u64,
+    hold_until: Timestamp,
+}
+
+impl LinkLoad {
+    /// Returns the count for a link of the rate `link`.
+    pub fn new(link: BitRate) -> Self {
+        let limit = link.bytes() as f64 * FULL_SHARE.fraction() * WINDOW.0 as f64 / 1_000.0;
+        Self {
+            limit: (limit as u64).max(1),
+            parts: VecDeque::new(),
+            sum: 0,
+            hold_until: Timestamp::default(),
+        }
+    }
+
+    /// Counts bytes that were carried.
+    pub fn note(&mut self, now: Timestamp, bytes: u64) {
+        self.forget(now);
+        match self.parts.back_mut() {
+            Some((since, part)) if now.since(*since) < PART_TIME => *part += bytes,
+            _ => self.parts.push_back((now, bytes)),
+        }
+        self.sum += bytes;
+        if self.sum >= self.limit {
+            self.hold_until = now + HOLD_TIME;
+        }
+    }
+
+    /// Returns whether the link is full now, so that callers should leave.
+    pub fn is_full(&mut self, now: Timestamp) -> bool {
+        self.forget(now);
+        self.sum >= self.limit
+    }
+
+    /// Returns whether more callers may come.
+    pub fn wants_callers(&self, now: Timestamp) -> bool {
+        now >= self.hold_until
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        while let Some((since, part)) = self.parts.front()
+            && now.since(*since) >= WINDOW
+        {
+            self.sum -= part;
+            self.parts.pop_front();
+        }
+    }
+}
+
+/// The load of a link, shared by the tasks that use it; without a link that is known, never full.
+#[derive(Debug, Clone)]
+pub struct SharedLink(Option<Arc<Mutex<LinkLoad>>>);
+
+impl SharedLink {
+    /// Returns the load of a link of the given rate.
+    pub fn new(link: Option<BitRate>) -> Self {
+        Self(link.map(|link| Arc::new(Mutex::new(LinkLoad::new(link)))))
+    }
+
+    pub(crate) fn note(&self, now: Timestamp, bytes: usize) {
+        let Some(mut load) = self.lock() else { return };
+        let wanted = load.wants_callers(now);
+        load.note(now, bytes as u64);
+        if wanted && !load.wants_callers(now) {
+            log::warn!(bytes = load.sum, limit = load.limit; "link is full, callers are sent elsewhere");
+        }
+    }
+
+    pub(crate) fn is_full(&self, now: Timestamp) -> bool {
+        self.lock().is_some_and(|mut load| load.is_full(now))
+    }
+
+    pub(crate) fn wants_callers(&self, now: Timestamp) -> bool {
+        self.lock().is_none_or(|load| load.wants_callers(now))
+    }
+
+    fn lock(&self) -> Option<MutexGuard<'_, LinkLoad>> {
+        self.0.as_ref().map(|load| load.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/berylwheel-router/src/forward/listen.rs
+++ b/crates/berylwheel-router/src/forward/listen.rs
@@ -26,6 +26,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 
+use super::link::SharedLink;
 use super::platform::Platform;
 use crate::calls::memory::BodyMemory;
 use crate::control::event::Event;
@@ -63,6 +64,8 @@
     pub counter: Arc<AtomicU64>,
     /// Memory for the bodies of requests.
     pub memory: BodyMemory,
+    /// What requests and answers carry over the VM's link.
+    pub link: SharedLink,
     /// Set when a planned stop begins, before new work is refused.
     pub leaving: Arc<AtomicBool>,
 }
@@ -119,7 +122,9 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.snapshot.load().open().is_ok()
+        !self.leaving.load(Ordering::Relaxed)
+            && self.snapshot.load().open().is_ok()
+            && self.link.wants_callers(self.clock.now())
     }
 
     /// Returns an id for a request that came without one.
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 pub(crate) mod follow;
+mod link;
 mod listen;
 mod platform;
 mod relay;
@@ -11,6 +12,8 @@
 mod verdict;
 mod whole;
 
+pub use link::LinkLoad;
+pub use link::SharedLink;
 pub use listen::Forwarder;
 pub use platform::AnswerHead;
 pub use platform::AnswerLoad;
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -75,6 +75,7 @@
                 }
             };
             if !bytes.is_empty() {
+                self.forwarder.link.note(self.forwarder.clock.now(), bytes.len());
                 return Some((Ok(Frame::data(bytes)), self));
             }
             let limit = self.pause_limit();
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -90,7 +90,11 @@
         let rest = Millis(limit.0.saturating_sub(self.clock.now().since(started).0));
         let collected = Limited::new(&mut answered.body, ANSWER_LIMIT).collect();
         let body = match within(rest, collected).await {
-            Some(Ok(body)) => body.to_bytes(),
+            Some(Ok(body)) => {
+                let body = body.to_bytes();
+                self.link.note(self.clock.now(), body.len());
+                body
+            }
             Some(Err(error)) => {
                 let detail = format!("{}: answer broke off: {error}", start.server.id);
                 return Err(Failure::Unknown { timed_out: false, detail });
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub use forward::CallerHead;
 pub use forward::Failure;
 pub use forward::Hop;
+pub use forward::LinkLoad;
 pub use forward::Platform;
 pub use forward::PromptPart;
 pub use forward::Stated;
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -52,6 +52,7 @@
 use crate::fleet::state::Fleet;
 use crate::forward::Forwarder;
 use crate::forward::Platform;
+use crate::forward::SharedLink;
 use crate::forward::follow::fetch_identity;
 use crate::forward::follow::follow_configuration;
 use crate::forward::follow::follow_servers;
@@ -207,6 +208,7 @@
             me: me.clone(),
             counter: Arc::new(AtomicU64::new(0)),
             memory: BodyMemory::new(FORWARD_MEMORY),
+            link: SharedLink::new(settings.link),
             leaving: departing.clone(),
         };
         forward(settings, &forwarder, listener, &traffic_executor, leaving, &open)?;
--- a/crates/berylwheel-settings/src/model.rs
+++ b/crates/berylwheel-settings/src/model.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 
 use berylwheel_types::BackendId;
+use berylwheel_types::BitRate;
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
 use berylwheel_types::FailureDomain;
@@ -142,6 +143,8 @@
     pub retry_share: Option<Share>,
     /// Retries that the fleet may send in ten seconds beyond that share.
     pub retry_extra: Option<u32>,
+    /// The rate of the VM's network link, if callers should go elsewhere when it is full.
+    pub link: Option<BitRate>,
     /// Whether the fleet starts for the first time, so that no earlier run has left tokens.
     pub first_start: bool,
     /// How long a holding of tokens should last without the store.
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -156,6 +156,7 @@
         stop_limit: reader.optional("stop_limit")?,
         retry_share: reader.optional("retry_share")?,
         retry_extra: reader.optional("retry_extra")?,
+        link: reader.optional("link")?,
         first_start: reader.yes_no("first_start")?,
         holding_time: reader.optional("holding_time")?,
     })
@@ -185,6 +186,7 @@
         stop_limit: None,
         retry_share: None,
         retry_extra: None,
+        link: None,
         first_start: false,
         holding_time: None,
     })
--- a/crates/berylwheel-settings/src/schema.rs
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -86,6 +86,7 @@
     row("stop_limit", ROUTER, ValueType::Span(100, 24 * HOUR), No),
     row("retry_share", ROUTER, ValueType::Share, No),
     row("retry_extra", ROUTER, ValueType::Count(0, 1_000_000), No),
+    row("link", ROUTER, ValueType::Rate, No),
     row("first_start", ROUTER, ValueType::YesNo, Default("no")),
     row("holding_time", ROUTER, ValueType::Span(100, 24 * HOUR), No),
     row("body_limit", FLEET, ValueType::Size(1_024, 64 * MB), Default("1MB")),
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use berylwheel_types::BackendId;
+use berylwheel_types::BitRate;
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
 use berylwheel_types::KindId;
@@ -31,6 +32,8 @@
     Span(u64, u64),
     /// A size within bounds, in bytes.
     Size(u64, u64),
+    /// A rate of a network link.
+    Rate,
     /// A share of a whole.
     Share,
     /// `yes` or `no`.
@@ -98,6 +101,7 @@
             Self::Tokens(low, high) => within(text.parse(), Tokens(low), Tokens(high)),
             Self::Span(low, high) => within(text.parse(), Millis(low), Millis(high)),
             Self::Size(low, high) => within(text.parse(), ByteSize(low), ByteSize(high)),
+            Self::Rate => parses::<BitRate>(text),
             Self::Share => parses::<Share>(text),
             Self::YesNo => yes_no(text).is_some(),
             Self::Rank => parses::<Rank>(text),
@@ -144,6 +148,7 @@
                 ByteSize(low),
                 ByteSize(high)
             ),
+            Self::Rate => f.write_str("a rate in bits a second, such as 10Mbit"),
             Self::Share => f.write_str("a share from 0% to 100%, such as 50%, 12.5% or 0.2"),
             Self::YesNo => f.write_str("yes or no"),
             Self::Rank => f.write_str("urgent, normal or batch"),
--- a/crates/berylwheel-types/src/lib.rs
+++ b/crates/berylwheel-types/src/lib.rs
@@ -33,6 +33,7 @@
 pub use id::Version;
 pub use id::WorkspaceId;
 pub use loan::LoanAnswer;
+pub use quantity::BitRate;
 pub use quantity::ByteSize;
 pub use quantity::Millis;
 pub use quantity::ParseQuantityError;
--- a/crates/berylwheel-types/src/quantity.rs
+++ b/crates/berylwheel-types/src/quantity.rs
@@ -189,6 +189,50 @@
     }
 }
 
+/// A rate of a network link in bits per second.
+///
+/// ```
+/// use berylwheel_types::BitRate;
+/// assert_eq!("10.0Mbit".parse::<BitRate>().unwrap(), BitRate(10_000_000));
+/// assert_eq!(BitRate(200_000_000).to_string(), "200Mbit");
+/// assert!("10".parse::<BitRate>().is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BitRate(pub u64);
+
+impl BitRate {
+    /// Returns the bytes that pass in a second.
+    pub const fn bytes(self) -> u64 {
+        self.0 / 8
+    }
+}
+
+impl FromStr for BitRate {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = ParseQuantityError { expected: "a rate in bits a second, such as 10Mbit" };
+        let units = [("kbit", 1e3), ("Mbit", 1e6), ("Gbit", 1e9)];
+        let text = text.trim();
+        let split = units.iter().find_map(|(unit, scale)| Some((text.strip_suffix(unit)?, scale)));
+        let (number, scale) = split.ok_or_else(|| error.clone())?;
+        let rate = number.trim().parse::<f64>().map_err(|_| error.clone())? * scale;
+        if !(1e3..=1e12).contains(&rate) {
+            return Err(error);
+        }
+        Ok(Self(rate.round() as u64))
+    }
+}
+
+impl fmt::Display for BitRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n.is_multiple_of(1_000_000) => write!(f, "{}Mbit", n / 1_000_000),
+            n => write!(f, "{}kbit", n / 1_000),
+        }
+    }
+}
+
 /// A share of a whole, in thousandths.
 ///
 /// ```
