Log the tokens of an earlier run that a router returns

After a kill nothing told which tokens had come back, so stranded budgets could not be explained from the logs. One line a returned row, with the run and the amount; it occurs at restarts only.

--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -181,8 +181,15 @@
             (own && young && writer.address == Some(address)).then(|| run.clone())
         };
         let ended: Vec<Incarnation> = content.writers.iter().filter_map(ended).collect();
-        let returned: Tokens = ended.iter().map(|run| content.return_unopened(run)).sum();
-        returned > Tokens::ZERO
+        let mut any = false;
+        for run in ended {
+            let returned = content.return_unopened(&run);
+            if returned > Tokens::ZERO {
+                log::info!(run:% = run, tokens = returned.0; "tokens of an earlier run returned");
+                any = true;
+            }
+        }
+        any
     }
 
     /// Returns whether this holder is the home of each budget of a page; nothing if holders do not
