Give up a server that leaves just after an outage within its bound

Cause: three routers had been cut off until 24.5 s. After an outage an entry that is missing counts for 2.3 s more, as it may have lapsed; that held for a removal that was seen by the watch too. The server's entry went at 25.4 s, the routers knew at once and gave it up at 27.0 s and 27.6 s.

Ruled out: a watch that hangs (it answered at once; a trial with log lines), the news of peers (not used while the router has a list), the new pause of watches.

Change: a removal that is seen counts for a second at most; probes go out twice a second, and followers try again after 100 ms, since denied calls do not go out. A test of the list fails before; the breaker's tests have the new figures.

--- a/crates/berylwheel-route/src/listed.rs
+++ b/crates/berylwheel-route/src/listed.rs
@@ -11,6 +11,10 @@
 /// intervals of more than a second.
 const OUTAGE_LEAST: Millis = Millis(1_000);
 
+/// How long an entry counts at most whose removal was seen after an outage. It may have lapsed, as the
+/// server had no time to renew it, or the server leaves and must get no work two seconds later.
+const REMOVED_TIME: Millis = Millis(1_000);
+
 /// What a server says of itself in the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listing {
@@ -118,7 +122,7 @@
         match news {
             ServerNews::All(listed) => self.replace(now, listed),
             ServerNews::Changed(listed) => self.set(*listed),
-            ServerNews::Removed(id) => self.miss(now, &id),
+            ServerNews::Removed(id) => self.miss(now, &id, REMOVED_TIME),
             ServerNews::StoreFailed => {}
         }
     }
@@ -155,7 +159,7 @@
             self.set(entry);
         }
         for id in missing {
-            self.miss(now, &id);
+            self.miss(now, &id, self.lapse_time);
         }
         self.changed();
     }
@@ -180,10 +184,13 @@
         }
     }
 
-    fn miss(&mut self, now: Timestamp, id: &BackendId) {
+    /// Notes that an entry is not there. After an outage it counts for at most `limit` more.
+    fn miss(&mut self, now: Timestamp, id: &BackendId, limit: Millis) {
         let lapsed = self.back.map(|back| back + self.lapse_time).filter(|until| now < *until);
         match (lapsed, self.entries.get_mut(id)) {
-            (Some(until), Some(entry)) => entry.missing = entry.missing.or(Some(until)),
+            (Some(until), Some(entry)) => {
+                entry.missing = entry.missing.or(Some(until.min(now + limit)));
+            }
             (None, Some(_)) => {
                 self.entries.remove(id);
                 self.changed().left.push(id.clone());
--- a/crates/berylwheel-route/tests/listed.rs
+++ b/crates/berylwheel-route/tests/listed.rs
@@ -55,6 +55,18 @@
     assert_eq!(usable(&mut list, 7_000).as_deref(), Some("a"));
 }
 
+/// Guards against work for a server that leaves just after an outage, until entries had time to return:
+/// it has to get none two seconds after it has said so.
+#[test]
+fn a_server_that_leaves_after_an_outage_is_not_used_for_long() {
+    let mut list = list_of(&["a", "b"]);
+    list.take(at(100), ServerNews::StoreFailed);
+    list.take(at(5_000), ServerNews::All(vec![entry("a"), entry("b")]));
+    list.poll(at(5_000));
+    list.take(at(5_100), ServerNews::Removed(id("b")));
+    assert_eq!(usable(&mut list, 6_100).as_deref(), Some("a"));
+}
+
 /// Guards against work for a server whose entry went while the store answered: a short failure, such
 /// as a watch that is cut, lets no entry lapse.
 #[test]
--- a/crates/berylwheel-router/src/forward/follow.rs
+++ b/crates/berylwheel-router/src/forward/follow.rs
@@ -21,8 +21,9 @@
 
 /// The store key of the routers' authority.
 const AUTHORITY_KEY: &str = "/berylwheel/authority";
-/// Pause after a call of the store that failed. Each call costs, also one that is refused.
-const PAUSE: Millis = Millis(300);
+/// Pause after a call of the store that failed. While the store is lost, calls but for probes fail
+/// without going out.
+const PAUSE: Millis = Millis(100);
 /// Pause between an answer of a watch with changes and the next watch. Servers come and go in numbers,
 /// and each change would otherwise end a watch of every router.
 const BATCH_TIME: Millis = Millis(250);
--- a/crates/berylwheel-store/src/breaker.rs
+++ b/crates/berylwheel-store/src/breaker.rs
@@ -25,8 +25,9 @@
 const FAILURE_LIMIT: u32 = 3;
 /// Pause before the first probe.
 const PAUSE_FIRST: Millis = Millis(250);
-/// Longest pause between probes. Changes have to be in force two seconds after the store is back.
-const PAUSE_LIMIT: Millis = Millis(1_000);
+/// Longest pause between probes. A router that reaches the store again has three seconds to give up
+/// servers that left meanwhile, and missing entries count for 2.3 s of them.
+const PAUSE_LIMIT: Millis = Millis(500);
 
 /// Decides which calls go out.
 ///
--- a/crates/berylwheel-store/tests/breaker.rs
+++ b/crates/berylwheel-store/tests/breaker.rs
@@ -44,12 +44,13 @@
         time.advance(Millis(100));
     }
     let sent = store.counts().reads - before;
-    assert!((9..=15).contains(&sent), "{sent} calls in nine seconds");
+    // Three failures, then two probes a second.
+    assert!(sent <= 3 + 2 * 9 + 1, "{sent} calls in nine seconds");
 }
 
 /// Guards against a router that finds out late that the store is back.
 #[test]
-fn calls_go_out_again_within_a_second_of_the_return() {
+fn calls_go_out_again_soon_after_the_return() {
     let (time, store, guarded) = guarded();
     store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
     for _ in 0..80 {
@@ -57,7 +58,7 @@
         time.advance(Millis(100));
     }
     store.set_faults(StoreFaults::default());
-    let back = (0..10).any(|_| {
+    let back = (0..5).any(|_| {
         time.advance(Millis(100));
         block_on(guarded.range("k", false, 0)).is_ok()
     });
@@ -82,7 +83,7 @@
     /// Guards against a breaker that stays open after the store is back, whatever came before, and
     /// against more than one probe in the shortest pause.
     #[test]
-    fn a_probe_goes_out_every_second(steps in prop::collection::vec((0..400_u64, 0..3_u8), 1..200)) {
+    fn a_probe_goes_out_twice_a_second(steps in prop::collection::vec((0..400_u64, 0..3_u8), 1..200)) {
         let mut breaker = Breaker::default();
         let (mut now, mut last) = (at(1_000), None::<Timestamp>);
         let mut lost = false;
@@ -105,6 +106,6 @@
                 _ => {}
             }
         }
-        prop_assert!(breaker.admit(now + Millis(1_000)));
+        prop_assert!(breaker.admit(now + Millis(500)));
     }
 }
