--- /dev/null
+++ b/crates/berylwheel-command/src/explain.rs
@@ -0,0 +1,174 @@
+//! `berylwheel explain`
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+use berylwheel_types::Code;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+/// The name under which lines of the standard input are shown.
+const INPUT: &str = "stdin";
+/// Lines that tell the state of what a router depends on. Of each row the latest one before the
+/// request's end is shown.
+const STATES: [&[&str]; 5] = [
+    &["started"],
+    &["configuration in force"],
+    &["store lost", "store regained"],
+    &["watch ended", "history is gone, reading anew"],
+    &["link is full"],
+];
+/// Lines that tell the state of one server.
+const SERVER_STATE: &str = "server leaves or is gone";
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new("explain")
+        .about("Prints what the logs tell of one request, and of what it met")
+        .arg(Arg::new("id").value_name("ID").required(true).help("The id of the request"))
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of routers, one file each; the standard input if none is named"),
+        )
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Fails if a file cannot be read or no line names the request.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let id = args.get_one::<String>("id").context("no id")?;
+    let mut logs = Vec::new();
+    for path in args.get_many::<PathBuf>("file").into_iter().flatten() {
+        // A line that was cut by a kill need not be text.
+        let bytes =
+            std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
+        logs.push((name_of(path), String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    if logs.is_empty() {
+        let text = io::read_to_string(io::stdin()).context("cannot read the standard input")?;
+        logs.push((INPUT.to_owned(), text));
+    }
+    match explain(id, &logs) {
+        Some(text) => print!("{text}"),
+        None => bail!(
+            "no line names the request {id}; lines of level info tell refusals and failures only"
+        ),
+    }
+    Ok(())
+}
+
+fn name_of(path: &Path) -> String {
+    path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy().into_owned()
+}
+
+/// Returns what `logs`, each with its name, tell of the request `id`: its lines in order, what its
+/// refusal means, and the state of what the routers that had it depend on. Nothing if no line names it.
+///
+/// ```
+/// let log = "[2026-08-24T16:09:41Z INFO  router] refused: late request=a1 code=1312 ran=not-run ms=4\n";
+/// let text = berylwheel_command::explain("a1", &[("r1".to_owned(), log.to_owned())]).unwrap();
+/// assert!(text.contains("1312 deadline cannot be met"));
+/// ```
+pub fn explain(id: &str, logs: &[(String, String)]) -> Option<String> {
+    let mut lines = Vec::new();
+    let mut states = Vec::new();
+    let mut routers: BTreeMap<&str, Vec<Record>> = BTreeMap::new();
+    for (name, text) in logs {
+        for record in text.lines().filter_map(Record::read) {
+            routers.entry(record.router.unwrap_or(name)).or_default().push(record);
+        }
+    }
+    for (name, records) in &routers {
+        let own: Vec<usize> =
+            (0..records.len()).filter(|at| records[*at].field("request") == Some(id)).collect();
+        let Some(last) = own.last() else { continue };
+        let servers: Vec<&str> = own.iter().filter_map(|at| records[*at].field("server")).collect();
+        states.extend(state_of(&records[..=*last], &servers).into_iter().map(|line| (name, line)));
+        lines.extend(own.into_iter().map(|at| (records[at].time, name, records[at].clone())));
+    }
+    if lines.is_empty() {
+        return None;
+    }
+    // Lines of one router keep their order, since times are whole seconds.
+    lines.sort_by_key(|(time, ..)| *time);
+    let mut out = format!("request {id}\n");
+    let named = format!(" request={id}");
+    for (time, name, record) in &lines {
+        let _ = writeln!(out, "  {time} {name}: {}", record.text.replacen(&named, "", 1));
+    }
+    if let Some(code) = lines.iter().rev().find_map(|(_, _, record)| code_of(record)) {
+        let _ = writeln!(out, "meaning\n  {code}: {}", code.help());
+    }
+    if !states.is_empty() {
+        out.push_str("state before its end\n");
+    }
+    for (name, record) in states {
+        let _ = writeln!(out, "  {} {name}: {}", record.time, record.text);
+    }
+    Some(out)
+}
+
+fn code_of(record: &Record) -> Option<Code> {
+    let number: u16 = record.field("code")?.parse().ok()?;
+    Code::ALL.iter().copied().find(|code| code.number() == number)
+}
+
+/// Returns the latest line of each state, in order.
+fn state_of<'a>(records: &[Record<'a>], servers: &[&str]) -> Vec<Record<'a>> {
+    let mut latest: BTreeMap<usize, usize> = BTreeMap::new();
+    // What an earlier run knew is gone.
+    let start = records.iter().rposition(|record| record.text.starts_with("started")).unwrap_or(0);
+    for (at, record) in records.iter().enumerate().skip(start) {
+        let state =
+            STATES.iter().position(|row| row.iter().any(|text| record.text.starts_with(text)));
+        if let Some(state) = state {
+            latest.insert(state, at);
+        }
+        let server = servers.iter().position(|server| record.field("server") == Some(*server));
+        if let Some(server) = server.filter(|_| record.text.starts_with(SERVER_STATE)) {
+            latest.insert(STATES.len() + server, at);
+        }
+    }
+    let mut lines: Vec<usize> = latest.into_values().collect();
+    lines.sort_unstable();
+    lines.dedup();
+    lines.into_iter().map(|at| records[at].clone()).collect()
+}
+
+/// A line of a router's log, `[TIME LEVEL PART] TEXT`. A collector may put words before it, the last of
+/// which names the router.
+#[derive(Debug, Clone)]
+struct Record<'a> {
+    router: Option<&'a str>,
+    time: &'a str,
+    text: &'a str,
+}
+
+impl<'a> Record<'a> {
+    fn read(line: &'a str) -> Option<Self> {
+        let (before, rest) = line.split_once('[')?;
+        let (head, text) = rest.split_once("] ")?;
+        let time = head.split(' ').next()?;
+        let router = before.split_whitespace().next_back();
+        Some(Self { router, time, text })
+    }
+
+    /// Returns the value of a field that has no spaces.
+    fn field(&self, key: &str) -> Option<&'a str> {
+        let mut words = self.text.split(' ');
+        words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+    }
+}
--- a/crates/berylwheel-command/src/lib.rs
+++ b/crates/berylwheel-command/src/lib.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod dump;
 mod entity;
+mod explain;
 mod key;
 mod kind;
 mod logging;
@@ -19,5 +20,6 @@
 mod standin;
 mod workspace;
 
+pub use explain::explain;
 pub use logging::LineQueue;
 pub use run::run;
--- a/crates/berylwheel-command/src/run.rs
+++ b/crates/berylwheel-command/src/run.rs
@@ -10,6 +10,7 @@
 use crate::config;
 use crate::demo;
 use crate::dump;
+use crate::explain;
 use crate::key;
 use crate::kind;
 use crate::logging;
@@ -31,6 +32,7 @@
         Some(("check", args)) => check::run(args),
         Some(("demo", _)) => demo::run(),
         Some(("dump", args)) => dump::run(args),
+        Some(("explain", args)) => explain::run(args),
         Some(("budget", args)) => budget::run(args),
         Some(("config", args)) => config::run(args),
         Some(("workspace", args)) => workspace::run(args),
@@ -63,6 +65,7 @@
         .subcommand(check::command())
         .subcommand(demo::command())
         .subcommand(dump::command())
+        .subcommand(explain::command())
         .subcommand(budget::command())
         .subcommand(config::command())
         .subcommand(workspace::command())
