--- a/crates/berylwheel-router/src/forward/link.rs
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -1,7 +1,7 @@
 //! Whether the VM's network link is full, and callers had better go to another VM.
 //!
 //! Answers the load of callers that a balancer sends to few routers: prompts are large, a small VM's
-//! link carries some thirty a second, and behind a full link connections to servers, the store and
+//! link carries some twenty a second, and behind a full link connections to servers, the store and
 //! the peers time out while other VMs of the failure domain are idle.
 
 use std::collections::VecDeque;
