--- a/crates/berylwheel-standin/src/booking.rs
+++ b/crates/berylwheel-standin/src/booking.rs
@@ -109,6 +109,8 @@
             Some(service.call(&path["/calls/".len()..]))
         }
         (Method::Get, "/stats") => Some(exchange::answer(200, &service.stats())),
+        // Routers ask every server for its load; a plain service has none to report.
+        (Method::Get, "/v1/load") => Some(exchange::error(404, "no such path")),
         (Method::Get, _) => service.look_up(&path).await,
         _ => service.book(&mut request, &path).await,
     }
--- a/crates/berylwheel-standin/tests/booking.rs
+++ b/crates/berylwheel-standin/tests/booking.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// Guards against an ordered fault that a router's question for the load uses up before the call
+/// that it is meant for.
+#[test]
+fn a_question_for_the_load_uses_up_no_fault() {
+    run(async |executor| {
+        let (address, _service) =
+            start_booking(any_port(), &executor, BookingOptions::default()).unwrap();
+        let peer = Peer::new(address);
+        peer.order(json!({ "status": 503, "times": 1 })).await;
+        let load = Outgoing::new(Method::Get, "/v1/load");
+        assert_eq!(peer.call(&load).await.unwrap().0, 404, "a plain service reports no load");
+        assert_eq!(peer.call(&book("k")).await.unwrap().0, 503);
+        assert_eq!(peer.call(&book("k")).await.unwrap().0, 200);
+    });
+}
+
 /// Guards against a second booking under one key, and a double run that goes uncounted.
 #[test]
 fn runs_are_counted_by_key_and_deduplicated_on_request() {
