Bound what a killed router spent at any age; hold tokens before the first request

Change: a write promises the open tokens for 3.6 s and then a stated number of tokens a second (`Row::pace`, page format 4); the next run returns what the promise had not opened by its start. A home takes at least 40% of its share once the live routers have been the same for a second, and states totals then. Pages of quiet grants are written every 3 s. Pauses after writes that another came before; 50 ms between reads of a page; refusals on a word of a second.

Tests: the three new ones in tests/loans.rs; 20,000 histories of loans with kills and outages keep every budget.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -14,6 +14,7 @@
 
 use crate::AuditEntry;
 use crate::Serials;
+use crate::holder::opened_in;
 use crate::keys;
 
 /// A retry under the same bill key is recognised for this long after the bill.
@@ -49,6 +50,8 @@
     pub done: Serials,
     /// The most that the holder spends for some time after its last write; everything if not stated.
     pub open: Option<Tokens>,
+    /// Tokens a second that the holder may spend besides once that time is over.
+    pub pace: Tokens,
 }
 
 impl Row {
@@ -57,6 +60,14 @@
         self.granted.saturating_sub(self.returned + self.settled)
     }
 
+    /// Returns the most that the holder has spent when its last write is `age` old and `lock` is the
+    /// time for which only the open tokens may be spent.
+    pub(crate) fn opened(&self, age: Millis, lock: Millis) -> Tokens {
+        let Some(open) = self.open else { return self.outstanding() };
+        let opened = open + opened_in(self.pace, Millis(age.0.saturating_sub(lock.0)));
+        opened.min(self.outstanding())
+    }
+
     /// Returns whether the request with this serial number is settled.
     pub(crate) fn is_settled(&self, serial: u64) -> bool {
         serial < self.serial || self.done.contains(serial)
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -14,6 +14,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
+use berylwheel_types::stable_hash;
 
 use super::action::HolderAction;
 use super::action::Reserve;
@@ -21,6 +22,7 @@
 use super::again::Shortage;
 use super::grant::Grant;
 use super::grant::Waiter;
+use super::homes::Homes;
 use super::loan::Borrower;
 use super::loan::Loan;
 use super::loan::LoanAsk;
@@ -32,6 +34,18 @@
 use crate::UsageTag;
 use crate::page_of;
 
+/// Doublings of the pause after writes that others came before.
+const LOSS_DOUBLINGS: u32 = 4;
+
+/// Returns the pause after a write that another holder's came before, which `draw` spreads.
+///
+/// Answers the load of a fleet that starts again at once: all routers write the same few pages, one of
+/// them wins each time, and the others read the page and try again.
+fn lost_pause(policy: &HolderPolicy, losses: u32, draw: u64) -> Millis {
+    let longest = policy.urgent_gap.0 << losses.min(LOSS_DOUBLINGS);
+    Millis(draw % (longest + 1))
+}
+
 /// The grants of one router incarnation.
 ///
 /// Events go in through the methods, and all that follows from them comes out of [`Holder::poll`].
@@ -74,6 +88,8 @@
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
     /// Other holders that can be asked for loans.
     pub(super) lenders: Vec<Incarnation>,
+    /// The budgets that this holder has to look at as their home.
+    pub(super) homes: Homes,
     pub(super) asks: FastMap<u64, LoanAsk>,
     pub(super) next_loan: u64,
     /// Requests that are reserved at other holders.
@@ -109,6 +125,7 @@
             ready: Vec::new(),
             timers: BTreeSet::new(),
             lenders: Vec::new(),
+            homes: Homes::default(),
             asks: FastMap::default(),
             next_loan: 0,
             borrowed: FastMap::default(),
@@ -157,10 +174,13 @@
         totals: FastMap<BudgetId, Tokens>,
     ) {
         for (budget, total) in &totals {
+            if self.totals.1.get(budget) == Some(total) {
+                continue;
+            }
             // Every holder that reads a page for a need of its own states the totals too, so it is
             // enough that the home looks at once.
-            let other = self.policy.borrow && *self.home_of(budget) != self.me;
-            if other || self.totals.1.get(budget) == Some(total) {
+            if self.policy.borrow {
+                self.homes.unstated.insert(budget.clone());
                 continue;
             }
             let id = page_of(budget, self.policy.pages);
@@ -201,7 +221,8 @@
             return;
         }
         // Tokens in hand that are locked are waited for longer than tokens of others.
-        let unlocked = grant.unlocked_at(ask.amount, &self.policy).unwrap_or(now);
+        let ahead = grant.waiters.iter().map(|waiter| waiter.amount).sum();
+        let unlocked = grant.unlocked_at(ask.amount, ahead, &self.policy).unwrap_or(now);
         let until = unlocked.max(now) + self.policy.wait_limit;
         grant.waiters.push_back(Waiter {
             request: ask.request,
@@ -376,6 +397,7 @@
                 page.confirm(now);
                 page.step = Step::Idle;
                 page.failures = 0;
+                page.losses = 0;
                 self.admit_waiters(now, id);
             }
             WriteResult::Won(_) => {}
@@ -384,6 +406,12 @@
             WriteResult::Lost | WriteResult::Unknown => {
                 page.step = Step::Idle;
                 page.cached = None;
+                if result == WriteResult::Lost && self.policy.borrow {
+                    let draw =
+                        stable_hash(&[self.me.router.as_str(), &pending.sequence.to_string()]);
+                    page.retry_at = now + lost_pause(&self.policy, page.losses, draw);
+                    page.losses += 1;
+                }
             }
         }
         self.reschedule(now, id);
--- a/crates/berylwheel-budget/src/holder/grant.rs
+++ b/crates/berylwheel-budget/src/holder/grant.rs
@@ -136,9 +136,24 @@
         self.free().min(room)
     }
 
-    /// Returns when a reservation of `amount` can start without a write, if it has only to wait.
-    pub(crate) fn unlocked_at(&self, amount: Tokens, policy: &HolderPolicy) -> Option<Timestamp> {
-        self.limits.unlocked_at(policy.lock).filter(|_| amount <= self.free())
+    /// Returns when a reservation of `amount` can start without a write, if it has only to wait behind
+    /// `ahead` tokens of others.
+    pub(crate) fn unlocked_at(
+        &self,
+        amount: Tokens,
+        ahead: Tokens,
+        policy: &HolderPolicy,
+    ) -> Option<Timestamp> {
+        let total = self.total + self.reserved + ahead + amount;
+        self.limits.reaches(total, policy.lock).filter(|_| ahead + amount <= self.free())
+    }
+
+    /// Returns when the tokens for `waiter` are unlocked, behind those for the waiters before it, if
+    /// that is before its deadline.
+    pub(crate) fn unlocked_for(&self, waiter: &Waiter, policy: &HolderPolicy) -> Option<Timestamp> {
+        let before = self.waiters.iter().take_while(|other| other.request != waiter.request);
+        let ahead = before.map(|other| other.amount).sum();
+        self.unlocked_at(waiter.amount, ahead, policy).filter(|at| *at < waiter.deadline)
     }
 
     /// Returns whether requests wait for tokens that are in hand and locked.
@@ -157,6 +172,9 @@
             self.largest = [Tokens::ZERO, self.largest[0]];
             self.largest_since = now;
         }
+        if self.largest() == Tokens::ZERO {
+            self.rate.begin(now);
+        }
         self.largest[0] = self.largest[0].max(amount);
         self.used_at = now;
     }
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -8,6 +8,7 @@
 
 use berylwheel_types::BudgetId;
 use berylwheel_types::Code;
+use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
 use berylwheel_types::LoanAnswer;
 use berylwheel_types::Millis;
@@ -62,11 +63,6 @@
 }
 
 impl Holder {
-    /// Sets the other holders that can be asked for loans now.
-    pub fn set_lenders(&mut self, lenders: Vec<Incarnation>) {
-        self.lenders = lenders;
-    }
-
     /// Returns the holder that others should ask for tokens of `budget`. Holders with different views
     /// of who is live may have different homes; each then holds tokens.
     pub(super) fn home_of(&self, budget: &BudgetId) -> &Incarnation {
@@ -107,7 +103,7 @@
         let (page, budget) = self.requests.get(request)?;
         let grant = self.pages.get(page)?.grants.get(budget)?;
         let waiter = grant.waiters.iter().find(|waiter| waiter.request == *request)?;
-        Some(grant.unlocked_at(waiter.amount, &self.policy)?.since(now))
+        Some(grant.unlocked_for(waiter, &self.policy)?.since(now))
     }
 
     /// Turns what was decided on loans into answers to their borrowers.
@@ -232,12 +228,16 @@
         let Some(grant) = page.grants.get_mut(budget) else { return };
         let mut lost = Vec::new();
         let others = &grant.others;
-        let free = grant.free();
-        let locked = |waiter: &Waiter| waiter.amount <= free;
+        let locked: FastSet<RequestId> = grant
+            .waiters
+            .iter()
+            .filter(|waiter| grant.unlocked_for(waiter, &self.policy).is_some())
+            .map(|waiter| waiter.request.clone())
+            .collect();
         for waiter in grant.waiters.iter_mut().filter(|waiter| !waiter.asking) {
             if self.lending.contains_key(&waiter.request) {
                 // A loan comes from tokens of the lender's own.
-                if failing && !locked(waiter) {
+                if failing && !locked.contains(&waiter.request) {
                     lost.push(waiter.request.clone());
                 }
                 continue;
@@ -254,7 +254,7 @@
                 .filter(|lender| !waiter.asked.contains(lender) && !silent(lender));
             let next = left.next().filter(|_| waiter.asked.len() < LENDER_LIMIT).cloned();
             let Some(lender) = next else {
-                if failing && !locked(waiter) {
+                if failing && !locked.contains(&waiter.request) {
                     lost.push(waiter.request.clone());
                 }
                 continue;
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use berylwheel_types::BudgetId;
+use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 
 use super::grant::Grant;
+use crate::HolderPolicy;
 use crate::LedgerPage;
 
 /// The operation in flight.
@@ -62,6 +64,8 @@
     pub(crate) dirty: Option<Timestamp>,
     pub(crate) retry_at: Timestamp,
     pub(crate) failures: u32,
+    /// Writes in a row that another holder's came before.
+    pub(crate) losses: u32,
     /// Whether the page may lack totals that the configuration states.
     pub(crate) restate: bool,
     /// When the page is looked at next.
@@ -85,11 +89,21 @@
             dirty: None,
             retry_at: Timestamp::default(),
             failures: 0,
+            losses: 0,
             restate: false,
             wake: None,
         }
     }
 
+    /// Returns the time after which a page with grants is written again.
+    pub(crate) fn refresh_after(&self, policy: &HolderPolicy) -> Millis {
+        let used = |grant: &Grant| !grant.is_quiet() || grant.used_at > self.written_at;
+        match self.grants.values().any(used) {
+            true => policy.refresh,
+            false => policy.refresh_quiet,
+        }
+    }
+
     pub(crate) fn mark_dirty(&mut self, now: Timestamp) {
         self.dirty.get_or_insert(now);
     }
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -33,7 +33,7 @@
             });
         let returning = grant.free() > Tokens::ZERO || !grant.spent.is_empty();
         let asked = ((grant.recalled || draining) && returning).then_some(urgent);
-        let idle = (grant.held > Tokens::ZERO && grant.is_quiet())
+        let idle = (!policy.borrow && grant.held > Tokens::ZERO && grant.is_quiet())
             .then(|| urgent.max(grant.used_at + policy.idle_after));
         [waiting, asked, idle].into_iter().flatten().min()
     };
@@ -42,7 +42,7 @@
     let settle = page.dirty.map(|dirty| urgent.max(dirty + interval));
     let restate = page.restate.then_some(urgent);
     let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
-    let refresh = holds.then(|| urgent.max(page.written_at + policy.refresh));
+    let refresh = holds.then(|| urgent.max(page.written_at + page.refresh_after(policy)));
     let due = [needed, pending, settle, restate, refresh].into_iter().flatten().min()?;
     Some(due.max(page.retry_at))
 }
@@ -92,11 +92,12 @@
             return Some(Timestamp::default());
         }
         let timer = self.timers.first().map(|(at, _)| *at);
-        timer.into_iter().chain(self.next_expiry()).min()
+        timer.into_iter().chain(self.next_expiry()).chain(self.homes_due()).min()
     }
 
     /// Returns what has to be done now.
     pub fn poll(&mut self, now: Timestamp) -> Vec<HolderAction> {
+        self.take_homes(now);
         while let Some((at, id)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -29,6 +29,10 @@
 /// others asked for.
 const SPARE_PAUSE: Millis = Millis(5_000);
 
+/// Multiple of the expected spend that a holder may spend while the store is lost. Spend doubles
+/// within seconds when a workspace sends more than usual.
+const PACE_FACTOR: u64 = 2;
+
 /// Time between two writes of a page in use.
 const OPEN_TIME: Millis = Millis(1_000);
 
@@ -64,7 +68,8 @@
         }
         let needed = grant.reserved + need;
         let bare = Target { tokens: needed, bare: true };
-        let idle = grant.is_quiet()
+        let idle = self.home != Some(true)
+            && grant.is_quiet()
             && grant.waiters.is_empty()
             && self.now >= grant.used_at + self.policy.idle_after;
         let pausing = grant.recalled || self.now < grant.spare_after;
@@ -168,24 +173,28 @@
     /// Returns the tokens that earlier runs of this router had not opened when they ended, and
     /// returns whether there were any.
     ///
-    /// A run has ended that listened at the same address. It had not opened them if its last write
-    /// is so young that it was still bound by it when this run began.
+    /// A run has ended that listened at the same address, at the latest when this run began. Until
+    /// then its last write bound it.
     fn return_own(&self, content: &mut LedgerPage) -> bool {
         let Some(address) = self.address.filter(|_| self.policy.lock > Millis(0)) else {
             return false;
         };
-        let bound = Millis(self.policy.lock.0.saturating_sub(self.policy.clock_error.0));
         let ended = |(run, writer): (&Incarnation, &Writer)| {
             let own = run.router == self.me.router && *run != self.me;
-            let young = writer.at <= self.started && self.started.since(writer.at) <= bound;
-            (own && young && writer.address == Some(address)).then(|| run.clone())
+            let before = writer.at <= self.started && writer.address == Some(address);
+            let age = Millis(self.started.since(writer.at).0 + self.policy.clock_error.0);
+            (own && before).then(|| (run.clone(), age))
         };
-        let ended: Vec<Incarnation> = content.writers.iter().filter_map(ended).collect();
+        let ended: Vec<_> = content.writers.iter().filter_map(ended).collect();
         let mut any = false;
-        for run in ended {
-            let returned = content.return_unopened(&run);
+        for (run, age) in ended {
+            let returned = content.return_unopened(&run, age, self.policy.lock);
             if returned > Tokens::ZERO {
-                log::info!(run:% = run, tokens = returned.0; "tokens of an earlier run returned");
+                let kept: Tokens = content.accounts.values().map(|a| a.held_by(&run)).sum();
+                log::info!(
+                    run:% = run, tokens = returned.0, kept = kept.0, age = age.0;
+                    "tokens of an earlier run returned"
+                );
                 any = true;
             }
         }
@@ -221,7 +230,8 @@
             content.writers.iter().map(|(holder, last)| (holder.clone(), last.sequence)).collect();
         let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
         page.restate = restated;
-        let mut changed = restated || holds && now >= page.written_at + self.policy.refresh;
+        let mut changed =
+            restated || holds && now >= page.written_at + page.refresh_after(&self.policy);
         // A number is never used for two contents, so a page can tell which one it took.
         let sequence = page.sequence + 1;
         let writer = Writer { sequence, at: now, address: self.address };
@@ -264,9 +274,13 @@
             self.ready.extend(verdict.recalled.into_iter().map(recall));
             let open: Vec<_> = grant.unsettled_after(change.covered).collect();
             let tokens = self.policy.open_tokens(now, grant, account);
+            let pace = self.policy.open_pace(now, grant, account);
             if let Some(row) = account.rows.get_mut(&self.me) {
-                row.open = (self.policy.lock > Millis(0)).then(|| tokens.min(row.outstanding()));
-                limits.push((budget.clone(), grant.total + tokens));
+                if self.policy.lock > Millis(0) {
+                    row.open = Some(tokens.min(row.outstanding()));
+                    row.pace = pace;
+                    limits.push((budget.clone(), grant.total + tokens, pace));
+                }
                 row.hourly = grant.rate.over(now, HOUR);
                 row.floor = open.iter().map(|a| a.version).min().unwrap_or(version);
                 row.since = open.iter().map(|a| a.at).min().unwrap_or(now);
@@ -292,9 +306,9 @@
             page.cached = None;
         }
         if changed {
-            for (budget, cap) in limits {
+            for (budget, cap, pace) in limits {
                 if let Some(grant) = page.grants.get_mut(&budget) {
-                    grant.limits.promise(SpendLimit { cap, since: now });
+                    grant.limits.promise(SpendLimit { cap, pace, since: now });
                 }
             }
             page.sequence = sequence;
@@ -340,4 +354,13 @@
         let part = Tokens((unspent.0 as f64 * self.open.fraction()) as u64);
         grant.reserved + waiting + grant.rate.over(now, OPEN_TIME) + part
     }
+
+    /// Returns the tokens a second that a holder may spend besides when that time is over: twice the
+    /// expected spend, and a part of the budget for one that has not been used much.
+    fn open_pace(&self, now: Timestamp, grant: &Grant, account: &Account) -> Tokens {
+        let unspent = account.balance + account.outstanding();
+        let part = Tokens((unspent.0 as f64 * self.pace.fraction()) as u64);
+        let spend = grant.rate.over(now, OPEN_TIME);
+        part.max(Tokens(spend.0 * PACE_FACTOR))
+    }
 }
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -6,6 +6,7 @@
 
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::stable_hash;
@@ -15,7 +16,7 @@
 use crate::Account;
 
 /// The format of an encoded page, its first byte.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
 /// Encoded sizes of the parts of a page, in bytes, as [`LedgerPage::rough_size`] takes them.
 const ACCOUNT_SIZE: usize = 32;
@@ -217,14 +218,18 @@
         self.version
     }
 
-    /// Returns to the balances what an ended holder had promised not to spend yet, and returns how
-    /// much that was.
-    pub(crate) fn return_unopened(&mut self, holder: &Incarnation) -> Tokens {
+    /// Returns to the balances what an ended holder had promised not to spend yet `age` after its last
+    /// write, and returns how much that was.
+    pub(crate) fn return_unopened(
+        &mut self,
+        holder: &Incarnation,
+        age: Millis,
+        lock: Millis,
+    ) -> Tokens {
         let mut returned = Tokens::ZERO;
         for account in self.accounts.values_mut() {
             let Some(row) = account.rows.get(holder) else { continue };
-            let Some(open) = row.open else { continue };
-            let unopened = row.outstanding().saturating_sub(open);
+            let unopened = row.outstanding().saturating_sub(row.opened(age, lock));
             returned += account.give_back(holder, unopened);
         }
         returned
--- a/crates/berylwheel-budget/src/policy.rs
+++ b/crates/berylwheel-budget/src/policy.rs
@@ -37,10 +37,14 @@
     pub lock: Millis,
     /// The part of the unspent budget that is open besides the spend of a second.
     pub open: Share,
+    /// The least part of the unspent budget that is opened a second when that time is over.
+    pub pace: Share,
     /// How far the clocks of two holders that agree with their peers can differ.
     pub clock_error: Millis,
     /// A page with grants is written at least this often.
     pub refresh: Millis,
+    /// The same for a page whose grants have not been used since the last write.
+    pub refresh_quiet: Millis,
     /// Age of what is known of a page up to which requests are refused on its word.
     pub fresh: Millis,
     /// Whether a page is written from what the last write left, without a read before it.
@@ -83,20 +87,22 @@
             pages: 64,
             horizon,
             share: Share::from_permille(850),
-            least: Share::from_permille(100),
+            least: Share::from_permille(400),
             margin: 1,
             rate_window: Millis(horizon.0 * 2),
             rate_start: Millis(horizon.0 / 5),
             settle_every: Millis(1_000),
             settle_limit: Millis(4_000),
             byte_rate: 128 << 10,
-            urgent_gap: Millis(20),
+            urgent_gap: Millis(50),
             // A process is back within some 2.5 s of the last write before it was killed: one second
             // between writes, and the restart.
             lock: Millis(3_600),
             open: Share::from_permille(80),
+            pace: Share::from_permille(60),
             refresh: Millis(1_000),
-            fresh: Millis(500),
+            refresh_quiet: Millis(3_000),
+            fresh: Millis(1_000),
             cached: true,
             borrow: true,
             recall_wait: Millis(200),
@@ -130,9 +136,11 @@
             urgent_gap: Millis(10),
             lock: Millis(0),
             open: Share::from_permille(0),
+            pace: Share::from_permille(0),
             clock_error: Millis(1_000),
             // So that old bill keys can be dropped.
             refresh: Millis(600_000),
+            refresh_quiet: Millis(600_000),
             fresh: Millis(0),
             cached: false,
             borrow: false,
--- a/crates/berylwheel-budget/src/rate.rs
+++ b/crates/berylwheel-budget/src/rate.rs
@@ -24,6 +24,15 @@
         Self { started: now, updated: now, weight: 0.0, window, start }
     }
 
+    /// Starts the average anew if nothing has been spent yet. Time before the first request says
+    /// nothing about the rate.
+    pub(crate) fn begin(&mut self, now: Timestamp) {
+        if self.weight == 0.0 {
+            self.started = now;
+            self.updated = now;
+        }
+    }
+
     fn decayed(&self, now: Timestamp) -> f64 {
         let gone = now.since(self.updated).0 as f64;
         self.weight * (-gone / self.window.0 as f64).exp()
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -150,8 +150,9 @@
 
     fn know_each_other(&mut self) {
         let all: Vec<Incarnation> = self.holders.iter().map(|(me, _)| me.clone()).collect();
-        for (me, holder) in &mut self.holders {
-            holder.set_lenders(all.iter().filter(|other| *other != me).cloned().collect());
+        let times: Vec<_> = all.iter().map(|me| self.time_of(me)).collect();
+        for ((me, holder), now) in self.holders.iter_mut().zip(times) {
+            holder.set_lenders(now, all.iter().filter(|other| *other != me).cloned().collect());
         }
     }
 
@@ -222,15 +223,32 @@
         self.know_each_other();
     }
 
+    /// Ends a holder without notice, starts it again `dark` milliseconds later, and returns what the
+    /// ended run still has out when the new one has looked for it.
+    pub fn kill_for(&mut self, at: usize, dark: u64) -> u64 {
+        let (dead, _) = self.holders.remove(at);
+        self.know_each_other();
+        self.running.retain(|_, asked| asked.holder != dead);
+        self.advance(dark);
+        let count = self.holders.len() + 1;
+        let started = self.start(at, count);
+        self.holders.insert(at, started);
+        self.know_each_other();
+        self.advance(1_500);
+        let account = self.page.account(&budget()).expect("stated");
+        account.held_by(&dead).0
+    }
+
     /// Announces that a holder stops; the others no longer ask it.
     pub fn depart(&mut self, at: usize) {
         let leaving = self.holders[at].0.clone();
         let now = self.time_of(&leaving);
         self.holders[at].1.depart(now);
         let all: Vec<Incarnation> = self.holders.iter().map(|(me, _)| me.clone()).collect();
-        for (me, holder) in &mut self.holders {
+        let times: Vec<_> = all.iter().map(|me| self.time_of(me)).collect();
+        for ((me, holder), now) in self.holders.iter_mut().zip(times) {
             let others = all.iter().filter(|other| **other != *me && **other != leaving);
-            holder.set_lenders(others.cloned().collect());
+            holder.set_lenders(now, others.cloned().collect());
         }
     }
 
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -132,6 +132,66 @@
     assert_eq!(world.refused(), []);
 }
 
+/// Guards against a workspace whose first request comes while the store is down, and which is refused
+/// until the store is back.
+#[test]
+fn a_budget_that_was_never_used_serves_in_an_outage() {
+    let mut world = World::new(2, 100_000);
+    world.advance(2_000);
+    world.store_up = false;
+    world.advance(500);
+    for at in [0, 1, 0, 1] {
+        world.request(at, 500);
+        world.advance(100);
+    }
+    assert_eq!(world.refused(), []);
+}
+
+/// Guards against a holder that counts the time before its first request as time without spend, and
+/// so holds too little for an outage.
+#[test]
+fn a_quiet_start_does_not_lower_the_holding() {
+    let held = |quiet: u64| {
+        let mut world = World::new(1, 1_000_000);
+        world.advance(4_000 + quiet);
+        for _ in 0..20 {
+            world.request(0, 5_000);
+            world.advance(100);
+            world.end_all(5_000);
+        }
+        world.advance(1_000);
+        world.held_by(0)
+    };
+    let (busy, quiet) = (held(0), held(30_000));
+    assert!(quiet * 10 >= busy * 9, "{quiet} and {busy}");
+}
+
+/// Guards against a VM that is dark for some seconds and strands all that its router held: its row
+/// bounds what was spent at any age.
+#[test]
+fn a_router_that_was_dark_returns_part_of_what_it_held() {
+    let left_of = |dark: u64| {
+        let mut world = World::new(3, 1_000_000);
+        world.advance(2_000);
+        let home = world.home();
+        for _ in 0..30 {
+            world.request(home, 2_000);
+            world.advance(100);
+            world.end_all(2_000);
+        }
+        let held = world.held_by(home);
+        (world.kill_for(home, dark), held)
+    };
+    for dark in [500, 1_500, 2_500] {
+        let (left, held) = left_of(dark);
+        assert!(left * 2 <= held, "dark for {dark} ms: {left} of {held} are out");
+    }
+    let (left, held) = left_of(3_500);
+    assert!(left < held, "{left} of {held} are out");
+    let (left, held) = left_of(30_000);
+    assert_eq!(left, held, "all may have been spent by then");
+}
+
 /// Histories in an ordinary run; `LOAN_HISTORIES` sets another number.
 const CASES: u32 = 1_000;
 
@@ -174,7 +234,7 @@
     let reads = |later: bool| {
         let now = Timestamp::from_millis(1_000_000);
         let mut holder = Holder::new(run("r1@2"), HolderPolicy::unrecorded(Millis(10_000)));
-        holder.set_lenders((2..40).map(|n| run(&format!("r{n}@1"))).collect());
+        holder.set_lenders(now, (2..40).map(|n| run(&format!("r{n}@1"))).collect());
         let total = |n: u32| (format!("w{n}/main").parse().expect("budget"), Tokens(1_000));
         holder.set_totals(now, Version(1), (0..24).map(total).collect());
         if later {
--- a/crates/berylwheel-router/src/fleet/versions.rs
+++ b/crates/berylwheel-router/src/fleet/versions.rs
@@ -49,7 +49,7 @@
         self.holder.set_routers(live);
         self.routes.set_routers(live);
         self.share_retries();
-        self.holder.set_lenders(self.fleet.live_runs());
+        self.holder.set_lenders(now, self.fleet.live_runs());
         let address = self.fleet.clocks.agree(now).then_some(self.fleet.address);
         self.holder.set_address(now, self.started, address);
         if now >= self.fleet.next_vms
