Share the probes of a lost store; let changes gather longer while they go on

Change: heartbeats tell whether a router reaches the store. One that hears that all others have lost it too probes seldom, at times of its own, and the first that reaches it tells the others, which probe at once (`PeerReach`, `Breaker::set_limit`, `Message::StoreRegained`). A router that alone has lost it, or knows too little, probes every half second as before, since it has three seconds to give up servers that left. Watches whose changes follow each other at once pause up to 700 ms.

Ruled out: longer watches. A server list on a connection that has gone silent is known to be old only by them.

--- a/benches/memory/wire.rs
+++ b/benches/memory/wire.rs
@@ -45,6 +45,7 @@
         others: (1..=OTHERS).map(state).collect(),
         served: ranks.flat_map(|rank| (0..shares).map(move |n| (rank, n))).map(share).collect(),
         clock: Timestamp::from_millis(1 << 41),
+        reaches: true,
     };
     heartbeat.encode().expect("a heartbeat").len()
 }
--- a/crates/berylwheel-config/src/lib.rs
+++ b/crates/berylwheel-config/src/lib.rs
@@ -13,6 +13,7 @@
 mod member_state;
 mod part;
 mod paths;
+mod reach;
 mod root;
 mod spread;
 
@@ -49,6 +50,7 @@
 pub use part::join;
 pub use part::split;
 pub use paths::PathTable;
+pub use reach::PeerReach;
 pub use root::HISTORY;
 pub use root::Past;
 pub use root::ROOT_KEY;
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -68,6 +68,8 @@
         served: Vec<ServedShare>,
         /// The sender's clock.
         clock: Timestamp,
+        /// Whether the sender reaches the platform's store.
+        reaches: bool,
     },
     /// The sender has this version of the configuration.
     ConfigVersion {
@@ -160,6 +162,8 @@
         /// What the request used.
         used: Tokens,
     },
+    /// The sender reaches the platform's store again.
+    StoreRegained,
 }
 
 /// What a home router knows of a request.
--- a/crates/berylwheel-peer/tests/link.rs
+++ b/crates/berylwheel-peer/tests/link.rs
@@ -155,6 +155,7 @@
             others: vec![],
             served: vec![],
             clock: Timestamp::default(),
+            reaches: true,
         };
         send_raw(&connection, &heartbeat.encode().unwrap()).await;
         send_raw(&connection, &version(5).encode().unwrap()).await;
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -87,6 +87,7 @@
         others: (0..others).map(other).collect(),
         served: (0..served).map(share).collect(),
         clock: Timestamp::from_millis(1 << 41),
+        reaches: true,
     }
 }
 
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -13,6 +13,7 @@
 use berylwheel_http::Outgoing;
 use berylwheel_route::LoadReport;
 use berylwheel_store::Compare;
+use berylwheel_store::GuardedStore;
 use berylwheel_store::Put;
 use berylwheel_store::Store;
 use berylwheel_store::SwapResult;
@@ -37,6 +38,8 @@
     pub executor: Arc<Executor<'static>>,
     /// The platform's key-value service.
     pub store: Arc<dyn Store>,
+    /// The same behind its circuit breaker.
+    pub guard: Arc<GuardedStore>,
     /// Connections to backend servers and the VM list.
     pub client: Client,
     /// Where results go.
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -10,6 +10,7 @@
 use berylwheel_types::BillKey;
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::stable_hash;
@@ -29,6 +30,9 @@
 /// Peers that learn of a leaving server from one router.
 const LEAVING_PEERS: usize = 4;
 
+/// Time after which the return of the store is told again. All routers find it within a second.
+const TOLD_TIME: Millis = Millis(1_000);
+
 impl Control {
     /// Takes in a message of another router.
     pub(crate) fn peer_message(&mut self, now: Timestamp, inbound: Inbound) {
@@ -44,9 +48,11 @@
                 served,
                 domain,
                 clock,
+                reaches,
                 ..
             } => {
                 self.fleet.clocks.heard(now, &from, clock);
+                self.fleet.reach.heard(now, &from, reaches);
                 let version = version.unwrap_or_default();
                 let own = MemberEntry {
                     incarnation: incarnation.clone(),
@@ -100,6 +106,10 @@
             // The answer is for an earlier run of this router, which has ended.
             Message::Lent { .. } => {}
             Message::Repaid { id, owner, used } => self.holder.repaid(now, &owner, id, used),
+            Message::StoreRegained => {
+                self.fleet.told_at = now;
+                self.effects.guard.probe_now();
+            }
             // A list that the store keeps up to date says more than a peer.
             Message::Leaving { .. } if self.has_list() => {}
             Message::Leaving { server } => self.routes.set_leaving(now, &server),
@@ -165,6 +175,23 @@
         }
     }
 
+    /// Shares the probes of a lost store with the other routers, and tells them when it is back.
+    pub(crate) fn share_probes(&mut self, now: Timestamp, live: usize) {
+        let guard = &self.effects.guard;
+        let lost = guard.is_lost();
+        let regained = std::mem::replace(&mut self.fleet.lost, lost) && !lost;
+        if lost {
+            guard.set_limit(self.fleet.reach.probe_pause(now, live));
+        }
+        if !regained || now.since(self.fleet.told_at) < TOLD_TIME {
+            return;
+        }
+        self.fleet.told_at = now;
+        for run in self.fleet.live_runs() {
+            self.fleet.send(&run.router, Message::StoreRegained);
+        }
+    }
+
     fn has_list(&self) -> bool {
         self.fleet.adapter == Adapter::Platform && !self.listed.is_failing()
     }
@@ -174,7 +201,8 @@
         self.fleet.members.set_leaving();
         for (to, heartbeat) in self.fleet.members.announce() {
             let domain = &self.fleet.own.domain;
-            let message = heartbeat_message(heartbeat, Vec::new(), now, domain);
+            let reaches = !self.effects.guard.is_lost();
+            let message = heartbeat_message(heartbeat, Vec::new(), now, domain, reaches);
             self.fleet.send(&to, message);
         }
     }
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -8,6 +8,7 @@
 use berylwheel_config::MemberPolicy;
 use berylwheel_config::Members;
 use berylwheel_config::PeerClocks;
+use berylwheel_config::PeerReach;
 use berylwheel_config::SpreadPolicy;
 use berylwheel_peer::Inbound;
 use berylwheel_peer::Message;
@@ -41,6 +42,11 @@
     pub(crate) address: SocketAddr,
     pub(crate) own: Registered,
     pub(crate) clocks: PeerClocks,
+    pub(crate) reach: PeerReach,
+    /// Whether the store was lost when it was last looked at.
+    pub(crate) lost: bool,
+    /// When this router told the others, or was told, that the store is back.
+    pub(crate) told_at: Timestamp,
     pub(crate) adapter: Adapter,
     pub(crate) vms: Option<SocketAddr>,
     pub(crate) addresses: FastMap<RouterId, SocketAddr>,
@@ -96,6 +102,9 @@
             address,
             own,
             clocks: PeerClocks::default(),
+            reach: PeerReach::default(),
+            lost: false,
+            told_at: Timestamp::default(),
             adapter: settings.adapter,
             vms: settings.vms,
             addresses: settings.peers.iter().cloned().collect(),
--- a/crates/berylwheel-router/src/fleet/translate.rs
+++ b/crates/berylwheel-router/src/fleet/translate.rs
@@ -22,6 +22,7 @@
     served: Vec<Served>,
     clock: Timestamp,
     domain: &FailureDomain,
+    reaches: bool,
 ) -> Message {
     let Heartbeat { own, others } = heartbeat;
     let others = others.into_iter().map(|entry| PeerState {
@@ -48,6 +49,7 @@
         others: others.collect(),
         served: served.collect(),
         clock,
+        reaches,
     }
 }
 
--- a/crates/berylwheel-router/src/fleet/versions.rs
+++ b/crates/berylwheel-router/src/fleet/versions.rs
@@ -41,11 +41,13 @@
             let served = self.scheduler.served();
             for (to, heartbeat) in heartbeats {
                 let domain = &self.fleet.own.domain;
-                let message = heartbeat_message(heartbeat, served.clone(), now, domain);
+                let reaches = !self.effects.guard.is_lost();
+                let message = heartbeat_message(heartbeat, served.clone(), now, domain, reaches);
                 self.fleet.send(&to, message);
             }
         }
         let live = self.fleet.members.live_count().max(1);
+        self.share_probes(now, live);
         self.holder.set_routers(live);
         self.routes.set_routers(live);
         self.share_retries();
--- a/crates/berylwheel-router/src/forward/follow.rs
+++ b/crates/berylwheel-router/src/forward/follow.rs
@@ -12,8 +12,10 @@
 use berylwheel_store::Store;
 use berylwheel_store::StoreError;
 use berylwheel_store::SwapResult;
+use berylwheel_types::Clock;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
 
 use crate::control::effects::Effects;
 use crate::control::event::Event;
@@ -27,6 +29,9 @@
 /// Pause between an answer of a watch with changes and the next watch. Servers come and go in numbers,
 /// and each change would otherwise end a watch of every router.
 const BATCH_TIME: Millis = Millis(250);
+/// The longest such pause, while changes follow each other. A server that leaves must get no work two
+/// seconds later.
+const BATCH_LIMIT: Millis = Millis(700);
 /// Pause between looks for a configuration before the operator has written the first.
 const FIRST_PAUSE: Millis = Millis(200);
 
@@ -47,6 +52,7 @@
             continue;
         };
         take_configuration(&effects, platform.as_ref(), entry).await;
+        let mut batches = Batches::new(&effects.clock);
         loop {
             match effects.store.watch(&key, revision + 1).await {
                 Ok(changes) => {
@@ -54,7 +60,7 @@
                         revision = change.revision;
                         take_configuration(&effects, platform.as_ref(), change).await;
                     }
-                    pause_after(&changes).await;
+                    batches.pause_after(&effects.clock, &changes).await;
                 }
                 Err(error) => {
                     log_failure("configuration", &error);
@@ -65,10 +71,29 @@
     }
 }
 
-/// Lets further changes gather for the next watch. One that ended without changes has waited already.
-async fn pause_after(changes: &[Entry]) {
-    if !changes.is_empty() {
-        Timer::after(BATCH_TIME.duration()).await;
+/// Lets further changes gather for the next watch, longer when changes came after the last pause at
+/// once. A watch that ended without changes has waited already.
+#[derive(Debug)]
+struct Batches {
+    pause: Millis,
+    watched: Timestamp,
+}
+
+impl Batches {
+    fn new(clock: &Clock) -> Self {
+        Self { pause: BATCH_TIME, watched: clock.now() }
+    }
+
+    async fn pause_after(&mut self, clock: &Clock, changes: &[Entry]) {
+        let waited = clock.now().since(self.watched);
+        self.pause = match waited < self.pause {
+            true => Millis(self.pause.0 * 2).min(BATCH_LIMIT),
+            false => BATCH_TIME,
+        };
+        if !changes.is_empty() {
+            Timer::after(self.pause.duration()).await;
+        }
+        self.watched = clock.now();
     }
 }
 
@@ -100,6 +125,7 @@
         });
         let news = ServerNews::All(listed.collect());
         effects.send(Event::Servers(news)).await;
+        let mut batches = Batches::new(&effects.clock);
         loop {
             match effects.store.watch(&prefix, revision + 1).await {
                 Ok(changes) => {
@@ -109,7 +135,7 @@
                             effects.send(Event::Servers(news)).await;
                         }
                     }
-                    pause_after(&changes).await;
+                    batches.pause_after(&effects.clock, &changes).await;
                 }
                 Err(error) => {
                     log_failure("list of servers", &error);
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -153,17 +153,23 @@
     let mut threads = Vec::new();
 
     let executor = Arc::new(Executor::new());
-    let store: Arc<dyn Store> = match &edge {
+    let inner: Arc<dyn Store> = match &edge {
         Edge::Own(_) => Arc::new(HttpStore::new(StoreOptions::new(settings.store.clone()))),
         Edge::Platform(platform) => {
             let upstream = Upstream::new(executor.clone(), clock.clone());
-            let store = platform.store(&settings.store, upstream);
-            Arc::new(GuardedStore::new(store, clock.clone()))
+            platform.store(&settings.store, upstream)
         }
     };
+    let guard = Arc::new(GuardedStore::new(inner.clone(), clock.clone()));
+    // The router's own store does not count calls, and its client has pauses of its own.
+    let store: Arc<dyn Store> = match &edge {
+        Edge::Own(_) => inner,
+        Edge::Platform(_) => guard.clone(),
+    };
     let effects = Effects {
         executor: executor.clone(),
         store: store.clone(),
+        guard,
         client: client.clone(),
         events: events.clone(),
         clock: clock.clone(),
--- a/crates/berylwheel-store/src/breaker.rs
+++ b/crates/berylwheel-store/src/breaker.rs
@@ -10,6 +10,7 @@
 
 use berylwheel_types::Clock;
 use berylwheel_types::Millis;
+use berylwheel_types::Share;
 use berylwheel_types::Timestamp;
 
 use crate::Compare;
@@ -28,6 +29,8 @@
 /// Longest pause between probes. A router that reaches the store again has three seconds to give up
 /// servers that left meanwhile, and missing entries count for 2.3 s of them.
 const PAUSE_LIMIT: Millis = Millis(500);
+/// Least share of a longer pause that a process waits, in thousandths.
+const PHASE_LEAST: u32 = 500;
 
 /// Decides which calls go out.
 ///
@@ -44,10 +47,21 @@
 /// assert_eq!(breaker.succeeded(later), Some(Millis(250)));
 /// assert!(breaker.admit(later));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Breaker {
     failures: u32,
     lost: Option<Lost>,
+    /// Longest pause between probes.
+    limit: Millis,
+    /// The share of a longer pause that this process waits, so that processes that share the probes
+    /// do not all send them at the same time.
+    phase: Share,
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self { failures: 0, lost: None, limit: PAUSE_LIMIT, phase: Share::from_permille(1_000) }
+    }
 }
 
 #[derive(Debug)]
@@ -65,11 +79,30 @@
             return false;
         }
         // A probe that is never answered must not keep the next one back.
-        lost.pause = Millis(lost.pause.0 * 2).min(PAUSE_LIMIT);
-        lost.probe_at = now + lost.pause;
+        lost.pause = Millis(lost.pause.0 * 2).min(self.limit);
+        let phased = Millis((lost.pause.0 as f64 * self.phase.fraction()) as u64);
+        lost.probe_at = now + phased.max(lost.pause.min(PAUSE_LIMIT));
         true
     }
 
+    /// Sets the longest pause between probes, for a router that shares them with others.
+    pub fn set_limit(&mut self, limit: Millis) {
+        self.limit = limit.max(PAUSE_LIMIT);
+    }
+
+    /// Lets a probe out at once: there is reason to think that the store is back.
+    pub fn probe_now(&mut self, now: Timestamp) {
+        if let Some(lost) = &mut self.lost {
+            lost.probe_at = now;
+            lost.pause = PAUSE_FIRST;
+        }
+    }
+
+    /// Returns whether the store counts as lost.
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
     /// Takes in an answer. Returns how long the store was lost, if it is back with this answer.
     pub fn succeeded(&mut self, now: Timestamp) -> Option<Millis> {
         self.failures = 0;
@@ -105,7 +138,25 @@
     /// assert_eq!(futures_lite::future::block_on(store.range("k", false, 0)), Ok(Vec::new()));
     /// ```
     pub fn new(inner: Arc<dyn Store>, clock: Clock) -> Self {
-        Self { inner, clock, breaker: Mutex::default() }
+        let phase = rand::random_range(PHASE_LEAST..=1_000);
+        let breaker = Breaker { phase: Share::from_permille(phase), ..Breaker::default() };
+        Self { inner, clock, breaker: Mutex::new(breaker) }
+    }
+
+    /// Returns whether the store counts as lost.
+    pub fn is_lost(&self) -> bool {
+        self.lock().is_lost()
+    }
+
+    /// Sets the longest pause between probes while the store is lost.
+    pub fn set_limit(&self, limit: Millis) {
+        self.lock().set_limit(limit);
+    }
+
+    /// Lets the next call out as a probe although its time has not come.
+    pub fn probe_now(&self) {
+        let now = self.clock.now();
+        self.lock().probe_now(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, Breaker> {
--- a/crates/berylwheel-store/tests/breaker.rs
+++ b/crates/berylwheel-store/tests/breaker.rs
@@ -48,6 +48,28 @@
     assert!(sent <= 3 + 2 * 9 + 1, "{sent} calls in nine seconds");
 }
 
+/// Guards against a fleet whose routers each probe a lost store as often as one alone: 64 routers sent
+/// 2,000 probes in two outages of eight seconds.
+#[test]
+fn routers_that_share_the_probes_send_few_each() {
+    let (time, store, guarded) = guarded();
+    guarded.set_limit(Millis(4_000));
+    store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    let before = store.counts().reads;
+    for _ in 0..90 {
+        assert!(block_on(guarded.range("k", false, 0)).is_err());
+        time.advance(Millis(100));
+    }
+    let sent = store.counts().reads - before;
+    assert!((5..=10).contains(&sent), "{sent} calls in nine seconds");
+    // A peer tells that the store is back.
+    store.set_faults(StoreFaults::default());
+    time.advance(Millis(100));
+    guarded.probe_now();
+    assert!(block_on(guarded.range("k", false, 0)).is_ok());
+    assert!(!guarded.is_lost());
+}
+
 /// Guards against a router that finds out late that the store is back.
 #[test]
 fn calls_go_out_again_soon_after_the_return() {
