Refuse large requests at once that would wait for a full link

Change: `LinkLoad::admit` counts a request's announced bytes towards callers and, for each attempt, towards servers. One of more than 4 KiB that would wait more than 0.2 s is refused before it is read, with the new code 1314 and 50 ms to come back in: the caller's next connection may reach another router. Such a refusal counts as a full link for a second, so answers end their connections.

Test: `a_flooded_link_takes_what_it_carries` plays 150 prompts a second at one router, with the policy before as baseline; `a_fast_link_takes_a_burst`.

What binds: callers' bytes fill the link before any answer leaves, and a load balancer that takes two seconds to notice moves all of them to the next small VM.

--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -97,6 +97,7 @@
             request = call.id.as_str(), server = server.id.as_str(), kind = call.kind.id.as_str(),
             left = hop.left.0; "sent to a server"
         );
+        self.link.send(self.clock.now(), call.body.len());
         let (response, sent) = self.upstream.send(server.address, request, options).await?;
         let (head, body) = response.into_parts();
         let said = self.platform.answer(&head.headers);
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -1,5 +1,6 @@
 //! From a caller's request to one that asks for a start.
 
+use async_io::Timer;
 use berylwheel_http::AnswerBody;
 use berylwheel_http::within;
 use berylwheel_route::Ask;
@@ -64,6 +65,14 @@
     _memory: BodyBytes,
 }
 
+/// Size from which a body is refused while the VM's link is full, in bytes. Calls of plain services
+/// are smaller and hardly add to its load.
+const LARGE_BODY: u64 = 4 << 10;
+/// Time in which a caller whose request is not read has got the answer.
+const ANSWER_TIME: Millis = Millis(300);
+/// Time after which a caller that is sent to another router comes back.
+const ELSEWHERE_TIME: Millis = Millis(50);
+
 /// What a request is allowed to do.
 struct Granted {
     kind: KindSettings,
@@ -112,6 +121,7 @@
         let settings = snapshot.open()?;
         let (call, admit) = {
             let granted = self.grant(&parts, &head, settings)?;
+            let body = self.check_link(body)?;
             let body = self.read_body(body, settings).await?;
             build(parts, body, head, granted, settings, id, arrived)?
         };
@@ -148,6 +158,24 @@
         Ok(Granted { kind, rank, workspace: Some(workspace), budget: Some(budget) })
     }
 
+    /// Refuses a large request while the VM's link is full: its bytes would wait twice, on their way in
+    /// and on to a server, and the caller's next connection goes to another router.
+    fn check_link(&self, body: Incoming) -> Result<Incoming, Refusal> {
+        let size = hyper::body::Body::size_hint(&body).lower();
+        if size < LARGE_BODY || self.link.admit(self.clock.now(), size) {
+            return Ok(body);
+        }
+        // A connection that is closed with bytes unread is reset, and the answer is lost if the caller
+        // has not read it. The bytes are not read, so that the caller keeps those that it has not sent.
+        let held = async move {
+            Timer::after(ANSWER_TIME.duration()).await;
+            drop(body);
+        };
+        self.executor.spawn(held).detach();
+        let detail = "the link of this router is full";
+        Err(Refusal::not_run(Code::LinkFull, detail).retry_after(ELSEWHERE_TIME))
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
--- a/crates/berylwheel-router/src/forward/link.rs
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -25,6 +25,32 @@
 /// How long a router asks for no more callers once its link was full. A balancer takes some two
 /// seconds to notice, and callers that it sends back at once would fill the link again.
 const HOLD_TIME: Millis = Millis(5_000);
+/// The share of the link that queued requests are taken to leave at.
+const DRAIN_SHARE: Share = Share::from_permille(800);
+/// Longest time that a request may wait for the link. Connections to servers are given up after a
+/// quarter of a second, and behind a longer queue they are.
+const QUEUE_TIME: Millis = Millis(200);
+/// Bytes that may wait on any link, four long prompts.
+const QUEUE_LEAST: u64 = 256 << 10;
+/// How long a refused request counts as a sign that the link is full.
+const REFUSED_TIME: Millis = Millis(1_000);
+
+/// Bytes that wait for one direction of a link, as far as they are known.
+#[derive(Debug, Default)]
+struct Queue {
+    bytes: f64,
+    at: Timestamp,
+}
+
+impl Queue {
+    /// Returns the bytes that wait at `now` on a link that carries `rate` bytes a second.
+    fn level(&mut self, now: Timestamp, rate: f64) -> f64 {
+        let left = now.since(self.at).0 as f64 * rate / 1_000.0;
+        self.bytes = (self.bytes - left).max(0.0);
+        self.at = self.at.max(now);
+        self.bytes
+    }
+}
 
 /// Counts what requests and answers carry over a link.
 ///
@@ -46,6 +72,13 @@
     parts: VecDeque<(Timestamp, u64)>,
     sum: u64,
     hold_until: Timestamp,
+    /// Bytes a second at which queued requests leave.
+    rate: f64,
+    /// Requests on their way from callers.
+    inbound: Queue,
+    /// Requests on their way to servers.
+    outbound: Queue,
+    refused_until: Timestamp,
 }
 
 impl LinkLoad {
@@ -57,9 +90,44 @@
             parts: VecDeque::new(),
             sum: 0,
             hold_until: Timestamp::default(),
+            rate: link.bytes() as f64 * DRAIN_SHARE.fraction(),
+            inbound: Queue::default(),
+            outbound: Queue::default(),
+            refused_until: Timestamp::default(),
         }
     }
 
+    /// Returns whether a request of `bytes` may be taken, and counts its way here if so.
+    ///
+    /// ```
+    /// use berylwheel_router::LinkLoad;
+    /// use berylwheel_types::{BitRate, Millis, Timestamp};
+    /// let now = Timestamp::from_millis(0);
+    /// let mut load = LinkLoad::new(BitRate(10_000_000));
+    /// assert!((0..4).all(|_| load.admit(now, 60_000)));
+    /// assert!(!load.admit(now, 60_000) && !load.wants_callers(now));
+    /// assert!(load.admit(now + Millis(100), 60_000));
+    /// ```
+    pub fn admit(&mut self, now: Timestamp, bytes: u64) -> bool {
+        let most = (self.rate * QUEUE_TIME.0 as f64 / 1_000.0).max(QUEUE_LEAST as f64);
+        let size = bytes as f64;
+        let inbound = self.inbound.level(now, self.rate);
+        let outbound = self.outbound.level(now, self.rate);
+        if inbound.max(outbound) + size > most {
+            self.hold_until = now + HOLD_TIME;
+            self.refused_until = now + REFUSED_TIME;
+            return false;
+        }
+        self.inbound.bytes += size;
+        true
+    }
+
+    /// Counts bytes of a request that are sent to a server.
+    pub fn send(&mut self, now: Timestamp, bytes: u64) {
+        self.outbound.level(now, self.rate);
+        self.outbound.bytes += bytes as f64;
+    }
+
     /// Counts bytes that were carried.
     pub fn note(&mut self, now: Timestamp, bytes: u64) {
         self.forget(now);
@@ -76,7 +144,7 @@
     /// Returns whether the link is full now, so that callers should leave.
     pub fn is_full(&mut self, now: Timestamp) -> bool {
         self.forget(now);
-        self.sum >= self.limit
+        self.sum >= self.limit || now < self.refused_until
     }
 
     /// Returns whether more callers may come.
@@ -113,6 +181,22 @@
         }
     }
 
+    pub(crate) fn admit(&self, now: Timestamp, bytes: u64) -> bool {
+        let Some(mut load) = self.lock() else { return true };
+        let wanted = load.wants_callers(now);
+        let admitted = load.admit(now, bytes);
+        if wanted && !admitted {
+            log::warn!(bytes = load.sum, limit = load.limit; "link is full, callers are sent elsewhere");
+        }
+        admitted
+    }
+
+    pub(crate) fn send(&self, now: Timestamp, bytes: usize) {
+        if let Some(mut load) = self.lock() {
+            load.send(now, bytes as u64);
+        }
+    }
+
     pub(crate) fn is_full(&self, now: Timestamp) -> bool {
         self.lock().is_some_and(|mut load| load.is_full(now))
     }
--- a/crates/berylwheel-router/src/forward/listen.rs
+++ b/crates/berylwheel-router/src/forward/listen.rs
@@ -50,6 +50,8 @@
     pub clock: Clock,
     /// Connections to backend servers.
     pub upstream: Upstream,
+    /// Runs what goes on behind an answer.
+    pub executor: Arc<Executor<'static>>,
     /// Messages to the control thread.
     pub events: Sender<Event>,
     /// The configuration in force.
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -207,6 +207,7 @@
         let forwarder = Forwarder {
             clock: clock.clone(),
             upstream: Upstream::new(traffic_executor.clone(), clock.clone()),
+            executor: traffic_executor.clone(),
             events: events.clone(),
             snapshot: snapshot.clone(),
             platform,
--- a/crates/berylwheel-router/tests/link.rs
+++ b/crates/berylwheel-router/tests/link.rs
@@ -88,6 +88,48 @@
     assert!(after >= before, "in time before {before:.2}, after {after:.2}");
 }
 
+/// Plays 150 prompts a second at one router, five times what its link carries, and returns how many
+/// were taken, and the longest wait for the link of one that was.
+fn flood(admits: bool) -> (u64, Millis) {
+    let mut load = LinkLoad::new(LINK);
+    let (mut waiting, mut taken, mut longest) = (0, 0, Millis(0));
+    let mut now = Timestamp::from_millis(0);
+    for step in 0..1_000_u64 {
+        now += STEP;
+        for _ in 0..(if step % 2 == 0 { 3 } else { 0 }) {
+            if admits && !load.admit(now, PROMPT / 2) {
+                continue;
+            }
+            load.send(now, PROMPT / 2);
+            taken += 1;
+            waiting += PROMPT / 2;
+            longest = longest.max(Millis(waiting * 1_000 / LINK.bytes()));
+        }
+        waiting -= waiting.min(LINK.bytes() * STEP.0 / 1_000);
+    }
+    (taken, longest)
+}
+
+/// Guards against a router whose link is flooded and that holds all requests, so that none is served:
+/// those that are taken reach a server before connections to it are given up, and the link is used.
+#[test]
+fn a_flooded_link_takes_what_it_carries() {
+    let (_, before) = flood(false);
+    let (taken, after) = flood(true);
+    let carried = LINK.bytes() * 10 / (PROMPT / 2);
+    assert!(before > Millis(10_000) && after <= Millis(250), "waits of {before} and {after}");
+    assert!(taken * 10 >= carried * 7, "{taken} of {carried} that the link carries");
+}
+
+/// Guards against a router on a fast link that refuses a burst.
+#[test]
+fn a_fast_link_takes_a_burst() {
+    let mut load = LinkLoad::new(BitRate(1_000_000_000));
+    let now = Timestamp::from_millis(0);
+    assert!((0..200).all(|_| load.admit(now, PROMPT)));
+    assert!(load.wants_callers(now) && !load.is_full(now));
+}
+
 proptest! {
     /// Guards against a link that counts as full under a load that it carries, and against one that
     /// never recovers.
--- a/crates/berylwheel-types/src/code.rs
+++ b/crates/berylwheel-types/src/code.rs
@@ -116,6 +116,8 @@
     DeadlineUnmet = 1312, 503, "deadline cannot be met", "Try again later, or allow a longer deadline.";
     /// The workspace has too many requests or connections.
     WorkspaceLimit = 1313, 429, "workspace limit reached", "Send fewer requests at a time.";
+    /// The link of the router's VM is full.
+    LinkFull = 1314, 503, "link full", "Try again on a new connection, which may reach another router.";
     /// No backend server can take the request.
     NoBackend = 1321, 503, "no backend server available", "Try again later.";
     /// The backend server failed before or while answering.
