Let a departing holder ask for no poll for its homes

Cause: found on reading the change again. `take_homes` returns at once while the holder departs or drains, but `homes_due` still named a time in the past, so `next_poll` asked for a poll that does nothing.

Change: `homes_due` carries the condition, and `take_homes` asks it alone. The set of requests that wait for locked tokens is made only while the store does not answer, since nothing else reads it.

Test: `a_departing_holder_does_not_look_for_homes` fails before, with a time one second before the poll.

--- a/crates/berylwheel-budget/src/holder/homes.rs
+++ b/crates/berylwheel-budget/src/holder/homes.rs
@@ -1,6 +1,6 @@
 //! What the home of a budget does before the first request for it.
 //!
-//! A home holds tokens from the moment on at which it is the home. A budget that is first asked for
+//! A home holds tokens as soon as the live holders have settled. A budget that is first asked for
 //! while the store is down would otherwise refuse everything until the store is back.
 
 use std::collections::btree_map::Entry;
@@ -54,13 +54,14 @@
 
     /// Returns when this holder looks at the budgets that it is the home of, if it has to.
     pub(super) fn homes_due(&self) -> Option<Timestamp> {
-        self.homes.settled_at(self.lenders.is_empty()).filter(|_| self.policy.borrow)
+        let takes = self.policy.borrow && !self.draining && !self.departing;
+        self.homes.settled_at(self.lenders.is_empty()).filter(|_| takes)
     }
 
     /// States new totals of the budgets that this holder is the home of, and takes tokens of those
     /// that it holds nothing of.
     pub(super) fn take_homes(&mut self, now: Timestamp) {
-        if self.draining || self.departing || self.homes_due().is_none_or(|due| now < due) {
+        if self.homes_due().is_none_or(|due| now < due) {
             return;
         }
         self.homes.moved = false;
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -228,9 +228,11 @@
         let Some(grant) = page.grants.get_mut(budget) else { return };
         let mut lost = Vec::new();
         let others = &grant.others;
+        // Only these are kept while the store does not answer.
         let locked: FastSet<RequestId> = grant
             .waiters
             .iter()
+            .filter(|_| failing)
             .filter(|waiter| grant.unlocked_for(waiter, &self.policy).is_some())
             .map(|waiter| waiter.request.clone())
             .collect();
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -132,6 +132,20 @@
     assert_eq!(world.refused(), []);
 }
 
+/// Guards against a stopping holder that asks to be polled at once, again and again, for homes that it
+/// no longer takes.
+#[test]
+fn a_departing_holder_does_not_look_for_homes() {
+    let now = Timestamp::from_millis(1_000_000);
+    let mut holder = Holder::new(run("r1@1"), HolderPolicy::unrecorded(Millis(10_000)));
+    holder.set_lenders(now, vec![run("r2@1")]);
+    let later = now + Millis(2_000);
+    assert!(holder.next_poll().is_some_and(|at| at <= later));
+    holder.depart(now);
+    assert!(holder.poll(later).is_empty());
+    assert!(holder.next_poll().is_none_or(|at| at > later), "{:?}", holder.next_poll());
+}
+
 /// Guards against a workspace whose first request comes while the store is down, and which is refused
 /// until the store is back.
 #[test]
--- a/crates/berylwheel-config/src/reach.rs
+++ b/crates/berylwheel-config/src/reach.rs
@@ -10,8 +10,8 @@
 /// Longest pause between probes of a router that others tell has lost the store alone. It has three
 /// seconds from the return on to give up servers that left meanwhile.
 const PAUSE_ALONE: Millis = Millis(500);
-/// Part of the longest pause that each live router adds when all have lost the store, so that the
-/// fleet together probes about as often as one router alone does, five times over.
+/// Part of the longest pause that each live router adds when all have lost the store. The fleet
+/// together then sends a probe every 150 ms or more often, however many routers it has.
 const PAUSE_PART: Millis = Millis(150);
 /// Longest pause of all.
 const PAUSE_LIMIT: Millis = Millis(4_000);
