--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -17,10 +17,10 @@
 use berylwheel_settings::Adapter;
 use berylwheel_settings::Settings;
 use berylwheel_types::BudgetId;
+use berylwheel_types::Decimal;
 use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
-use berylwheel_types::Share;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
@@ -32,9 +32,9 @@
 
 /// Default time for which a holding of tokens remains valid without the store.
 const DEFAULT_HOLDING_TIME: Millis = Millis(10_000);
-/// Percentage of the fleet's retry limit that its routers use. The rest is a margin for routers
-/// that see fewer live routers than there are, and so take too large a share.
-const RETRY_USE_PERCENT: u32 = 60;
+/// Fraction of the fleet's retry limit that its routers use. The rest is a margin for routers that
+/// see fewer live routers than there are, and so take too large a share.
+const RETRY_USE: f64 = 0.6;
 
 impl Control {
     /// Applies new settings to the scheduler, the load balancer and the budget holder.
@@ -93,15 +93,14 @@
 
     /// Sets this router's part of the fleet's retry limit from the number of live routers.
     pub(crate) fn update_retry_limits(&mut self) {
-        let live = self.fleet.members.live_count().max(1) as u32;
+        let live = self.fleet.members.live_count().max(1);
         let mut policy = self.schedule_policy;
         if let Some(share) = self.router_settings.retry_share {
-            policy.retry_share = Share::from_permille(
-                (share.fraction() * f64::from(RETRY_USE_PERCENT) * 10.0) as u32,
-            );
+            policy.retry_share = Decimal::from_value(share.value() * RETRY_USE);
         }
         if let Some(extra) = self.router_settings.retry_extra {
-            policy.retry_burst = (extra * RETRY_USE_PERCENT / 100 / live).max(1);
+            let own_extra = extra.value() * RETRY_USE / live as f64;
+            policy.retry_burst = Decimal::from_value(own_extra.max(1.0));
         }
         self.scheduler.set_policy(policy);
     }
--- a/crates/berylwheel-schedule/src/kind.rs
+++ b/crates/berylwheel-schedule/src/kind.rs
@@ -57,7 +57,7 @@
             service_time: Mean::new(),
             mean_tokens: Mean::new(),
             used_fraction: Mean::new(),
-            retry_budget: f64::from(policy.retry_burst),
+            retry_budget: policy.retry_burst.value(),
         }
     }
 
@@ -198,8 +198,8 @@
     }
 
     pub(crate) fn refill_retries(&mut self, policy: &SchedulePolicy) {
-        let max_retries = f64::from(policy.retry_burst);
-        self.retry_budget = (self.retry_budget + policy.retry_share.fraction()).min(max_retries);
+        let max_retries = policy.retry_burst.value();
+        self.retry_budget = (self.retry_budget + policy.retry_share.value()).min(max_retries);
     }
 
     pub(crate) fn take_retry(&mut self) -> bool {
--- a/crates/berylwheel-schedule/src/policy.rs
+++ b/crates/berylwheel-schedule/src/policy.rs
@@ -1,5 +1,6 @@
 //! Scheduling policy.
 
+use berylwheel_types::Decimal;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::Share;
@@ -32,9 +33,9 @@
     /// [`Scheduler::set_workspace_limit`](crate::Scheduler::set_workspace_limit) overrides it.
     pub workspace_limit: usize,
     /// Retries added to the budget per started request.
-    pub retry_share: Share,
+    pub retry_share: Decimal,
     /// Maximum number of retries that a kind can accumulate.
-    pub retry_burst: u32,
+    pub retry_burst: Decimal,
     /// Whether urgent requests preempt batch requests that have not produced a token. Must be off
     /// if requests cannot be sent twice.
     pub preemption: bool,
@@ -61,8 +62,8 @@
         Self {
             ranks: [rank(500, 800), rank(300, 4_000), rank(100, 30_000)],
             workspace_limit: 256,
-            retry_share: Share::from_permille(100),
-            retry_burst: 10,
+            retry_share: Decimal::from_value(0.1),
+            retry_burst: Decimal::from_value(10.0),
             preemption: true,
             share_window: Millis(1_000),
             peer_penalty: Tokens(20_000),
--- a/crates/berylwheel-settings/src/types.rs
+++ b/crates/berylwheel-settings/src/types.rs
@@ -9,6 +9,7 @@
 use berylwheel_types::BitRate;
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
+use berylwheel_types::Decimal;
 use berylwheel_types::FailureDomain;
 use berylwheel_types::KindId;
 use berylwheel_types::Millis;
@@ -140,9 +141,9 @@
     /// How long a planned stop may take before the platform ends the process, if it does so.
     pub stop_limit: Option<Millis>,
     /// Retries that the fleet may send per request; `None` for the router's default.
-    pub retry_share: Option<Share>,
+    pub retry_share: Option<Decimal>,
     /// Retries that the fleet may send per ten seconds in addition to that share.
-    pub retry_extra: Option<u32>,
+    pub retry_extra: Option<Decimal>,
     /// The bit rate of the VM's network link. If set, requests are refused when the link is full,
     /// so that callers use another router.
     pub link: Option<BitRate>,
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::BitRate;
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
+use berylwheel_types::Decimal;
 use berylwheel_types::KindId;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
@@ -36,6 +37,8 @@
     Rate,
     /// A share from 0% to 100%.
     Share,
+    /// A decimal number of at least 0.
+    Decimal,
     /// `yes` or `no`.
     YesNo,
     /// A rank.
@@ -103,6 +106,7 @@
             Self::Size(low, high) => in_range(text.parse(), ByteSize(low), ByteSize(high)),
             Self::Rate => parses::<BitRate>(text),
             Self::Share => parses::<Share>(text),
+            Self::Decimal => parses::<Decimal>(text),
             Self::YesNo => parse_yes_no(text).is_some(),
             Self::Rank => parses::<Rank>(text),
             Self::Service => parses::<Service>(text),
@@ -150,6 +154,7 @@
             ),
             Self::Rate => f.write_str("a rate in bits a second, such as 10Mbit"),
             Self::Share => f.write_str("a share from 0% to 100%, such as 50%, 12.5% or 0.2"),
+            Self::Decimal => f.write_str("a decimal number from 0, such as 52 or 0.2"),
             Self::YesNo => f.write_str("yes or no"),
             Self::Rank => f.write_str("urgent, normal or batch"),
             Self::Service => f.write_str("engine or plain"),
--- a/crates/berylwheel-types/src/lib.rs
+++ b/crates/berylwheel-types/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod code;
+mod decimal;
 mod hash;
 mod id;
 mod loan;
@@ -14,6 +15,7 @@
 pub use clock::Timestamp;
 pub use code::Code;
 pub use code::ExecutionState;
+pub use decimal::Decimal;
 pub use hash::FastMap;
 pub use hash::FastSet;
 pub use hash::stable_hash;
--- a/crates/berylwheel-types/src/quantity.rs
+++ b/crates/berylwheel-types/src/quantity.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decimal::parse_number;
+
 /// An error from parsing a quantity.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseQuantityError {
@@ -120,12 +122,16 @@
     }
 }
 
-/// A duration in milliseconds.
+/// Largest duration that may be written as a fraction: a float is exact up to here.
+const MAX_FRACTIONAL_MILLIS: f64 = (1_u64 << 53) as f64;
+
+/// A duration in milliseconds. A fraction is rounded to the nearest millisecond.
 ///
 /// ```
 /// use berylwheel_types::Millis;
 /// assert_eq!("2s".parse::<Millis>().unwrap(), Millis(2_000));
 /// assert_eq!("250ms".parse::<Millis>().unwrap(), Millis(250));
+/// assert_eq!("8.5s".parse::<Millis>().unwrap(), Millis(8_500));
 /// assert!("soon".parse::<Millis>().is_err());
 /// ```
 #[derive(
@@ -145,7 +151,21 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let units = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
-        parse_with_unit(text, &units, "a duration with a unit, such as 250ms, 5s or 10m").map(Self)
+        let expected = "a duration with a unit, such as 250ms, 5s or 10m";
+        if !text.contains('.') {
+            return parse_with_unit(text, &units, expected).map(Self);
+        }
+        let error = ParseQuantityError { expected };
+        let text = text.trim();
+        let unit_start = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+        let (number, unit) = text.split_at(unit_start);
+        let factor = units.iter().find(|(name, _)| *name == unit).map(|(_, factor)| *factor as f64);
+        let number = parse_number(number.trim()).ok_or_else(|| error.clone())?;
+        let millis = (number * factor.ok_or_else(|| error.clone())?).round();
+        if millis > MAX_FRACTIONAL_MILLIS {
+            return Err(error);
+        }
+        Ok(Self(millis as u64))
     }
 }
 
@@ -211,11 +231,11 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let error = ParseQuantityError { expected: "a rate in bits per second, such as 10Mbit" };
-        let units = [("kbit", 1e3), ("Mbit", 1e6), ("Gbit", 1e9)];
+        let units = [("kbit", 1e3), ("Mbit", 1e6), ("Gbit", 1e9), ("bit", 1.0)];
         let text = text.trim();
         let parsed = units.iter().find_map(|(unit, scale)| Some((text.strip_suffix(unit)?, scale)));
         let (number, scale) = parsed.ok_or_else(|| error.clone())?;
-        let rate = number.trim().parse::<f64>().map_err(|_| error.clone())? * scale;
+        let rate = parse_number(number.trim()).ok_or_else(|| error.clone())? * scale;
         if !(1e3..=1e12).contains(&rate) {
             return Err(error);
         }
@@ -227,7 +247,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
             n if n.is_multiple_of(1_000_000) => write!(f, "{}Mbit", n / 1_000_000),
-            n => write!(f, "{}kbit", n / 1_000),
+            n if n.is_multiple_of(1_000) => write!(f, "{}kbit", n / 1_000),
+            n => write!(f, "{n}bit"),
         }
     }
 }
@@ -266,7 +287,7 @@
             ParseQuantityError { expected: "a share from 0% to 100%, such as 50%, 12.5% or 0.2" };
         let text = text.trim();
         let (number, scale) = text.strip_suffix('%').map_or((text, 100.0), |number| (number, 1.0));
-        let percent = number.parse::<f64>().map_err(|_| error.clone())? * scale;
+        let percent = parse_number(number).ok_or_else(|| error.clone())? * scale;
         if !(0.0..=100.0).contains(&percent) {
             return Err(error);
         }
