Check the order lease directly before the first byte of an order

Cause: the lease was checked before the connection to the engine was opened. A router that was paused in between, or connected slowly, sent its order after the lease. A lease that the store did not grant counted as a lost race, so the router waited 25 s and reported another router's lease.

Ruled out: a shorter timeout of the order alone, since a resumed process may find the connection ready before its timer; a check by the engine, which ignores fencing numbers here. A pause between the last check and the system call cannot be excluded by the sender; the new holder's wait of another lease period covers what was sent before it.

Change: a request may have an expiry that is checked when its first byte is written, and orders carry the end of their lease. Another failure to get a lease than a lost response is reported as an unavailable store, and a lost response is repeated once. The process test pauses the router at eight points around the store's response; what reached the engine before the router was resumed was sent before the pause and is allowed, and nothing may follow it. The former test expected every pause to come before the order; the new one checks more pauses, and that an order that was sent isn't reported as not run. The check that the new holder waits has a test of its own.

--- a/crates/berylwheel-config/src/fence.rs
+++ b/crates/berylwheel-config/src/fence.rs
@@ -301,6 +301,12 @@
         Ok(ownership.number)
     }
 
+    /// Returns the time from which no order may be sent to `server`: the end of the lease, or `None`
+    /// if the server checks fencing numbers itself.
+    pub fn lease_end(&self, server: &BackendId) -> Option<Timestamp> {
+        self.servers.get(server)?.ownership?.expires_at
+    }
+
     /// Returns the timeout of an order. It is shorter than the half lease that remains at least
     /// when an order is sent.
     pub const fn order_timeout(&self) -> Millis {
--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -11,8 +11,10 @@
 use std::task::Poll;
 use std::task::ready;
 
+use berylwheel_types::Clock;
 use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
+use berylwheel_types::Timestamp;
 use futures_lite::AsyncBufRead;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
@@ -49,6 +51,36 @@
     pub pooled: bool,
     /// Time limit for the response head to arrive.
     pub head_timeout: Millis,
+    /// Time from which the request must not be sent any more.
+    pub expiry: Option<Expiry>,
+}
+
+/// A time from which a request must not be sent, checked immediately before its first byte is
+/// written. A process that was paused while it connected thus does not send an outdated request.
+#[derive(Debug, Clone)]
+pub struct Expiry {
+    /// The clock that decides.
+    pub clock: Clock,
+    /// The first time at which the request is not sent.
+    pub time: Timestamp,
+}
+
+impl Expiry {
+    /// Returns whether the request must not be sent any more.
+    ///
+    /// ```
+    /// use berylwheel_http::Expiry;
+    /// use berylwheel_types::{Clock, ManualClock, Millis, Timestamp};
+    /// let manual = ManualClock::new(Timestamp::from_millis(0));
+    /// let clock = Clock::Manual(manual.clone());
+    /// let expiry = Expiry { clock, time: Timestamp::from_millis(5) };
+    /// assert!(!expiry.is_past());
+    /// manual.advance(Millis(5));
+    /// assert!(expiry.is_past());
+    /// ```
+    pub fn is_past(&self) -> bool {
+        self.clock.now() >= self.time
+    }
 }
 
 impl OutgoingRequest {
@@ -62,6 +94,7 @@
             body: Vec::new(),
             pooled: true,
             head_timeout: Millis(10_000),
+            expiry: None,
         }
     }
 
@@ -213,7 +246,7 @@
         };
         let request =
             build_request(address, outgoing).map_err(|detail| client_error(false, detail))?;
-        let client_connection = ClientConnection::new(connection.clone());
+        let client_connection = ClientConnection::new(connection.clone(), outgoing.expiry.clone());
         // `http-types` panics on a header that is not ASCII.
         // The future is boxed because it is large enough to overflow the stack in debug builds.
         let response_future =
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -20,6 +20,7 @@
 pub use caller::Caller;
 pub use client::Client;
 pub use client::ClientError;
+pub use client::Expiry;
 pub use client::OutgoingRequest;
 pub use client::ResponseStream;
 pub use connection::Connection;
--- a/crates/berylwheel-http/src/write_buffer.rs
+++ b/crates/berylwheel-http/src/write_buffer.rs
@@ -11,6 +11,7 @@
 use futures_lite::AsyncWrite;
 
 use crate::Connection;
+use crate::Expiry;
 
 /// Maximum number of bytes buffered.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -23,6 +24,21 @@
 }
 
 impl WriteBuffer {
+    /// Returns whether no bytes are waiting to be sent.
+    fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Returns whether part of the buffered bytes was sent.
+    fn has_sent(&self) -> bool {
+        self.sent > 0
+    }
+
+    /// Returns whether `count` more bytes fit without sending the buffered ones first.
+    fn has_room(&self, count: usize) -> bool {
+        self.bytes.len() + count <= MAX_BUFFERED_BYTES
+    }
+
     /// Adds bytes to the buffer, and first sends the buffered ones if they would not fit.
     pub(crate) fn poll_push(
         &mut self,
@@ -30,7 +46,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.bytes.len() + bytes.len() > MAX_BUFFERED_BYTES {
+        if !self.has_room(bytes.len()) {
             ready!(self.poll_drain(connection, cx))?;
         }
         self.bytes.extend_from_slice(bytes);
@@ -62,12 +78,30 @@
 pub(crate) struct ClientConnection {
     connection: Connection,
     buffer: WriteBuffer,
+    /// Time from which no first byte may be written; cleared once that byte was written.
+    expiry: Option<Expiry>,
 }
 
 impl ClientConnection {
     /// Wraps `connection` with an empty buffer.
-    pub(crate) fn new(connection: Connection) -> Self {
-        Self { connection, buffer: WriteBuffer::default() }
+    pub(crate) fn new(connection: Connection, expiry: Option<Expiry>) -> Self {
+        Self { connection, buffer: WriteBuffer::default(), expiry }
+    }
+
+    /// Sends all buffered bytes, unless none was sent before the expiry.
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.buffer.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        if self.expiry.as_ref().is_some_and(Expiry::is_past) {
+            let detail = "the request expired before it could be sent";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, detail)));
+        }
+        let drained = self.buffer.poll_drain(&mut self.connection, cx);
+        if self.buffer.has_sent() || drained.is_ready() {
+            self.expiry = None;
+        }
+        drained
     }
 }
 
@@ -89,12 +123,14 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if !this.buffer.has_room(buf.len()) {
+            ready!(this.poll_drain(cx))?;
+        }
         this.buffer.poll_push(&mut this.connection, cx, buf)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        this.buffer.poll_drain(&mut this.connection, cx)
+        self.get_mut().poll_drain(cx)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/berylwheel-router/src/operate/orders.rs
+++ b/crates/berylwheel-router/src/operate/orders.rs
@@ -14,6 +14,7 @@
 use berylwheel_config::FenceResult;
 use berylwheel_http::Client;
 use berylwheel_http::ClientError;
+use berylwheel_http::Expiry;
 use berylwheel_http::OutgoingRequest;
 use berylwheel_settings::Fencing;
 use berylwheel_settings::ServerSettings;
@@ -142,7 +143,8 @@
         held.fence.acquire(self.clock.now(), &server.id, server.fencing);
         let number = self.acquire(&mut held, &server.id, deadline).await?;
         let timeout = held.fence.order_timeout();
-        let result = self.post_order(server.address, order, number, timeout).await;
+        let lease_end = held.fence.lease_end(&server.id);
+        let result = self.post_order(server.address, order, number, timeout, lease_end).await;
         if result.as_ref().is_err_and(|refusal| refusal.code == Code::StaleOrder) {
             held.fence.handle_refusal(self.clock.now(), &server.id);
         }
@@ -204,6 +206,7 @@
             FenceAction::Write { server, prior_revision, record, lease } => {
                 let number = record.number;
                 let result = self.write(held, &server, prior_revision, &record, lease).await;
+                let result = result.map_err(unavailable)?;
                 held.fence.handle_write(self.clock.now(), &server, number, result);
             }
             FenceAction::KeepAlive { server, requested_at } => {
@@ -242,6 +245,10 @@
         Ok((record, holder.transpose().map_err(invalid_record)?))
     }
 
+    /// Writes the record, and with `lease` the lease key.
+    ///
+    /// # Errors
+    /// Fails if the store grants no lease. Nothing was written then.
     async fn write(
         &self,
         held: &mut HeldFence,
@@ -249,23 +256,25 @@
         prior_revision: u64,
         record: &FenceRecord,
         lease: Option<Millis>,
-    ) -> FenceResult {
+    ) -> Result<FenceResult, StoreError> {
         let mut compares = vec![Compare::new(fence_key(server), prior_revision)];
         let mut puts = vec![Put::new(fence_key(server), json!(record).to_string())];
         if let Some(ttl) = lease {
-            let Ok(id) = self.store.grant_lease(ttl).await else {
-                return FenceResult::NotCommitted;
+            let id = match self.store.grant_lease(ttl).await {
+                // A lease whose response was lost is not used and expires.
+                Err(StoreError::Unknown) => self.store.grant_lease(ttl).await?,
+                granted => granted?,
             };
             compares.push(Compare::absent(lease_key(server)));
             let record = LeaseRecord { owner: self.incarnation.clone(), lease: id.0 };
             puts.push(Put::new(lease_key(server), json!(record).to_string()).lease(id));
             held.lease = Some(id);
         }
-        match self.store.swap(compares, puts).await {
+        Ok(match self.store.swap(compares, puts).await {
             Ok(SwapResult::Committed(_)) => FenceResult::Committed,
             Ok(SwapResult::Conflict(_)) => FenceResult::NotCommitted,
             Err(_) => FenceResult::Unknown,
-        }
+        })
     }
 
     async fn post_order(
@@ -274,6 +283,7 @@
         order: &Order,
         number: FenceNumber,
         timeout: Millis,
+        lease_end: Option<Timestamp>,
     ) -> Result<(), Refusal> {
         let mut body = json!(order);
         body["fence"] = json!(number);
@@ -282,8 +292,16 @@
             .body(body.to_string());
         outgoing.pooled = false;
         outgoing.head_timeout = timeout;
+        // The process may be paused after the lease was checked, for example while it connects.
+        outgoing.expiry = lease_end.map(|time| Expiry { clock: self.clock.clone(), time });
         let fetched = self.client.fetch(address, &outgoing, MAX_RESPONSE_BYTES, timeout).await;
-        let (response, bytes) = fetched.map_err(client_failure)?;
+        let (response, bytes) = fetched.map_err(|error| {
+            let expired = outgoing.expiry.as_ref().is_some_and(Expiry::is_past);
+            if !error.sent && expired {
+                return Refusal::not_run(Code::StaleOrder, "the order lease ended before sending");
+            }
+            client_failure(error)
+        })?;
         let status: u16 = response.status().into();
         let detail = || format!("{status}: {}", String::from_utf8_lossy(&bytes));
         match status {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use async_executor::Executor;
 use async_io::block_on;
@@ -24,6 +25,9 @@
 use support::send_as_operator;
 use support::wait_until;
 
+/// Delay of the store's responses while an order is paused.
+const STORE_DELAY: Duration = Duration::from_millis(700);
+
 /// Changes the settings of a server and waits until all routers serve the new version.
 fn set_server(fleet: &Fleet, version: u64, server: &str, pairs: &[&str]) {
     let address = fleet.admin(0).to_string();
@@ -71,18 +75,24 @@
     Some(router.to_owned())
 }
 
-/// Sends an order to router 0 and pauses the router after it has written the fencing number to the
-/// store and before it receives the store's response.
-fn pause_after_fencing_write(fleet: &Fleet, server: &'static str) -> thread::JoinHandle<Response> {
+/// Sends an order to router 0 and pauses the router `delay` after it has written the fencing number
+/// to the store. It receives the store's response [`STORE_DELAY`] after that write.
+fn pause_after_fencing_write(
+    fleet: &Fleet,
+    server: &'static str,
+    delay: Duration,
+) -> thread::JoinHandle<Response> {
     let store = fleet.store.address("listen");
     let revision = || get(store, "/stats").json()["revision"].as_u64();
-    fleet.inject_faults(&fleet.store, &json!({ "slow_ms": 700 }));
+    let slow_ms = STORE_DELAY.as_millis();
+    fleet.inject_faults(&fleet.store, &json!({ "slow_ms": slow_ms }));
     let (mut before, admin) = (revision(), fleet.admin(0));
     let sender = thread::spawn(move || send_order(admin, server, "old"));
     wait_until("the fencing number is in the store", || {
         if revision() <= before {
             return None;
         }
+        thread::sleep(delay);
         fleet.routers[0].signal("STOP");
         fleet.inject_faults(&fleet.store, &json!({ "slow_ms": 0 }));
         let owner = stored_router(fleet, &format!("/berylwheel/fence/{server}"), "/owner");
@@ -91,7 +101,7 @@
         }
         // The revision increased by another write, such as the registration of a router.
         before = revision();
-        fleet.inject_faults(&fleet.store, &json!({ "slow_ms": 700 }));
+        fleet.inject_faults(&fleet.store, &json!({ "slow_ms": slow_ms }));
         fleet.routers[0].signal("CONT");
         None
     });
@@ -142,7 +152,7 @@
 fn checking_engine_gets_no_stale_order_from_paused_router() {
     let fleet = Fleet::start("orders_checked", 2, &[], 1_000);
     set_server(&fleet, 2, "e0", &["fencing=checked"]);
-    let old = pause_after_fencing_write(&fleet, "e0");
+    let old = pause_after_fencing_write(&fleet, "e0", Duration::ZERO);
     let new = send_order(fleet.admin(1), "e0", "new");
     assert_eq!(new.status, 200, "{new:?}");
     fleet.routers[0].signal("CONT");
@@ -156,44 +166,89 @@
     assert_eq!(accepted_orders(engine), [(2, "new".to_owned())]);
 }
 
+/// Delays from the store's write of the fencing number to the pause of the router. The write is
+/// noticed up to 20 ms late, so that the pauses spread over the response of the store, the check of
+/// the lease, the connection to the engine, the order and its response.
+const PAUSE_DELAYS_MS: [u64; 8] = [0, 676, 680, 684, 688, 692, 696, 700];
+
+/// Pauses router 0 `delay` after it has written a fencing number for an engine that does not check
+/// them, lets router 1 take the lease over and resumes router 0. Returns whether the order of
+/// router 0 reached the engine, which is allowed only before router 1 had the lease.
+fn pause_and_take_over(name: &str, delay: Duration) -> bool {
+    let fleet = Fleet::start(name, 2, &[], 1_000);
+    let engine = start_unchecked_engine();
+    let address = format!("address={engine}");
+    let pairs =
+        [&address, "kinds=chat", "models=m1", "concurrency=9", "domain=d0", "fencing=ignored"];
+    set_server(&fleet, 2, "e9", &pairs);
+    let old = pause_after_fencing_write(&fleet, "e9", delay);
+    let admin = fleet.admin(1);
+    let new = thread::spawn(move || send_order(admin, "e9", "new"));
+    wait_until("the other router holds the lease", || {
+        let holder = stored_router(&fleet, "/berylwheel/order-lease/e9", "/owner");
+        (holder.as_deref() == Some("r1")).then_some(())
+    });
+    // An order that router 0 sent before its pause has arrived by now; one that it sends after
+    // the pause would come on top.
+    let mut expected = accepted_orders(engine);
+    let sent = !expected.is_empty();
+    fleet.routers[0].signal("CONT");
+    let old = old.join().expect("the thread ends");
+    let new = new.join().expect("the thread ends");
+    if sent {
+        assert_eq!(expected, [(1, "old".to_owned())], "pause after {delay:?}");
+        assert_ne!(old.execution_state(), "not-run", "pause after {delay:?}: {old:?}");
+    } else {
+        assert_eq!(
+            (old.status, old.code(), old.execution_state().as_str()),
+            (409, 1405, "not-run"),
+            "pause after {delay:?}: {old:?}"
+        );
+    }
+    assert_eq!(new.status, 200, "pause after {delay:?}: {new:?}");
+    expected.push((2, "new".to_owned()));
+    assert_eq!(accepted_orders(engine), expected, "pause after {delay:?}");
+    sent
+}
+
 /// Guards against an order sent by a router whose lease expired while it was paused, to an engine
 /// that does not check fencing numbers, and against a new lease holder that sends while the
-/// previous one may still send.
+/// previous one may still send. The router is paused at many points of the send path.
 #[test]
 fn paused_router_gives_no_order_after_its_lease() {
-    let fleet = Fleet::start("orders_ignored", 2, &[], 1_000);
+    let play = |delay_ms| {
+        thread::spawn(move || {
+            let name = format!("orders_ignored_{delay_ms}");
+            pause_and_take_over(&name, Duration::from_millis(delay_ms))
+        })
+    };
+    let plays: Vec<_> = PAUSE_DELAYS_MS.into_iter().map(play).collect();
+    let sent: Vec<bool> = plays.into_iter().map(|play| play.join().expect("the play")).collect();
+    println!("order sent before the pause, by delay: {sent:?}");
+}
+
+/// Guards against a new lease holder that sends before the orders of the previous one have ended.
+#[test]
+fn new_lease_holder_waits_for_another_lease_period() {
+    let fleet = Fleet::start("orders_wait", 2, &[], 1_000);
     let engine = start_unchecked_engine();
     let address = format!("address={engine}");
     let pairs =
         [&address, "kinds=chat", "models=m1", "concurrency=9", "domain=d0", "fencing=ignored"];
     set_server(&fleet, 2, "e9", &pairs);
-    let old = pause_after_fencing_write(&fleet, "e9");
-    assert_eq!(
-        accepted_orders(engine),
-        [],
-        "expected the router to be paused before it sends the order"
-    );
+    let old = pause_after_fencing_write(&fleet, "e9", Duration::ZERO);
     let admin = fleet.admin(1);
     let new = thread::spawn(move || send_order(admin, "e9", "new"));
     wait_until("the other router holds the lease", || {
         let holder = stored_router(&fleet, "/berylwheel/order-lease/e9", "/owner");
         (holder.as_deref() == Some("r1")).then_some(())
     });
+    let early: Vec<_> =
+        accepted_orders(engine).into_iter().filter(|(_, version)| version == "new").collect();
+    assert_eq!(early, [], "expected the new holder to wait for another lease period");
     fleet.routers[0].signal("CONT");
-    assert_eq!(
-        accepted_orders(engine),
-        [],
-        "expected the new holder to wait for another lease period"
-    );
-    let old = old.join().expect("the thread ends");
-    assert_eq!(
-        (old.status, old.code(), old.execution_state().as_str()),
-        (409, 1405, "not-run"),
-        "{old:?}"
-    );
-    let new = new.join().expect("the thread ends");
-    assert_eq!(new.status, 200, "{new:?}");
-    assert_eq!(accepted_orders(engine), [(2, "new".to_owned())]);
+    old.join().expect("the thread ends");
+    assert_eq!(new.join().expect("the thread ends").status, 200);
 }
 
 /// Guards against an order that is lost or sent twice because a response of the store was lost.
