Count the requests answered before a router refuses in the shutdown test

Cause: the test sends requests until one is refused after SIGTERM and expected none of them to be answered, but the router takes requests until it handles the signal.

Change: the test counts what it is answered and expects exactly that on the bill. It now also fails if a request gets no response, where it tried again before.

--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -192,9 +192,15 @@
         .collect();
     wait_request_count(&fleet, 0, 100);
     fleet.routers[0].signal("TERM");
+    // The router takes requests until it handles the signal. Each is answered and billed, or refused.
+    let mut answered = 0;
     let refused = wait_until("new requests are refused", || {
-        let response = try_send(router, chat_request(1, false, None)).ok()?;
-        (response.status != 200).then_some(response)
+        let response = send(router, chat_request(1, false, None));
+        if response.status != 200 {
+            return Some(response);
+        }
+        answered += 1;
+        None
     });
     assert_eq!(
         (refused.code(), refused.execution_state().as_str()),
@@ -207,7 +213,7 @@
     }
     assert!(fleet.routers[0].wait_exit(), "expected the router to exit with status 0");
     let account = wait_account(&fleet);
-    assert_eq!(account["billed"], 100 * 103);
+    assert_eq!(account["billed"], 100 * 103 + answered * 4);
     assert!(account["rows"].as_object().is_none_or(serde_json::Map::is_empty), "{account}");
     assert_conserved(&account);
 }
