--- a/crates/berylwheel-http/src/forward/events.rs
+++ b/crates/berylwheel-http/src/forward/events.rs
@@ -1,5 +1,6 @@
 //! Splits a stream of server-sent events into events and keeps their bytes unchanged.
 
+use berylwheel_types::parse_whole;
 use bytes::Bytes;
 use bytes::BytesMut;
 
@@ -82,5 +83,5 @@
 fn parse_event_id(bytes: &[u8]) -> Option<u64> {
     let lines = bytes.split(|byte| *byte == b'\n');
     let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
+    parse_whole(std::str::from_utf8(value).ok()?.trim())
 }
--- a/crates/berylwheel-router/src/calls/service.rs
+++ b/crates/berylwheel-router/src/calls/service.rs
@@ -172,7 +172,7 @@
 
 fn split_path(request: &Request) -> (&str, String) {
     let url = request.url();
-    let rest = url.path().trim_start_matches("/services/");
+    let rest = url.path().strip_prefix("/services/").unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let query = url.query().map(|query| format!("?{query}")).unwrap_or_default();
     (name, format!("/{path}{query}"))
--- a/crates/berylwheel-schedule/src/kind.rs
+++ b/crates/berylwheel-schedule/src/kind.rs
@@ -17,6 +17,9 @@
 /// Maximum `retry_after` of a refusal. Estimates beyond 30 s are unreliable.
 const MAX_RETRY_AFTER_MS: f64 = 30_000.0;
 
+/// Ten additions of a share of 0.1 sum to slightly less than one retry.
+const ROUNDING_TOLERANCE: f64 = 1e-9;
+
 /// Queued and running requests of one workspace in a kind.
 #[derive(Debug, Default)]
 struct WorkspaceUsage {
@@ -203,16 +206,16 @@
     }
 
     pub(crate) fn take_retry(&mut self) -> bool {
-        // The tolerance is for rounding: ten additions of 0.1 sum to slightly less than one.
-        let granted = self.retry_budget >= 1.0 - 1e-9;
+        let granted = self.available_retries() > 0;
         if granted {
             self.retry_budget = (self.retry_budget - 1.0).max(0.0);
         }
         granted
     }
 
+    /// Returns the number of retries that would be granted now.
     pub(crate) fn available_retries(&self) -> u32 {
-        self.retry_budget as u32
+        (self.retry_budget + ROUNDING_TOLERANCE) as u32
     }
 
     pub(crate) fn advance_rate(&mut self, now: Timestamp) {
--- a/crates/berylwheel-schedule/tests/kind.rs
+++ b/crates/berylwheel-schedule/tests/kind.rs
@@ -74,6 +74,23 @@
     assert_eq!((0..100).filter(|_| scheduler.take_retry(START, &kind)).count(), 10);
 }
 
+/// Guards against a state dump that shows no retry where one is granted.
+#[test]
+fn dump_shows_the_retries_that_are_granted() {
+    let mut scheduler = Scheduler::new(SchedulePolicy::default());
+    let kind = "k0".parse().unwrap();
+    scheduler.set_kind_limits("k0".parse().unwrap(), limits(5, 2));
+    while scheduler.take_retry(START, &kind) {}
+    for number in 0..40 {
+        let work = work(&format!("q{number}"), "w0", "k0", Rank::Normal, 10);
+        scheduler.submit(START, work).unwrap();
+        let work = scheduler.start_next(START, &mut |_| true).unwrap();
+        scheduler.finish(START, &work.request, Tokens(10));
+        let shown = scheduler.dump().kinds[0].retries;
+        assert_eq!(scheduler.take_retry(START, &kind), shown > 0, "after {} requests", number + 1);
+    }
+}
+
 /// Serves 20 requests of 100 tokens from a backlog, one every 100 ms, and starts one more. Returns
 /// the time.
 fn run_backlog(scheduler: &mut Scheduler, queued: usize) -> Timestamp {
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -15,6 +15,7 @@
 use berylwheel_types::RouterId;
 use berylwheel_types::Share;
 use berylwheel_types::Tokens;
+use berylwheel_types::parse_whole;
 
 use crate::Adapter;
 use crate::Answer;
@@ -93,6 +94,7 @@
     /// ```
     /// use berylwheel_settings::ValueType;
     /// assert!(ValueType::Count(1, 64).check("2").is_ok());
+    /// assert!(ValueType::Count(1, 64).check("+2").is_err());
     /// assert_eq!(
     ///     ValueType::Count(1, 64).check("65"),
     ///     Err("a whole number from 1 to 64".to_owned())
@@ -100,7 +102,7 @@
     /// ```
     pub fn check(self, text: &str) -> Result<(), String> {
         let ok = match self {
-            Self::Count(low, high) => in_range(text.parse(), low, high),
+            Self::Count(low, high) => in_range(parse_whole(text).ok_or(()), low, high),
             Self::Tokens(low, high) => in_range(text.parse(), Tokens(low), Tokens(high)),
             Self::Duration(low, high) => in_range(text.parse(), Millis(low), Millis(high)),
             Self::Size(low, high) => in_range(text.parse(), ByteSize(low), ByteSize(high)),
@@ -240,7 +242,7 @@
 /// Parses `NAME` or `NAME:WEIGHT`.
 pub(crate) fn parse_weighted_name(text: &str) -> Option<(KindId, u32)> {
     let (name, weight) = text.rsplit_once(':').unwrap_or((text, "1"));
-    Some((name.trim().parse().ok()?, weight.trim().parse().ok()?))
+    Some((name.trim().parse().ok()?, parse_whole(weight.trim())?))
 }
 
 /// Parses `NAME=IP:port`.
--- a/crates/berylwheel-types/src/decimal.rs
+++ b/crates/berylwheel-types/src/decimal.rs
@@ -51,6 +51,21 @@
     }
 }
 
+/// Parses a whole number. Unlike the standard parser, it rejects a leading plus sign.
+///
+/// ```
+/// use berylwheel_types::parse_whole;
+/// assert_eq!(parse_whole::<u32>("20"), Some(20));
+/// assert_eq!(parse_whole::<u32>("+20"), None);
+/// assert_eq!(parse_whole::<u8>("256"), None);
+/// ```
+pub fn parse_whole<T: FromStr>(text: &str) -> Option<T> {
+    if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok()
+}
+
 /// Parses a number without a sign, such as `20`, `0.25` or `5e-05`.
 pub(crate) fn parse_number(text: &str) -> Option<f64> {
     // The standard parser also takes a leading plus sign, `inf` and `nan`.
--- a/crates/berylwheel-types/src/id.rs
+++ b/crates/berylwheel-types/src/id.rs
@@ -11,6 +11,10 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::parse_whole;
+
+/// Number of hexadecimal digits of a [`BillKey`].
+const BILL_KEY_DIGITS: usize = 32;
 /// The maximum length of a name, in bytes.
 const NAME_LIMIT_BYTES: usize = 128;
 
@@ -208,9 +212,11 @@
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u128::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| ParseIdError { expected: "32 hexadecimal digits" })
+        let error = ParseIdError { expected: "32 hexadecimal digits" };
+        if text.len() != BILL_KEY_DIGITS || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(error);
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| error)
     }
 }
 
@@ -253,7 +259,8 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
-                text.parse().map(Self).map_err(|_| ParseIdError { expected: "a whole number" })
+                let error = ParseIdError { expected: "a whole number" };
+                parse_whole(text).map(Self).ok_or(error)
             }
         }
     };
--- a/crates/berylwheel-types/src/lib.rs
+++ b/crates/berylwheel-types/src/lib.rs
@@ -16,6 +16,7 @@
 pub use code::Code;
 pub use code::ExecutionState;
 pub use decimal::Decimal;
+pub use decimal::parse_whole;
 pub use hash::FastMap;
 pub use hash::FastSet;
 pub use hash::stable_hash;
--- a/crates/berylwheel-types/tests/id.rs
+++ b/crates/berylwheel-types/tests/id.rs
@@ -133,3 +133,18 @@
         assert!(text.parse::<Rank>().is_err(), "{text:?}");
     }
 }
+
+/// Guards against a number or key that is read from a text of another form.
+#[test]
+fn numbers_have_no_sign_and_keys_have_all_digits() {
+    assert_eq!("7".parse::<Version>().ok(), Some(Version(7)));
+    for text in ["", "+7", "-7", " 7", "7 ", "18446744073709551616"] {
+        assert!(text.parse::<Version>().is_err(), "{text:?}");
+        assert!(text.parse::<FenceNumber>().is_err(), "{text:?}");
+    }
+    let key = BillKey::new(&"w".parse().unwrap(), "k").to_string();
+    assert_eq!(key.parse::<BillKey>().unwrap().to_string(), key);
+    for text in [&key[1..], &format!("+{}", &key[1..]), &format!("{key}0")] {
+        assert!(text.parse::<BillKey>().is_err(), "{text:?}");
+    }
+}
--- a/tests/request_validation.rs
+++ b/tests/request_validation.rs
@@ -67,6 +67,11 @@
         ("bad idempotency key", with_header("idempotency-key", "a b"), 1102),
         ("unknown path", empty_request(Method::Get, "/nothing"), 1113),
         ("unknown service", empty_request(Method::Get, "/services/none/x"), 1113),
+        (
+            "service path twice",
+            caller_request(Method::Post, "/services//services/booking/book", Some("twice"), "{}"),
+            1113,
+        ),
         ("engine kind at the service path", empty_request(Method::Get, "/services/chat/x"), 1113),
         ("booking without key", booking_request(None), 1301),
         ("booking with a path in its key", booking_request(Some("../runs")), 1102),
