Give a server no requests while another one responds at its address

After a crash a new server takes the address, and the entry of the old one stays listed for three heartbeats. Its 421 counted as a response of a server that is full, and the fast response made the address look idle, so that routers sent request after request there. Kinds that may be sent to one server only were refused though other servers were free.

Ruled out: counting it as a failure, which ejects after three and only a part of the servers; removing the entry, which the next event of the list would not restore; telling the peers, since a faulty server could then take good ones out everywhere.

Change: the outcome Misdirected keeps the server from being chosen for 4 s, or until it restarts or is listed at another address.

--- a/crates/berylwheel-route/src/health.rs
+++ b/crates/berylwheel-route/src/health.rs
@@ -30,7 +30,7 @@
         match outcome {
             Outcome::Ok => self.failures = 0,
             Outcome::Failed | Outcome::TimedOut => self.failures += 1,
-            Outcome::Cancelled => return false,
+            Outcome::Misdirected | Outcome::Cancelled => return false,
         }
         self.failures >= policy.eject_after
     }
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -277,6 +277,7 @@
                 && !query.exclude.contains(id)
                 && !self.is_leaving(id)
                 && !state.health.is_ejected(now)
+                && !state.is_misdirected(now, &self.policy)
         });
         let eligible: Vec<&ServerState> = eligible.collect();
         let limit = self.policy.report_expiry;
@@ -312,6 +313,9 @@
         let Some(state) = self.states.get_mut(server) else { return };
         self.last_time = now;
         state.load.request_ended(now);
+        if outcome == Outcome::Misdirected {
+            state.misdirected_at = Some(now);
+        }
         let should_eject = state.health.record_outcome(now, outcome, &self.policy);
         if !state.present && state.load.own_count() == 0 {
             self.states.remove(server);
--- a/crates/berylwheel-route/src/policy.rs
+++ b/crates/berylwheel-route/src/policy.rs
@@ -49,6 +49,9 @@
     /// Time since the last notice of a server's shutdown before the VM list can mark the server as
     /// live again. The list lags and may still show a server as live that is shutting down.
     pub leaving_hold: Millis,
+    /// How long a server gets no requests after another one responded at its address. A server list
+    /// drops the entry of a silent server within this time.
+    pub misdirected_hold: Millis,
 }
 
 impl Default for RoutePolicy {
@@ -68,6 +71,7 @@
             probe_interval: Millis(1_000),
             probe_rate: 40,
             leaving_hold: Millis(60_000),
+            misdirected_hold: Millis(4_000),
         }
     }
 }
--- a/crates/berylwheel-route/src/server.rs
+++ b/crates/berylwheel-route/src/server.rs
@@ -61,6 +61,8 @@
     Failed,
     /// The server did not respond in time.
     TimedOut,
+    /// Another server responded at the server's address, without running the request.
+    Misdirected,
     /// The router or the caller cancelled the request for a reason unrelated to the server.
     Cancelled,
 }
--- a/crates/berylwheel-route/src/state.rs
+++ b/crates/berylwheel-route/src/state.rs
@@ -26,6 +26,8 @@
     pub health: Health,
     /// When the server last reported that it is draining, unless it has reported otherwise since.
     pub draining_at: Option<Timestamp>,
+    /// When another server last responded at the address.
+    pub misdirected_at: Option<Timestamp>,
     pub loaded_models: Option<Vec<ModelId>>,
     /// When the server was last added, restarted or marked live again; `None` if it was running
     /// when the router started.
@@ -44,6 +46,7 @@
             cached: CachedPrefixes::default(),
             health: Health::default(),
             draining_at: None,
+            misdirected_at: None,
             loaded_models: None,
             start_time,
             probe_due: Timestamp::default(),
@@ -57,6 +60,7 @@
         self.cached = CachedPrefixes::default();
         self.health = Health::default();
         self.draining_at = None;
+        self.misdirected_at = None;
         self.loaded_models = None;
         self.start_time = Some(now);
         self.probe_due = now;
@@ -75,6 +79,11 @@
         }
     }
 
+    /// Returns whether another server has responded at the address a short time ago.
+    pub fn is_misdirected(&self, now: Timestamp, policy: &RoutePolicy) -> bool {
+        self.misdirected_at.is_some_and(|at| now.since(at) < policy.misdirected_hold)
+    }
+
     /// Returns the fraction of the server's capacity to use: below 1 during slow start, which
     /// begins at `start_time` and at the end of an ejection.
     pub fn weight(&self, now: Timestamp, policy: &RoutePolicy) -> f64 {
--- a/crates/berylwheel-route/tests/health.rs
+++ b/crates/berylwheel-route/tests/health.rs
@@ -5,6 +5,7 @@
 use berylwheel_route::LoadBalancer;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
+use berylwheel_route::RoutePolicy;
 use support::at;
 use support::balancer_with_engines;
 use support::engine;
@@ -195,3 +196,36 @@
     (0..5_000).for_each(|n| balancer.set_leaving(at(n), &id(&format!("x{n}"))));
     assert_eq!(picked_names(&mut balancer, at(20_000), &query("m1", 0), 50), "e0");
 }
+
+/// Guards against requests that keep going to an address which another server has taken over. Until
+/// the server list drops the old entry, each of them is refused although other servers are free,
+/// and the fast responses make the address look idle.
+#[test]
+fn misdirected_server_gets_no_requests_until_its_entry_expires() {
+    let mut balancer = balancer_with_engines(3, 100);
+    let hold = RoutePolicy::default().misdirected_hold.0;
+    let (mut refused, mut now) = (0, 0);
+    // 200 requests a second while the old entry of e0 is listed.
+    while now < hold {
+        let server = balancer.pick(at(now), &query("m1", 0)).expect("a server is free").id;
+        let outcome = if server == id("e0") { Outcome::Misdirected } else { Outcome::Ok };
+        refused += u32::from(outcome == Outcome::Misdirected);
+        balancer.request_started(at(now), &server);
+        balancer.request_ended(at(now), &server, outcome);
+        now += 5;
+    }
+    assert_eq!(refused, 1, "requests that reached the wrong server");
+    let later = at(2 * hold);
+    assert!(picked_names(&mut balancer, later, &query("m1", 0), 200).contains("e0"));
+}
+
+/// Guards against a server that restarts and stays unused because its former address had gone to
+/// another server.
+#[test]
+fn restarted_server_is_used_after_a_misdirected_response() {
+    let mut balancer = balancer_with_engines(1, 100);
+    complete_requests(&mut balancer, 0, "e0", &[Outcome::Misdirected]);
+    assert!(balancer.pick(at(1), &query("m1", 0)).is_none());
+    balancer.server_restarted(at(2), &id("e0"));
+    assert!(balancer.pick(at(2), &query("m1", 0)).is_some());
+}
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 
 use super::call::Call;
 use super::classify::AttemptFailure;
+use super::classify::MISDIRECTED;
 use super::classify::ResponseClass;
 use super::classify::classify_response;
 use super::classify::is_repeatable;
@@ -117,6 +118,7 @@
             ResponseClass::NotRun => {
                 let status = response.head.status;
                 Err(AttemptFailure::NotRun {
+                    misdirected: status.as_u16() == MISDIRECTED,
                     detail: format!("{} responded {status} without running the request", server.id),
                 })
             }
--- a/crates/berylwheel-router/src/forward/classify.rs
+++ b/crates/berylwheel-router/src/forward/classify.rs
@@ -12,6 +12,9 @@
 
 use super::platform::ResponseHeaders;
 
+/// Status of a response of a server that the request was not meant for.
+pub(crate) const MISDIRECTED: u16 = 421;
+
 /// Classification of a response by its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -39,7 +42,7 @@
     if headers.id.as_deref().is_some_and(|other| other != id) {
         return ResponseClass::Unverified;
     }
-    if headers.not_run || status == 421 {
+    if headers.not_run || status == MISDIRECTED {
         return ResponseClass::NotRun;
     }
     match status {
@@ -56,8 +59,9 @@
 pub enum AttemptFailure {
     /// No part of the request was sent.
     NotSent { timed_out: bool, detail: String },
-    /// The server states that it did not run the request.
-    NotRun { detail: String },
+    /// The server states that it did not run the request. `misdirected` is set if it isn't the
+    /// server that the request was meant for.
+    NotRun { misdirected: bool, detail: String },
     /// It is unknown whether the request ran.
     Unknown { timed_out: bool, detail: String },
 }
@@ -80,6 +84,7 @@
                 Outcome::TimedOut
             }
             Self::NotSent { .. } | Self::Unknown { .. } => Outcome::Failed,
+            Self::NotRun { misdirected: true, .. } => Outcome::Misdirected,
             // A server that rejects requests because it is full is not faulty.
             Self::NotRun { .. } => Outcome::Cancelled,
         }
@@ -94,7 +99,7 @@
     pub fn detail(&self) -> &str {
         match self {
             Self::NotSent { detail, .. }
-            | Self::NotRun { detail }
+            | Self::NotRun { detail, .. }
             | Self::Unknown { detail, .. } => detail,
         }
     }
--- a/crates/berylwheel-router/tests/classify.rs
+++ b/crates/berylwheel-router/tests/classify.rs
@@ -1,5 +1,6 @@
 //! Classification of backend servers' responses and failures, and the retries that follow.
 
+use berylwheel_route::Outcome;
 use berylwheel_router::AttemptFailure;
 use berylwheel_router::ResponseClass;
 use berylwheel_router::ResponseHeaders;
@@ -49,7 +50,7 @@
 #[test]
 fn retries_only_requests_that_cannot_run_twice() {
     let not_sent = AttemptFailure::NotSent { timed_out: false, detail: String::new() };
-    let not_run = AttemptFailure::NotRun { detail: String::new() };
+    let not_run = AttemptFailure::NotRun { misdirected: false, detail: String::new() };
     let unknown = AttemptFailure::Unknown { timed_out: false, detail: String::new() };
     let lookup = kind("repeat = idempotent");
     let booking = kind("repeat = once");
@@ -68,11 +69,21 @@
     }
 }
 
+/// Guards against a server that keeps getting requests although another server has taken over its
+/// address, and against one that is avoided because it was full.
+#[test]
+fn only_a_misdirected_response_shows_that_the_server_is_gone() {
+    let outcome =
+        |misdirected| AttemptFailure::NotRun { misdirected, detail: String::new() }.outcome();
+    assert_eq!(outcome(true), Outcome::Misdirected);
+    assert_eq!(outcome(false), Outcome::Cancelled);
+}
+
 /// Guards against a refusal that wrongly states "not run": that is correct only if no attempt can
 /// have run.
 #[test]
 fn refusal_states_whether_the_request_ran() {
-    let not_run = AttemptFailure::NotRun { detail: String::new() };
+    let not_run = AttemptFailure::NotRun { misdirected: false, detail: String::new() };
     let unknown = AttemptFailure::Unknown { timed_out: true, detail: String::new() };
     let execution_state =
         |failure: &AttemptFailure, before| failure.refusal(before, Millis(100)).ran;
