Look for a second response before a connection is reused

Cause: since sockets are read only when they are reported readable, a second copy of a response that had just arrived was not seen when the connection was reused. hyper then took it for the response to the next request; its id would still have shown that, at the price of that request.

Ruled out: reading without a report whenever a request is sent, since the connection's task reads before it writes anyhow and only needs to know.

Change: the connection that is taken from the pool tells its socket to look for bytes at the next read.

Conclusion: a late copy closes the connection, and the request goes to another one.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -27,7 +27,8 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::local_timeout::local_timeout;
-use super::socket::CountingSocket;
+use super::socket::ServerSocket;
+use super::socket::SocketState;
 
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
@@ -83,7 +84,7 @@
 struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
     _task: Task<()>,
-    written: Arc<AtomicU64>,
+    socket: Arc<SocketState>,
     idle_since: Timestamp,
     expires_at: Timestamp,
 }
@@ -177,6 +178,7 @@
         while let Some(connection) = pool.pop_front() {
             let usable = now < connection.expires_at && now.since(connection.idle_since) < max_idle;
             if usable && connection.sender.is_ready() {
+                connection.socket.check_before_reuse();
                 return Some(connection);
             }
         }
@@ -192,9 +194,9 @@
         self.opened_connections.fetch_add(1, Ordering::Relaxed);
         let opening = async {
             let stream = Async::<TcpStream>::connect(address).await?;
-            CountingSocket::new(stream)
+            ServerSocket::new(stream)
         };
-        let (socket, written) = match local_timeout(limit, opening).await {
+        let (stream, socket) = match local_timeout(limit, opening).await {
             Some(Ok(opened)) => opened,
             Some(Err(error)) => {
                 return Err(send_error(false, format!("cannot connect to {address}: {error}")));
@@ -206,7 +208,7 @@
                 ));
             }
         };
-        let handshake_result = http1::Builder::new().handshake(socket).await;
+        let handshake_result = http1::Builder::new().handshake(stream).await;
         let (sender, driver) =
             handshake_result.map_err(|error| send_error(false, format!("{address}: {error}")))?;
         let task = self.executor.spawn(async move {
@@ -215,7 +217,7 @@
             }
         });
         let now = self.clock.now();
-        Ok(UpstreamConnection { sender, _task: task, written, idle_since: now, expires_at: now })
+        Ok(UpstreamConnection { sender, _task: task, socket, idle_since: now, expires_at: now })
     }
 
     /// Sends a request over a connection. An error includes the request if none of it was written.
@@ -227,9 +229,9 @@
         limit: Millis,
     ) -> Result<(Response<Incoming>, PooledConnection), (SendError, Option<Request<Full<Bytes>>>)>
     {
-        let written_before = connection.written.load(Ordering::Relaxed);
+        let written_before = connection.socket.written();
         let send_error = |connection: &UpstreamConnection, timed_out, detail: String| SendError {
-            sent: connection.written.load(Ordering::Relaxed) > written_before,
+            sent: connection.socket.written() > written_before,
             timed_out,
             detail: format!("{address}: {detail}"),
         };
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -124,40 +125,63 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
-/// A connection to a backend server that counts the bytes written, to tell whether a failed request
-/// may have reached the server.
+/// State that a connection to a backend server shares with its user.
+#[derive(Debug, Default)]
+pub(crate) struct SocketState {
+    /// Number of bytes written, which tells whether a failed request may have reached the server.
+    written: AtomicU64,
+    /// Whether the next read must look for bytes although none were reported.
+    reused: AtomicBool,
+}
+
+impl SocketState {
+    pub(crate) fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Makes the next read look for bytes, which may have arrived a moment ago. `hyper` reads before
+    /// it writes the next request, and closes a connection that has received a second response.
+    pub(crate) fn check_before_reuse(&self) {
+        self.reused.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A connection to a backend server.
 #[derive(Debug)]
-pub(crate) struct CountingSocket {
+pub(crate) struct ServerSocket {
     inner: GatedSocket,
-    written: Arc<AtomicU64>,
+    state: Arc<SocketState>,
 }
 
-impl CountingSocket {
-    pub(crate) fn new(stream: Async<TcpStream>) -> io::Result<(Self, Arc<AtomicU64>)> {
+impl ServerSocket {
+    pub(crate) fn new(stream: Async<TcpStream>) -> io::Result<(Self, Arc<SocketState>)> {
         stream.get_ref().set_nodelay(true)?;
-        let written = Arc::new(AtomicU64::new(0));
-        Ok((Self { inner: GatedSocket::new(stream), written: written.clone() }, written))
+        let state = Arc::new(SocketState::default());
+        Ok((Self { inner: GatedSocket::new(stream), state: state.clone() }, state))
     }
 }
 
-impl Read for CountingSocket {
+impl Read for ServerSocket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.state.reused.swap(false, Ordering::Relaxed) {
+            self.inner.drained = false;
+        }
         Pin::new(&mut self.inner).poll_read(cx, buffer)
     }
 }
 
-impl Write for CountingSocket {
+impl Write for ServerSocket {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.inner).poll_write(cx, bytes))?;
-        self.written.fetch_add(written as u64, Ordering::Relaxed);
+        self.state.written.fetch_add(written as u64, Ordering::Relaxed);
         Poll::Ready(Ok(written))
     }
 
--- a/crates/berylwheel-http/tests/forward.rs
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -202,6 +203,61 @@
     assert_eq!(connections.try_iter().count(), 2);
 }
 
+/// Starts a server that answers the first request of each connection, sends a second copy of that
+/// response when told to, and answers further requests of the connection by their number.
+fn start_repeating_server() -> (SocketAddr, mpsc::Sender<()>, mpsc::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (repeat, repeat_order) = mpsc::channel();
+    let (done, repeated) = mpsc::channel();
+    let repeat_order = Arc::new(Mutex::new(repeat_order));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, order, done) = (stream.unwrap(), repeat_order.clone(), done.clone());
+            thread::spawn(move || {
+                let response = |number| {
+                    format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr{number}").into_bytes()
+                };
+                let mut number = 0;
+                while matches!(stream.read(&mut [0; 4_096]), Ok(count) if count > 0) {
+                    number += 1;
+                    if stream.write_all(&response(number)).is_err() {
+                        return;
+                    }
+                    if number == 1 && order.lock().unwrap().recv().is_ok() {
+                        let _ = stream.write_all(&response(1));
+                        let _ = done.send(());
+                    }
+                }
+            });
+        }
+    });
+    (address, repeat, repeated)
+}
+
+/// Guards against a late second copy of a response that is taken for the response to the next
+/// request of a reused connection.
+#[test]
+fn second_copy_of_a_response_does_not_answer_the_next_request() {
+    for play in 0..50 {
+        let (address, repeat, repeated) = start_repeating_server();
+        let (first, second, opened) = with_upstream(async |upstream: UpstreamClient| {
+            let (response, connection) = upstream.send(address, request(), OPTIONS).await.unwrap();
+            let first = response.into_body().collect().await.unwrap().to_bytes();
+            connection.release(None);
+            repeat.send(()).unwrap();
+            repeated.recv().unwrap();
+            // The copy has arrived. The next request must use another connection, whose first
+            // response is `r1` as well.
+            let (response, _connection) = upstream.send(address, request(), OPTIONS).await.unwrap();
+            let second = response.into_body().collect().await.unwrap().to_bytes();
+            (first, second, upstream.opened_connections())
+        });
+        assert_eq!((first.as_ref(), second.as_ref()), (b"r1".as_slice(), b"r1".as_slice()));
+        assert_eq!(opened, 2, "play {play}: connections, of which the second has the request");
+    }
+}
+
 /// Guards against a failure reported as not sent although the server may have received the request,
 /// and the reverse.
 #[test]
