Log what the sockets put on the link, and how late timers are

Change: sockets of callers, servers and the store count their bytes, system calls and connections; the link to the peers reports its own. A line 'link in use' is written at most once a second, when a direction carried half of the link's rate or a timer was 250 ms late. No decision uses it yet.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -29,6 +29,7 @@
 use super::local_timeout::local_timeout;
 use super::socket::ServerSocket;
 use super::socket::SocketState;
+use super::traffic::Traffic;
 
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
@@ -76,6 +77,7 @@
     clock: Clock,
     idle: Arc<Mutex<FastMap<SocketAddr, VecDeque<UpstreamConnection>>>>,
     opened_connections: Arc<AtomicU64>,
+    traffic: Traffic,
 }
 
 /// A connection and the task that drives it. Dropping it cancels the task and closes the
@@ -119,7 +121,13 @@
 impl UpstreamClient {
     /// Returns a client with an empty pool. `executor` runs the tasks that drive its connections.
     pub fn new(executor: Arc<Executor<'static>>, clock: Clock) -> Self {
-        Self { executor, clock, idle: Arc::default(), opened_connections: Arc::default() }
+        Self {
+            executor,
+            clock,
+            idle: Arc::default(),
+            opened_connections: Arc::default(),
+            traffic: Traffic::default(),
+        }
     }
 
     /// Returns the number of connections attempted so far.
@@ -127,6 +135,11 @@
         self.opened_connections.load(Ordering::Relaxed)
     }
 
+    /// Returns the traffic of the client's connections.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.clone()
+    }
+
     /// Closes idle connections that have expired or were closed by their server.
     pub fn close_expired(&self) {
         let now = self.clock.now();
@@ -194,7 +207,7 @@
         self.opened_connections.fetch_add(1, Ordering::Relaxed);
         let opening = async {
             let stream = Async::<TcpStream>::connect(address).await?;
-            ServerSocket::new(stream)
+            ServerSocket::new(stream, self.traffic.clone())
         };
         let (stream, socket) = match local_timeout(limit, opening).await {
             Some(Ok(opened)) => opened,
--- a/crates/berylwheel-http/src/forward/mod.rs
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod local_timeout;
 mod server;
 mod socket;
+mod traffic;
 
 pub use client::PooledConnection;
 pub use client::SendError;
@@ -23,3 +24,5 @@
 pub use server::accept_connections;
 pub use server::empty_body;
 pub use server::full_body;
+pub use traffic::Traffic;
+pub use traffic::TrafficTotals;
--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -36,6 +36,7 @@
 
 use super::socket::ActiveCount;
 use super::socket::CallerSocket;
+use super::traffic::Traffic;
 
 /// Delay before retrying a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Millis = Millis(10);
@@ -85,6 +86,8 @@
     pub shutdown: Receiver<()>,
     /// Number of open connections.
     pub open: Arc<AtomicUsize>,
+    /// Traffic of the connections.
+    pub traffic: Traffic,
 }
 
 /// Accepts connections and answers their requests with `handler`. Errors from accepting are logged
@@ -119,8 +122,7 @@
             log::warn!(open = guard.open_count; "connection closed: too many open connections");
             continue;
         }
-        let serving =
-            serve_connection(stream, limits, listener_state.shutdown.clone(), handler.clone());
+        let serving = serve_connection(stream, limits, listener_state.clone(), handler.clone());
         executor
             .spawn(async move {
                 let _guard = guard;
@@ -196,16 +198,22 @@
 async fn serve_connection<H, F>(
     stream: Async<TcpStream>,
     limits: AcceptLimits,
-    shutdown: Receiver<()>,
+    listener_state: ListenerState,
     handler: H,
 ) -> io::Result<()>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    let ListenerState { shutdown, traffic, .. } = listener_state;
     let active = ActiveCount::default();
-    let socket =
-        CallerSocket::new(stream, active.clone(), limits.head_timeout, limits.idle_timeout)?;
+    let socket = CallerSocket::new(
+        stream,
+        active.clone(),
+        limits.head_timeout,
+        limits.idle_timeout,
+        traffic,
+    )?;
     let service = service_fn(move |request| {
         let active_request = ActiveRequest::new(active.clone());
         let response_future = handler(request);
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -23,6 +23,8 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use super::traffic::Traffic;
+
 /// Number of reads after which a connection lets other tasks run. `hyper` reads for as long as
 /// there is data, so a peer that sends faster than it parses would otherwise keep the thread.
 const READS_BEFORE_YIELD: u32 = 16;
@@ -44,11 +46,13 @@
     drained: bool,
     /// Number of reads since the connection last had nothing to read.
     reads: u32,
+    traffic: Traffic,
 }
 
 impl GatedSocket {
-    fn new(stream: Async<TcpStream>) -> Self {
-        Self { stream, drained: false, reads: 0 }
+    fn new(stream: Async<TcpStream>, traffic: Traffic) -> Self {
+        traffic.record_connection();
+        Self { stream, drained: false, reads: 0, traffic }
     }
 }
 
@@ -78,6 +82,7 @@
             });
             match read {
                 Ok((count, limit)) => {
+                    self.traffic.record_received(count as u64);
                     // The end of the stream is no short read: it is reported again.
                     self.drained = count > 0 && count < limit;
                     return Poll::Ready(Ok(()));
@@ -103,7 +108,11 @@
                     ready!(self.stream.poll_writable(cx))?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                written => return Poll::Ready(written),
+                Ok(count) => {
+                    self.traffic.record_sent(count as u64);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
@@ -154,10 +163,13 @@
 }
 
 impl ServerSocket {
-    pub(crate) fn new(stream: Async<TcpStream>) -> io::Result<(Self, Arc<SocketState>)> {
+    pub(crate) fn new(
+        stream: Async<TcpStream>,
+        traffic: Traffic,
+    ) -> io::Result<(Self, Arc<SocketState>)> {
         stream.get_ref().set_nodelay(true)?;
         let state = Arc::new(SocketState::default());
-        Ok((Self { inner: GatedSocket::new(stream), state: state.clone() }, state))
+        Ok((Self { inner: GatedSocket::new(stream, traffic), state: state.clone() }, state))
     }
 }
 
@@ -222,9 +234,10 @@
         active: ActiveCount,
         head_timeout: Millis,
         idle_timeout: Millis,
+        traffic: Traffic,
     ) -> io::Result<Self> {
         stream.get_ref().set_nodelay(true)?;
-        let inner = GatedSocket::new(stream);
+        let inner = GatedSocket::new(stream, traffic);
         let timer = Timer::after(idle_timeout.duration());
         Ok(Self { inner, active, head_timeout, idle_timeout, state: CallerState::Idle, timer })
     }
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -36,6 +36,8 @@
 pub use forward::SendError;
 pub use forward::SendOptions;
 pub use forward::ServerEvent;
+pub use forward::Traffic;
+pub use forward::TrafficTotals;
 pub use forward::UpstreamClient;
 pub use forward::accept_connections;
 pub use forward::empty_body;
--- a/crates/berylwheel-http/tests/forward.rs
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -19,6 +19,7 @@
 use berylwheel_http::EventSplitter;
 use berylwheel_http::ListenerState;
 use berylwheel_http::SendOptions;
+use berylwheel_http::Traffic;
 use berylwheel_http::UpstreamClient;
 use berylwheel_http::accept_connections;
 use berylwheel_http::full_body;
@@ -52,7 +53,7 @@
     thread::spawn(move || {
         let executor = Arc::new(Executor::new());
         let (_shutdown_sender, shutdown) = async_channel::bounded(1);
-        let state = ListenerState { shutdown, open: Arc::default() };
+        let state = ListenerState { shutdown, open: Arc::default(), traffic: Traffic::default() };
         let serving = accept_connections(
             listener,
             executor.clone(),
@@ -203,6 +204,22 @@
     assert_eq!(connections.try_iter().count(), 2);
 }
 
+/// Guards against bytes or connections that are missing from the counts of the link's load.
+#[test]
+fn traffic_counts_all_bytes_and_connections() {
+    let (address, _connections) = start_scripted_server(vec![(OK.to_vec(), false); 2]);
+    with_upstream(async |upstream| {
+        for _ in 0..2 {
+            let (response, connection) = upstream.send(address, request(), OPTIONS).await.unwrap();
+            response.into_body().collect().await.unwrap();
+            connection.release(None);
+        }
+        let totals = upstream.traffic().totals();
+        assert_eq!((totals.connections, totals.received), (1, 2 * OK.len() as u64));
+        assert_eq!(totals.sent, 2 * b"GET / HTTP/1.1\r\nhost: h\r\n\r\n".len() as u64);
+    });
+}
+
 /// Starts a server that answers the first request of each connection, sends a second copy of that
 /// response when told to, and answers further requests of the connection by their number.
 fn start_repeating_server() -> (SocketAddr, mpsc::Sender<()>, mpsc::Receiver<()>) {
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -11,6 +11,7 @@
 use berylwheel_budget::WriteResult;
 use berylwheel_http::Client;
 use berylwheel_http::OutgoingRequest;
+use berylwheel_http::Traffic;
 use berylwheel_route::LoadReport;
 use berylwheel_store::Compare;
 use berylwheel_store::GuardedStore;
@@ -46,6 +47,8 @@
     pub events: Sender<Event>,
     /// Clock that timestamps load reports.
     pub clock: Clock,
+    /// Traffic of the link to the other routers.
+    pub peer_traffic: Traffic,
 }
 
 impl Effects {
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -46,6 +46,10 @@
                 let message = heartbeat_message(heartbeat, served.clone(), now, domain, reaches);
                 self.fleet.send(&to, message);
             }
+            if let Some(link) = &self.fleet.link {
+                let stats = link.stats();
+                self.effects.peer_traffic.set_totals(stats.bytes_in, stats.bytes_out);
+            }
         }
         let live = self.fleet.members.live_count().max(1);
         self.coordinate_store_probes(now, live);
--- a/crates/berylwheel-router/src/forward/listen.rs
+++ b/crates/berylwheel-router/src/forward/listen.rs
@@ -123,7 +123,8 @@
         .await;
     }
 
-    fn is_ready(&self) -> bool {
+    /// Returns whether the load balancer may send callers to this router.
+    pub(super) fn is_ready(&self) -> bool {
         !self.stopping.load(Ordering::Relaxed)
             && self.snapshot.load().serving_settings().is_ok()
             && self.link.accepts_callers(self.clock.now())
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod respond;
 mod response_body;
 mod stream;
+mod usage;
 pub(crate) mod watch;
 mod whole;
 
@@ -28,3 +29,5 @@
 pub use platform::ReportedLoad;
 pub use platform::RequestHeaders;
 pub use platform::ResponseHeaders;
+pub use usage::SocketTraffic;
+pub(crate) use usage::report_usage;
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -24,6 +24,7 @@
 use berylwheel_http::Client;
 use berylwheel_http::ListenerState;
 use berylwheel_http::ServerLimits;
+use berylwheel_http::Traffic;
 use berylwheel_http::UpstreamClient;
 use berylwheel_http::timeout;
 use berylwheel_peer::PeerIdentity;
@@ -53,6 +54,8 @@
 use crate::forward::Forwarder;
 use crate::forward::Platform;
 use crate::forward::SharedLink;
+use crate::forward::SocketTraffic;
+use crate::forward::report_usage;
 use crate::forward::watch::fetch_identity;
 use crate::forward::watch::watch_configuration;
 use crate::forward::watch::watch_servers;
@@ -159,12 +162,14 @@
     let mut threads = Vec::new();
 
     let executor = Arc::new(Executor::new());
+    let mut socket_traffic = SocketTraffic::default();
     let raw_store: Arc<dyn Store> = match &mode {
         RouterMode::Standalone(_) => {
             Arc::new(HttpStore::new(StoreOptions::new(settings.store.clone())))
         }
         RouterMode::Platform(platform) => {
             let upstream = UpstreamClient::new(executor.clone(), clock.clone());
+            socket_traffic.store = upstream.traffic();
             platform.store(&settings.store, upstream)
         }
     };
@@ -182,6 +187,7 @@
         client: client.clone(),
         events: events.clone(),
         clock: clock.clone(),
+        peer_traffic: socket_traffic.peers.clone(),
     };
     let (identity, platform) = match mode {
         RouterMode::Standalone(identity) => (Some(identity), None),
@@ -239,6 +245,14 @@
             link: SharedLink::new(settings.link),
             stopping: shutdown_announced.clone(),
         };
+        socket_traffic.servers = forwarder.upstream.traffic();
+        let report = report_usage(
+            forwarder.clone(),
+            socket_traffic.clone(),
+            settings.link,
+            open_connections.clone(),
+        );
+        traffic_executor.spawn(report).detach();
         spawn_listeners(
             settings,
             &forwarder,
@@ -246,6 +260,7 @@
             &traffic_executor,
             shutdown_signal,
             &open_connections,
+            socket_traffic.callers,
         )?;
     } else {
         let handler = RequestHandler {
@@ -304,12 +319,17 @@
     executor: &Arc<Executor<'static>>,
     shutdown_signal: Receiver<()>,
     open_connections: &Arc<AtomicUsize>,
+    traffic: Traffic,
 ) -> io::Result<()> {
     let listener_state =
-        ListenerState { shutdown: shutdown_signal, open: open_connections.clone() };
+        ListenerState { shutdown: shutdown_signal, open: open_connections.clone(), traffic };
     if let Some(address) = settings.ready {
         let ready = Async::<TcpListener>::bind(address)?;
-        let ready_state = ListenerState { open: Arc::default(), ..listener_state.clone() };
+        let ready_state = ListenerState {
+            open: Arc::default(),
+            traffic: Traffic::default(),
+            ..listener_state.clone()
+        };
         let ready_task = forwarder.clone().serve_readiness(ready, executor.clone(), ready_state);
         executor.spawn(ready_task).detach();
     }
