Give connections to servers more time while the own link is full

Cause: behind a full link the reply of a server to an opening packet waits with the callers' bytes. After 250 ms the router gave up, held it against the server, tried the next one over the same link and refused the request (1321), which its caller sent again. The VM received 1.2 MB/s and forwarded 3 to 150 KB/s of them.

Ruled out: refusing earlier. A prompt fits into the windows of a connection, so its bytes pass the link whether it is refused or not.

Change: while the link is full, connecting may take a third of the request's time, 250 ms at least and 1.5 s at most (connect_timeout). If it still fails, the request is refused with 1314, 'not run', for another router; no server is avoided for it and none is tried in its place.

Test: full_link_still_serves simulates callers that fill the link for a second and come back when refused: under a tenth of them is served with the timeout of an idle link, over nine tenths with this one.

--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use async_channel::TrySendError;
 use berylwheel_http::PooledConnection;
+use berylwheel_http::SendError;
 use berylwheel_http::SendOptions;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
@@ -21,6 +22,7 @@
 use super::classify::classify_response;
 use super::classify::is_repeatable;
 use super::classify::may_retry;
+use super::link::connect_timeout;
 use super::listen::Forwarder;
 use super::platform::ForwardedRequest;
 use super::platform::ReportedLoad;
@@ -29,8 +31,6 @@
 use crate::control::command::Placement;
 use crate::control::event::Event;
 
-/// Timeout for connecting to a server. Servers are at most a few milliseconds away.
-const CONNECT_TIMEOUT: Millis = Millis(250);
 /// Maximum idle time of a reused connection for a request that must not run twice. The server may
 /// close an idle connection just as the request is sent, and then it is unknown whether the request
 /// ran.
@@ -77,12 +77,13 @@
         last_event: Option<u64>,
         timeout: Millis,
     ) -> Result<ServerResponse, AttemptFailure> {
+        let now = self.clock.now();
         let server = &placement.server;
         let mut headers = call.headers.clone();
         let forwarded = ForwardedRequest {
             server: &server.id,
             workspace: call.workspace.as_ref(),
-            time_left: call.time_left(self.clock.now()),
+            time_left: call.time_left(now),
             rank: (call.prompt_tokens.0 > 0).then_some(call.rank),
             last_event,
         };
@@ -97,15 +98,16 @@
             } else {
                 single_run_idle(call)
             },
-            connect_timeout: CONNECT_TIMEOUT,
+            connect_timeout: connect_timeout(self.link.is_full(now), forwarded.time_left),
             head_timeout: timeout,
         };
         log::debug!(
             request = call.id.as_str(), server = server.id.as_str(), kind = call.kind.id.as_str(),
             left = forwarded.time_left.0; "sending request to server"
         );
-        self.link.record_send(self.clock.now(), call.body.len());
-        let (raw, connection) = self.upstream.send(server.address, request, options).await?;
+        self.link.record_send(now, call.body.len());
+        let sending = self.upstream.send(server.address, request, options).await;
+        let (raw, connection) = sending.map_err(|error| self.send_failure(error))?;
         let (head, body) = raw.into_parts();
         let decoded = self.platform.decode_response(&head.headers);
         if let Some(load) = decoded.load {
@@ -130,6 +132,13 @@
         }
     }
 
+    fn send_failure(&self, error: SendError) -> AttemptFailure {
+        if error.timed_out && !error.sent && self.link.is_full(self.clock.now()) {
+            return AttemptFailure::LinkFull { detail: error.detail };
+        }
+        error.into()
+    }
+
     /// Handles a failed attempt: returns another server for a retry, or the refusal that ends the
     /// request.
     pub(crate) async fn next_server(
@@ -141,7 +150,7 @@
         failure: AttemptFailure,
     ) -> Result<Placement, Refusal> {
         let outcome = failure.outcome();
-        retry_state.sent += u32::from(!matches!(failure, AttemptFailure::NotSent { .. }));
+        retry_state.sent += u32::from(failure.was_sent());
         retry_state.maybe_ran |= failure.may_have_run();
         log::info!(
             request = call.id.as_str(), server = placement.server.id.as_str(), outcome:? = outcome,
--- a/crates/berylwheel-router/src/forward/classify.rs
+++ b/crates/berylwheel-router/src/forward/classify.rs
@@ -59,6 +59,9 @@
 pub enum AttemptFailure {
     /// No part of the request was sent.
     NotSent { timed_out: bool, detail: String },
+    /// No connection was established in time while the network link of this VM was full, which tells
+    /// nothing about the server.
+    LinkFull { detail: String },
     /// The server states that it did not run the request. `misdirected` is set if it isn't the
     /// server that the request was meant for.
     NotRun { misdirected: bool, detail: String },
@@ -86,7 +89,7 @@
             Self::NotSent { .. } | Self::Unknown { .. } => Outcome::Failed,
             Self::NotRun { misdirected: true, .. } => Outcome::Misdirected,
             // A server that rejects requests because it is full is not faulty.
-            Self::NotRun { .. } => Outcome::Cancelled,
+            Self::NotRun { .. } | Self::LinkFull { .. } => Outcome::Cancelled,
         }
     }
 
@@ -95,10 +98,16 @@
         matches!(self, Self::Unknown { .. })
     }
 
+    /// Returns whether any of the request was sent to the server.
+    pub fn was_sent(&self) -> bool {
+        !matches!(self, Self::NotSent { .. } | Self::LinkFull { .. })
+    }
+
     /// Returns the description of the failure.
     pub fn detail(&self) -> &str {
         match self {
             Self::NotSent { detail, .. }
+            | Self::LinkFull { detail }
             | Self::NotRun { detail, .. }
             | Self::Unknown { detail, .. } => detail,
         }
@@ -112,6 +121,9 @@
         match maybe_ran || self.may_have_run() {
             true if timed_out => Refusal::unknown(Code::BackendTimeout, detail),
             true => Refusal::unknown(Code::BackendFailed, detail),
+            false if matches!(self, Self::LinkFull { .. }) => {
+                Refusal::not_run(Code::LinkFull, detail).retry_after(retry_after)
+            }
             false => Refusal::not_run(Code::NoBackend, detail).retry_after(retry_after),
         }
     }
@@ -130,6 +142,8 @@
 pub fn may_retry(kind: &KindSettings, failure: &AttemptFailure, sent: u32) -> bool {
     match failure {
         AttemptFailure::NotSent { .. } => sent < kind.attempts,
+        // Connections to other servers pass the same link.
+        AttemptFailure::LinkFull { .. } => false,
         AttemptFailure::NotRun { .. } => sent < kind.attempts,
         AttemptFailure::Unknown { .. } => sent < kind.attempts && is_repeatable(kind),
     }
--- a/crates/berylwheel-router/src/forward/link.rs
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -38,9 +38,35 @@
 const MAX_QUEUE_DELAY: Millis = Millis(200);
 /// Minimum queue limit of a link of any rate, in bytes: four long prompts.
 const MIN_QUEUE_BYTES: u64 = 256 << 10;
+/// Timeout for connecting to a server. Servers are at most a few milliseconds away.
+const CONNECT_TIMEOUT: Millis = Millis(250);
+/// Maximum timeout for connecting to a server while the link is full: packets then wait for the
+/// link, not for the server.
+const FULL_LINK_CONNECT_TIMEOUT: Millis = Millis(1_500);
+/// Part of a request's remaining time, as a divisor, that connecting may take over a full link: the
+/// request and its response wait as long again.
+const CONNECT_PART: u64 = 3;
 /// How long the link counts as full after a request was refused.
 const REFUSAL_TIME: Millis = Millis(1_000);
 
+/// Returns the timeout for connecting to a server for a request that has `time_left`.
+///
+/// ```
+/// use berylwheel_router::connect_timeout;
+/// use berylwheel_types::Millis;
+/// assert_eq!(connect_timeout(false, Millis(6_000)), Millis(250));
+/// assert_eq!(connect_timeout(true, Millis(6_000)), Millis(1_500));
+/// assert_eq!(connect_timeout(true, Millis(900)), Millis(300));
+/// ```
+pub fn connect_timeout(link_full: bool, time_left: Millis) -> Millis {
+    match link_full {
+        true => {
+            Millis(time_left.0 / CONNECT_PART).clamp(CONNECT_TIMEOUT, FULL_LINK_CONNECT_TIMEOUT)
+        }
+        false => CONNECT_TIMEOUT,
+    }
+}
+
 /// Estimate of the bytes queued in one direction of a link.
 #[derive(Debug, Default)]
 struct Queue {
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -22,6 +22,7 @@
 pub use link::LinkLoad;
 pub use link::LinkUse;
 pub use link::SharedLink;
+pub use link::connect_timeout;
 pub use listen::Forwarder;
 pub use platform::ForwardedRequest;
 pub use platform::OperatorConfig;
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -27,6 +27,7 @@
 pub use forward::ResponseClass;
 pub use forward::ResponseHeaders;
 pub use forward::classify_response;
+pub use forward::connect_timeout;
 pub use forward::is_repeatable;
 pub use forward::may_retry;
 pub use operate::change::ChangeRequest;
--- a/crates/berylwheel-router/tests/classify.rs
+++ b/crates/berylwheel-router/tests/classify.rs
@@ -8,6 +8,7 @@
 use berylwheel_router::may_retry;
 use berylwheel_settings::KindSettings;
 use berylwheel_settings::Settings;
+use berylwheel_types::Code;
 use berylwheel_types::ExecutionState;
 use berylwheel_types::Millis;
 
@@ -69,6 +70,19 @@
     }
 }
 
+/// Guards against servers that are avoided, and requests that are sent to one after the other, because
+/// the network link of this VM is full.
+#[test]
+fn connect_timeout_behind_a_full_link_is_not_held_against_the_server() {
+    let link_full = AttemptFailure::LinkFull { detail: String::new() };
+    assert_eq!(link_full.outcome(), Outcome::Cancelled);
+    assert!(!link_full.was_sent() && !link_full.may_have_run());
+    assert!(!may_retry(&kind("repeat = idempotent"), &link_full, 0));
+    let refusal = link_full.refusal(false, Millis(100));
+    assert_eq!((refusal.code, refusal.ran), (Code::LinkFull, ExecutionState::NotRun));
+    assert_eq!(link_full.refusal(true, Millis(100)).ran, ExecutionState::Unknown);
+}
+
 /// Guards against a server that keeps getting requests although another server has taken over its
 /// address, and against one that is avoided because it was full.
 #[test]
--- a/crates/berylwheel-router/tests/link.rs
+++ b/crates/berylwheel-router/tests/link.rs
@@ -1,7 +1,10 @@
 //! Simulates routers whose network links are overloaded by callers.
 
+use std::collections::VecDeque;
+
 use berylwheel_router::LinkLoad;
 use berylwheel_router::LinkUse;
+use berylwheel_router::connect_timeout;
 use berylwheel_types::BitRate;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
@@ -183,6 +186,60 @@
     }
 }
 
+/// Time that callers give their requests.
+const TIME_LEFT: Millis = Millis(6_000);
+/// Time that callers give a new connection to the router.
+const CALLER_CONNECT_LIMIT: Millis = Millis(1_000);
+
+/// Simulates callers whose requests fill the inbound link for 20 s. Each request needs a connection to
+/// a server, whose reply waits behind the callers' bytes. A caller whose request is refused, or who
+/// gets no connection in time, tries once more. Returns the number of requests that reached a server, and of those that callers made.
+fn simulate_connects(timeout: impl Fn(bool) -> Millis) -> (u64, u64) {
+    let rate = LINK_RATE.bytes_per_second();
+    let size = PROMPT_BYTES / 3;
+    let mut load = LinkLoad::new(LINK_RATE);
+    let mut now = Timestamp::from_millis(0);
+    let (mut queued, mut served, mut requests) = (0, 0, 0);
+    let mut repeats: VecDeque<Timestamp> = VecDeque::new();
+    for step in 0..2_000_u64 {
+        now += STEP;
+        // A second of twice the rate, then 85 in 100 of it.
+        let arriving = if step < 100 { rate * 2 } else { rate * 85 / 100 } * STEP.0 / 1_000;
+        let first = (step + 1) * arriving / size - step * arriving / size;
+        let repeated = repeats.iter().filter(|at| **at <= now).count() as u64;
+        repeats.drain(..repeated as usize);
+        requests += first;
+        let passed = queued.min(rate * STEP.0 / 1_000);
+        queued -= passed;
+        load.record(now, received(passed));
+        for number in 0..first + repeated {
+            let delay = Millis(queued * 1_000 / rate);
+            let connected = delay <= CALLER_CONNECT_LIMIT;
+            if connected {
+                queued += size;
+            }
+            if connected && delay <= timeout(load.is_full(now)) {
+                served += 1;
+            } else if number < first {
+                repeats.push_back(now + CALLER_CONNECT_LIMIT);
+            }
+        }
+    }
+    (served, requests)
+}
+
+/// Guards against a router with a full link that gives up each connection to a server because its
+/// reply waits for the link: it would receive prompts at the rate of the link and forward none.
+#[test]
+fn full_link_still_serves() {
+    let (before, requests) = simulate_connects(|_| connect_timeout(false, TIME_LEFT));
+    let (after, _) = simulate_connects(|link_full| connect_timeout(link_full, TIME_LEFT));
+    assert!(
+        before * 10 < requests && after * 10 > requests * 9,
+        "{requests} requests, {before} served with the timeout of an idle link, {after} with its own"
+    );
+}
+
 /// Guards against a router with a fast link that rejects a burst of requests.
 #[test]
 fn fast_link_admits_burst() {
