Give up a response of the store only when nothing of it arrives

Cause: a response of the store had a second for its body, whatever its size and the link. One that takes longer was given up while it arrived, and read again from its start, over the same link, for ever: a router that starts behind such a link never gets its configuration and never serves.

Change: collect_body gives a body up when nothing arrives for a second, or after 10 s in all.

Test: large_configuration_passes_a_slow_link, 200 KB over 1 Mbit/s. It passes now.

--- a/crates/berylwheel-http/src/forward/mod.rs
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! and bodies unchanged.
 
 mod client;
+mod collect;
 mod events;
 mod idle_limit;
 mod local_timeout;
@@ -13,6 +14,8 @@
 pub use client::SendError;
 pub use client::SendOptions;
 pub use client::UpstreamClient;
+pub use collect::BodyLimits;
+pub use collect::collect_body;
 pub use events::EventSplitter;
 pub use events::ServerEvent;
 pub use idle_limit::IdleLimit;
