Refuse a request whose id is in use, and leave the running one alone

What callers saw: of requests that share an attempt id at one router at the same time one was served, the others got 1211 or 1501 'the router has stopped' while it ran.

Cause: Control::admit replaced the state of the earlier request, whose reply channel was dropped, and the guard of either request ended the state of the other by its id.

Change: each admission has a number of its own. An id that is in use is refused with 1211, 'not run', before anything is reserved; the end of a request names its admission and ends no other.

Test: requests_with_the_same_id_do_not_end_each_other. Three requests with the id of a running stream are refused and not sent, the stream is complete, both it and the next one are billed.

--- a/crates/berylwheel-router/src/calls/request_guard.rs
+++ b/crates/berylwheel-router/src/calls/request_guard.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Tokens;
 
+use crate::control::command::AdmissionNumber;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Command;
 use crate::control::command::Finish;
@@ -22,6 +23,7 @@
 pub struct RequestGuard {
     events: Sender<Event>,
     request: RequestId,
+    admission: AdmissionNumber,
     reserved: Tokens,
     used: Tokens,
     outcome: Outcome,
@@ -37,16 +39,19 @@
         events: &Sender<Event>,
         admit: AdmitRequest,
     ) -> Result<(Self, Placement), Refusal> {
+        let admission = AdmissionNumber::next();
         let guard = Self {
             events: events.clone(),
             request: admit.request.clone(),
+            admission,
             reserved: admit.amount,
             used: Tokens::ZERO,
             outcome: Outcome::Cancelled,
             delivered: false,
         };
-        let placement =
-            guard.request_placement(|reply| Command::Admit(Box::new(admit), reply)).await?;
+        let placement = guard
+            .request_placement(|reply| Command::Admit(Box::new(admit), admission, reply))
+            .await?;
         Ok((guard, placement))
     }
 
@@ -107,6 +112,7 @@
     fn drop(&mut self) {
         let finish = Finish {
             request: self.request.clone(),
+            admission: self.admission,
             used: self.used,
             outcome: self.outcome,
             delivered: self.delivered,
--- a/crates/berylwheel-router/src/control/command.rs
+++ b/crates/berylwheel-router/src/control/command.rs
@@ -1,5 +1,8 @@
 //! Messages from the traffic threads to the control thread, and the replies.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
 use async_channel::Receiver;
 use async_channel::Sender;
 use berylwheel_route::Outcome;
@@ -16,6 +19,18 @@
 use berylwheel_types::Tokens;
 use berylwheel_types::WorkspaceId;
 
+/// Number of an admission in this process, which tells requests with the same id apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionNumber(u64);
+
+impl AdmissionNumber {
+    /// Returns a number that was not returned before.
+    pub fn next() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        Self(LAST.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
 /// Asks the control thread to reserve tokens for a request and to choose a backend server.
 #[derive(Debug, Clone)]
 pub struct AdmitRequest {
@@ -64,6 +79,8 @@
 pub struct Finish {
     /// Id of the attempt.
     pub request: RequestId,
+    /// The admission that ends. Another request with the same id is not affected.
+    pub admission: AdmissionNumber,
     /// Tokens to bill, at most the reservation.
     pub used: Tokens,
     /// How the request ended at the backend server. Ignored if the request was not started.
@@ -76,7 +93,7 @@
 #[derive(Debug)]
 pub enum Command {
     /// Asks for admission of a request.
-    Admit(Box<AdmitRequest>, Sender<PlacementResult>),
+    Admit(Box<AdmitRequest>, AdmissionNumber, Sender<PlacementResult>),
     /// The first token has been sent to the caller, so the request can no longer be preempted.
     FirstToken(RequestId),
     /// The backend server failed before anything was sent to the caller; asks for another server.
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -12,6 +12,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 
+use crate::control::command::AdmissionNumber;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Command;
 use crate::control::command::Finish;
@@ -48,6 +49,8 @@
 pub struct RequestState {
     /// The request as the traffic thread submitted it.
     pub admit: AdmitRequest,
+    /// Number of its admission.
+    admission: AdmissionNumber,
     /// Current stage.
     pub stage: Stage,
     /// The backend server that runs it.
@@ -60,7 +63,7 @@
     /// Handles a message from a traffic thread.
     pub fn handle_command(&mut self, now: Timestamp, command: Command) {
         match command {
-            Command::Admit(admit, reply) => self.admit(now, *admit, reply),
+            Command::Admit(admit, admission, reply) => self.admit(now, *admit, admission, reply),
             Command::FirstToken(request) => self.scheduler.record_first_token(now, &request),
             Command::Retry(request, outcome, reply) => self.retry(now, &request, outcome, reply),
             Command::Requeue(request, reply) => self.requeue(now, &request, reply),
@@ -68,7 +71,13 @@
         }
     }
 
-    fn admit(&mut self, now: Timestamp, admit: AdmitRequest, reply: Sender<PlacementResult>) {
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        admit: AdmitRequest,
+        admission: AdmissionNumber,
+        reply: Sender<PlacementResult>,
+    ) {
         if self.draining {
             let detail = "running streams complete, new requests are refused";
             let refusal = Refusal::not_run(Code::Draining, detail).retry_after(RETRY_AFTER);
@@ -76,8 +85,14 @@
             return;
         }
         let request = admit.request.clone();
+        if self.requests.contains_key(&request) {
+            let detail = "another request with this id is running at this router";
+            let _ = reply.try_send(Err(Refusal::not_run(Code::RequestRunning, detail)));
+            return;
+        }
         let state = RequestState {
             admit,
+            admission,
             stage: Stage::Claiming(now + CLAIM_TIMEOUT),
             server: None,
             reply: Some(reply),
@@ -268,6 +283,10 @@
     }
 
     fn finish(&mut self, now: Timestamp, finish: &Finish) {
+        let is_ended = |state: &RequestState| state.admission == finish.admission;
+        if !self.requests.get(&finish.request).is_some_and(is_ended) {
+            return;
+        }
         let Some(state) = self.requests.remove(&finish.request) else { return };
         if let Some(server) = &state.server {
             self.balancer.request_ended(now, server, finish.outcome);
