Report a link that the store filled as ready once it has room

A router that starts on a small VM and reads a configuration near the store's largest value would stay without callers for 5 s longer. The delay is there for callers that come back at once; the store's bytes do not.

Change: after a second in which at least half of a full direction came from the store and the peers, the router is ready as soon as it has room.

Test: link_filled_by_the_store_is_ready_when_it_has_room; it fails on the code before, which the test's own second case states (callers' bytes keep the delay).

--- a/crates/berylwheel-router/src/forward/link.rs
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -27,7 +27,9 @@
 /// acknowledgements, which sockets do not show, take most of the rest.
 const FULL_SHARE: Share = Share::from_permille(850);
 /// Delay until a router whose link was full reports itself as ready again. A load balancer takes
-/// about two seconds to notice, and if callers returned at once they would fill the link again.
+/// about two seconds to notice, and if callers returned at once they would fill the link again. A
+/// link that the store or the peers filled is ready as soon as it has room: a router that starts
+/// with a large configuration must not wait for callers that it has not had.
 const READY_DELAY: Millis = Millis(5_000);
 /// Share of the link that requests of callers, the store and the peers can use together.
 const USABLE_SHARE: Share = Share::from_permille(800);
@@ -217,8 +219,13 @@
         self.inbound.background.record(now, link_use.background_received);
         self.outbound.all.record(now, link_use.sent);
         self.outbound.background.record(now, link_use.background_sent);
-        if self.inbound.all.total.max(self.outbound.all.total) >= self.limit {
-            self.unready_until = now + READY_DELAY;
+        let full = [&self.inbound, &self.outbound]
+            .into_iter()
+            .filter(|direction| direction.all.total >= self.limit);
+        for direction in full {
+            let of_background = direction.background.total * 2 >= direction.all.total;
+            let delay = if of_background { WINDOW } else { READY_DELAY };
+            self.unready_until = self.unready_until.max(now + delay);
         }
     }
 
--- a/crates/berylwheel-router/tests/link.rs
+++ b/crates/berylwheel-router/tests/link.rs
@@ -172,6 +172,21 @@
     assert!(admitted > 0, "no request is admitted");
 }
 
+/// Guards against a router that stays without callers for seconds after it has read a large
+/// configuration.
+#[test]
+fn link_filled_by_the_store_is_ready_when_it_has_room() {
+    let now = Timestamp::from_millis(0);
+    let bytes = 1_100_000;
+    let store = LinkUse { received: bytes, background_received: bytes, ..LinkUse::default() };
+    for (link_use, ready) in [(store, true), (received(bytes), false)] {
+        let mut load = LinkLoad::new(LINK_RATE);
+        load.record(now, link_use);
+        assert!(!load.accepts_callers(now), "{link_use:?}");
+        assert_eq!(load.accepts_callers(now + Millis(1_000)), ready, "{link_use:?}");
+    }
+}
+
 /// Guards against a link that counts as idle in one direction because the other one is.
 #[test]
 fn each_direction_fills_the_link() {
