--- a/crates/berylwheel-router/src/forward/link.rs
+++ b/crates/berylwheel-router/src/forward/link.rs
@@ -258,7 +258,7 @@
 #[derive(Debug, Clone)]
 pub struct SharedLink(Option<Arc<Mutex<MeasuredLink>>>);
 
-/// The load of a link and the sockets that it is measured at.
+/// The load of a link, and the sockets whose bytes it counts.
 #[derive(Debug)]
 struct MeasuredLink {
     load: LinkLoad,
--- a/crates/berylwheel-router/src/forward/usage.rs
+++ b/crates/berylwheel-router/src/forward/usage.rs
@@ -22,16 +22,18 @@
 /// connections have a time limit of a second.
 const REPORTED_LATENESS: Millis = Millis(250);
 
-/// Traffic of a router's sockets by peer.
+/// Traffic of a router's sockets by what is at their other end.
 #[derive(Debug, Clone, Default)]
 pub struct SocketTraffic {
     pub callers: Traffic,
     pub servers: Traffic,
     pub store: Traffic,
+    /// The other routers.
     pub peers: Traffic,
 }
 
-/// Totals of a [`SocketTraffic`], or their difference over an interval.
+/// Totals of a [`SocketTraffic`], or their difference over an interval. [`LinkUse`] is the part that
+/// decisions use.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct SocketTotals {
     callers: TrafficTotals,
