Log caller connections that end without a response, and why a stream is not resumed

The logs could not tell which side ended a caller's connection without a response: nothing was written when the router closed it for a planned stop or a time limit, nor why a stream that fell silent was not resumed.

Now one line a connection that leaves something unanswered: number of requests that it carried, how many of them are unanswered, bytes received of a request that was not read to its end, whether the router stopped, and the error. A connection that the router closes before its first request at a stop is one too. A stream that is given up logs the refusal of the control thread.

No decision is changed. The counts of a connection are one type now, which also replaces the number of active requests.

--- a/crates/berylwheel-http/src/forward/mod.rs
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod collect;
 mod events;
+mod exchange;
 mod idle_limit;
 mod local_timeout;
 mod server;
--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -5,13 +5,10 @@
 use std::io;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 
 use async_channel::Receiver;
 use async_executor::Executor;
@@ -21,9 +18,6 @@
 use berylwheel_types::Millis;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http_body::Body;
-use http_body::Frame;
-use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
@@ -34,7 +28,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
-use super::socket::ActiveCount;
+use super::exchange::CountedBody;
+use super::exchange::ExchangeCounts;
 use super::socket::CallerSocket;
 use super::traffic::Traffic;
 
@@ -153,48 +148,6 @@
     }
 }
 
-/// Counts a request of a connection as active until the value is dropped.
-struct ActiveRequest(ActiveCount);
-
-impl ActiveRequest {
-    fn new(active: ActiveCount) -> Self {
-        active.fetch_add(1, Ordering::Relaxed);
-        Self(active)
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A response body that counts its request as active until the body is dropped.
-struct CountedBody {
-    body: ResponseBody,
-    _active_request: ActiveRequest,
-}
-
-impl Body for CountedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 async fn serve_connection<H, F>(
     stream: Async<TcpStream>,
     limits: AcceptLimits,
@@ -206,22 +159,21 @@
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let ListenerState { shutdown, traffic, .. } = listener_state;
-    let active = ActiveCount::default();
+    let counts = ExchangeCounts::default();
     let socket = CallerSocket::new(
         stream,
-        active.clone(),
+        counts.clone(),
         limits.head_timeout,
         limits.idle_timeout,
         traffic,
     )?;
+    let started_counts = counts.clone();
     let service = service_fn(move |request| {
-        let active_request = ActiveRequest::new(active.clone());
+        let active_request = started_counts.start();
         let response_future = handler(request);
         async move {
             let response = response_future.await;
-            let response =
-                response.map(|body| CountedBody { body, _active_request: active_request });
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, active_request)))
         }
     });
     let mut builder = http1::Builder::new();
@@ -231,12 +183,37 @@
         let _ = shutdown.recv().await;
         None
     };
-    let result = match async { Some(connection.as_mut().await) }.or(shutdown).await {
-        Some(result) => result,
+    let (result, cause) = match async { Some(connection.as_mut().await) }.or(shutdown).await {
+        Some(result) => (result, EndCause::CallerOrLimit),
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            (connection.await, EndCause::Stop)
         }
     };
+    log_unanswered(&counts, cause, result.as_ref().err());
     result.map_err(io::Error::other)
 }
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndCause {
+    /// The caller closed or reset it, or a time limit expired.
+    CallerOrLimit,
+    /// The router stops.
+    Stop,
+}
+
+/// Logs the end of a connection on which a request may have been left unanswered.
+fn log_unanswered(counts: &ExchangeCounts, cause: EndCause, error: Option<&hyper::Error>) {
+    let (requests, unanswered, received) =
+        (counts.started(), counts.unanswered(), counts.received());
+    let closed_unused = requests == 0 && cause == EndCause::Stop;
+    if unanswered == 0 && received == 0 && !closed_unused {
+        return;
+    }
+    let error = error.map(ToString::to_string).unwrap_or_default();
+    log::info!(
+        requests, unanswered, received, cause:? = cause, error = error.as_str();
+        "caller connection ended without a response"
+    );
+}
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -23,6 +23,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use super::exchange::ExchangeCounts;
 use super::traffic::Traffic;
 
 /// Number of reads after which a connection lets other tasks run. `hyper` reads for as long as
@@ -56,12 +57,13 @@
     }
 }
 
-impl Read for GatedSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl GatedSocket {
+    /// Reads into `buffer` and returns the number of bytes read, 0 at the end of the stream.
+    fn poll_receive(
+        &mut self,
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
+    ) -> Poll<io::Result<usize>> {
         loop {
             if self.drained {
                 self.reads = 0;
@@ -85,7 +87,7 @@
                     self.traffic.record_received(count as u64);
                     // The end of the stream is no short read: it is reported again.
                     self.drained = count > 0 && count < limit;
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(Ok(count));
                 }
                 Err(error) if is_retryable(&error) => {
                     self.drained = error.kind() == io::ErrorKind::WouldBlock;
@@ -96,6 +98,16 @@
     }
 }
 
+impl Read for GatedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.poll_receive(cx, buffer).map_ok(|_| ())
+    }
+}
+
 impl Write for GatedSocket {
     fn poll_write(
         self: Pin<&mut Self>,
@@ -206,14 +218,11 @@
     }
 }
 
-/// Number of active requests on one caller's connection.
-pub(crate) type ActiveCount = Arc<AtomicU64>;
-
 /// A caller's connection, whose reads fail if the caller stays idle or sends a head too slowly.
 #[derive(Debug)]
 pub(crate) struct CallerSocket {
     inner: GatedSocket,
-    active: ActiveCount,
+    counts: ExchangeCounts,
     head_timeout: Millis,
     idle_timeout: Millis,
     state: CallerState,
@@ -231,7 +240,7 @@
 impl CallerSocket {
     pub(crate) fn new(
         stream: Async<TcpStream>,
-        active: ActiveCount,
+        counts: ExchangeCounts,
         head_timeout: Millis,
         idle_timeout: Millis,
         traffic: Traffic,
@@ -239,12 +248,12 @@
         stream.get_ref().set_nodelay(true)?;
         let inner = GatedSocket::new(stream, traffic);
         let timer = Timer::after(idle_timeout.duration());
-        Ok(Self { inner, active, head_timeout, idle_timeout, state: CallerState::Idle, timer })
+        Ok(Self { inner, counts, head_timeout, idle_timeout, state: CallerState::Idle, timer })
     }
 
     /// Returns whether the time limit of the current state has expired.
     fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.active.load(Ordering::Relaxed) > 0 {
+        if self.counts.is_active() {
             self.state = CallerState::Responding;
             return false;
         }
@@ -262,14 +271,15 @@
         cx: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
-        if read.is_ready() {
-            if self.state == CallerState::Idle && self.active.load(Ordering::Relaxed) == 0 {
+        if let Poll::Ready(read) = self.inner.poll_receive(cx, buffer) {
+            let count = read?;
+            self.counts.record_received(count as u64);
+            if self.state == CallerState::Idle && !self.counts.is_active() {
                 self.state = CallerState::ReceivingHead;
                 let limit = self.head_timeout.duration();
                 self.timer.set_after(limit);
             }
-            return read;
+            return Poll::Ready(Ok(()));
         }
         if self.poll_expired(cx) {
             let detail = "idle or request head time limit expired";
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -164,7 +164,10 @@
                 return Err(io::Error::other(failure.detail().to_owned()));
             }
             let next = self.guard.retry(failure.outcome()).await;
-            self.placement = next.map_err(|refusal| io::Error::other(refusal.detail))?;
+            self.placement = next.map_err(|refusal| {
+                log::info!(request = call.id.as_str(); "stream not resumed: {}", refusal.detail);
+                io::Error::other(refusal.detail)
+            })?;
             self.forwarder.metrics.count_retry(&call.kind.id);
             self.retry_state.sent += 1;
             match self.forwarder.resume(call, &self.placement, self.last_event).await {
