Close idle connections, by the limits in force

What callers saw: nothing that could be reproduced; a connection on which a request had been answered was never closed for being idle, so that callers could use up the connections of a router, which closes new ones without an answer at its limit.

Cause: the time limit of a caller's connection was checked only when the connection was read, and no timer was armed while a request was running. Once the response had been sent nothing read the connection until its caller did. The limit was also that of the configuration in which the connection was accepted.

Change: the timer is always armed, and when it fires the limit in force decides: a limit that has grown extends the wait. It is not set anew at each request, so that an idle connection is closed after one to two times the limit.

--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -85,10 +85,13 @@
     pub traffic: Traffic,
 }
 
+/// Limits on a connection, which may change while it is open.
+pub(crate) type LimitsSource = Arc<dyn Fn() -> AcceptLimits + Send + Sync>;
+
 /// Accepts connections and answers their requests with `handler`. Errors from accepting are logged
 /// and retried, and the function does not return.
 ///
-/// `limits` is called for each connection. A handler is dropped when its caller disconnects. Once
+/// `limits` returns those in force. A handler is dropped when its caller disconnects. Once
 /// `listener_state.shutdown` is closed, idle connections are closed and others close after their
 /// response.
 pub async fn accept_connections<L, H, F>(
@@ -98,10 +101,11 @@
     limits: L,
     handler: H,
 ) where
-    L: Fn() -> AcceptLimits,
+    L: Fn() -> AcceptLimits + Send + Sync + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    let limits: LimitsSource = Arc::new(limits);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -111,13 +115,13 @@
                 continue;
             }
         };
-        let limits = limits();
         let guard = ConnectionGuard::new(listener_state.open.clone());
-        if guard.open_count > limits.connections {
+        if guard.open_count > limits().connections {
             log::warn!(open = guard.open_count; "connection closed: too many open connections");
             continue;
         }
-        let serving = serve_connection(stream, limits, listener_state.clone(), handler.clone());
+        let serving =
+            serve_connection(stream, limits.clone(), listener_state.clone(), handler.clone());
         executor
             .spawn(async move {
                 let _guard = guard;
@@ -150,7 +154,7 @@
 
 async fn serve_connection<H, F>(
     stream: Async<TcpStream>,
-    limits: AcceptLimits,
+    limits: LimitsSource,
     listener_state: ListenerState,
     handler: H,
 ) -> io::Result<()>
@@ -160,13 +164,8 @@
 {
     let ListenerState { shutdown, traffic, .. } = listener_state;
     let counts = ExchangeCounts::default();
-    let socket = CallerSocket::new(
-        stream,
-        counts.clone(),
-        limits.head_timeout,
-        limits.idle_timeout,
-        traffic,
-    )?;
+    let head_limit = limits().head.0 as usize;
+    let socket = CallerSocket::new(stream, counts.clone(), limits, traffic)?;
     let started_counts = counts.clone();
     let service = service_fn(move |request| {
         let active_request = started_counts.start();
@@ -177,7 +176,7 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size((limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES));
+    builder.max_buf_size(head_limit.max(MIN_HEAD_BUFFER_BYTES));
     let mut connection = pin!(builder.serve_connection(socket, service));
     let shutdown = async {
         let _ = shutdown.recv().await;
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -24,6 +24,7 @@
 use hyper::rt::Write;
 
 use super::exchange::ExchangeCounts;
+use super::server::LimitsSource;
 use super::traffic::Traffic;
 
 /// Number of reads after which a connection lets other tasks run. `hyper` reads for as long as
@@ -219,49 +220,74 @@
 }
 
 /// A caller's connection, whose reads fail if the caller stays idle or sends a head too slowly.
-#[derive(Debug)]
 pub(crate) struct CallerSocket {
     inner: GatedSocket,
     counts: ExchangeCounts,
-    head_timeout: Millis,
-    idle_timeout: Millis,
+    limits: LimitsSource,
     state: CallerState,
+    /// Number of requests that had started when the state was entered.
+    started: u64,
+    /// Limit that the timer stands for.
+    limit: Millis,
     timer: Timer,
 }
 
-/// State of a caller's connection, which selects its time limit.
+/// What the caller is expected to do, which selects its time limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallerState {
-    Responding,
+    /// To begin a request, or to wait for its response.
     Idle,
-    ReceivingHead,
+    /// To complete the head of a request.
+    SendingHead,
 }
 
 impl CallerSocket {
     pub(crate) fn new(
         stream: Async<TcpStream>,
         counts: ExchangeCounts,
-        head_timeout: Millis,
-        idle_timeout: Millis,
+        limits: LimitsSource,
         traffic: Traffic,
     ) -> io::Result<Self> {
         stream.get_ref().set_nodelay(true)?;
         let inner = GatedSocket::new(stream, traffic);
-        let timer = Timer::after(idle_timeout.duration());
-        Ok(Self { inner, counts, head_timeout, idle_timeout, state: CallerState::Idle, timer })
+        let limit = limits().idle_timeout;
+        let timer = Timer::after(limit.duration());
+        Ok(Self { inner, counts, limits, state: CallerState::Idle, started: 0, limit, timer })
     }
 
-    /// Returns whether the time limit of the current state has expired.
-    fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.counts.is_active() {
-            self.state = CallerState::Responding;
-            return false;
+    fn enter(&mut self, state: CallerState) {
+        self.state = state;
+        self.started = self.counts.started();
+        self.limit = self.current_limit();
+        self.timer.set_after(self.limit.duration());
+    }
+
+    fn current_limit(&self) -> Millis {
+        let limits = (self.limits)();
+        match self.state {
+            CallerState::Idle => limits.idle_timeout,
+            CallerState::SendingHead => limits.head_timeout,
         }
-        if self.state == CallerState::Responding {
-            self.state = CallerState::Idle;
-            self.timer.set_after(self.idle_timeout.duration());
+    }
+
+    /// Returns whether the time limit of the current state has expired. The timer is not set anew at
+    /// each request: when it fires after one, the caller gets the idle limit from then on.
+    fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        loop {
+            if Pin::new(&mut self.timer).poll(cx).is_pending() {
+                return false;
+            }
+            if self.counts.is_active() || self.counts.started() != self.started {
+                self.enter(CallerState::Idle);
+                continue;
+            }
+            let current = self.current_limit();
+            if current <= self.limit {
+                return true;
+            }
+            self.timer.set_after(Millis(current.0 - self.limit.0).duration());
+            self.limit = current;
         }
-        Pin::new(&mut self.timer).poll(cx).is_ready()
     }
 }
 
@@ -272,12 +298,11 @@
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         if let Poll::Ready(read) = self.inner.poll_receive(cx, buffer) {
-            let count = read?;
-            self.counts.record_received(count as u64);
-            if self.state == CallerState::Idle && !self.counts.is_active() {
-                self.state = CallerState::ReceivingHead;
-                let limit = self.head_timeout.duration();
-                self.timer.set_after(limit);
+            self.counts.record_received(read? as u64);
+            let begins_head =
+                self.state == CallerState::Idle || self.counts.started() != self.started;
+            if begins_head && !self.counts.is_active() {
+                self.enter(CallerState::SendingHead);
             }
             return Poll::Ready(Ok(()));
         }
