Answer new and open connections in a planned stop, and read out what is closed

What callers saw: during a planned stop, which load balancers need about two seconds to notice, connections were closed without an answer, 8 to 18 at each stop.

Cause: at the stop signal every connection was told to shut down. One on which nothing had been read was closed, and so was each one accepted later unless its request was there at once; one between two requests was closed while a request could be on its way. Signals that came before their handlers were registered ended the process at once.

Change: the stop has two steps. From the signal on requests are answered as before, and each response asks its caller to close the connection. Once nothing runs any more the listener closes, after it has taken what waits to be accepted; connections that have just been opened have 250 ms for their first request, idle ones are closed. After the end of a connection what its caller still sends is read out for at most 500 ms, so that the last response isn't lost to a reset; refusals that are sent before the body has been read are the usual case. Signal handlers are registered before the router starts.

Ruled out: the load balancer's choice; the connections reached the router.

--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -54,6 +54,9 @@
     let file = args.get_one::<PathBuf>("settings").context("missing settings file")?;
     let settings = read_router_settings(file)?;
     let router = settings.router();
+    // A signal that arrives before this ends the process at once.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .context("cannot register signal handlers")?;
     let running = match router.adapter {
         Adapter::None => {
             let identity =
@@ -73,7 +76,7 @@
         "peer": running.peer,
     });
     println!("{addresses}");
-    block_on(run_until_stopped(running, file))
+    block_on(run_until_stopped(running, signals, file))
 }
 
 fn read_router_settings(file: &PathBuf) -> Result<Settings> {
@@ -134,8 +137,11 @@
 
 /// Drains the router after the first stop signal. Exits with status 1 on a second stop signal or at
 /// the drain limit.
-async fn run_until_stopped(running: RouterHandle, file: &PathBuf) -> Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+async fn run_until_stopped(
+    running: RouterHandle,
+    mut signals: Signals,
+    file: &PathBuf,
+) -> Result<()> {
     wait_for_stop_signal(&mut signals, &running, file).await;
     let pause = running.announce_shutdown();
     log::info!(pause:% = pause; "signal received, draining");
--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -18,6 +18,8 @@
 use berylwheel_types::Millis;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use http::HeaderValue;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Full;
@@ -31,11 +33,15 @@
 use super::exchange::CountedBody;
 use super::exchange::ExchangeCounts;
 use super::socket::CallerSocket;
+use super::socket::discard_rest;
 use super::traffic::Traffic;
 
 /// Delay before retrying a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Millis = Millis(10);
 
+/// Time that a caller has after connecting to send its first request when the listener closes.
+const FIRST_REQUEST_TIME: Millis = Millis(250);
+
 /// Minimum buffer size that `hyper` accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
@@ -77,8 +83,11 @@
 /// State shared between a listener and the code that started it.
 #[derive(Debug, Clone)]
 pub struct ListenerState {
-    /// Closed to request a graceful shutdown: connections close after their current request.
+    /// Closed to announce a stop: each response from then on asks its caller to close the
+    /// connection.
     pub shutdown: Receiver<()>,
+    /// Closed to end the listener and the connections on which nothing is left to answer.
+    pub closing: Receiver<()>,
     /// Number of open connections.
     pub open: Arc<AtomicUsize>,
     /// Traffic of the connections.
@@ -88,12 +97,12 @@
 /// Limits on a connection, which may change while it is open.
 pub(crate) type LimitsSource = Arc<dyn Fn() -> AcceptLimits + Send + Sync>;
 
-/// Accepts connections and answers their requests with `handler`. Errors from accepting are logged
-/// and retried, and the function does not return.
+/// Accepts connections and answers their requests with `handler`, until
+/// [`ListenerState::closing`] is closed. Errors from accepting are logged and retried.
 ///
-/// `limits` returns those in force. A handler is dropped when its caller disconnects. Once
-/// `listener_state.shutdown` is closed, idle connections are closed and others close after their
-/// response.
+/// `limits` returns those in force. A handler is dropped when its caller disconnects. After
+/// [`ListenerState::shutdown`] new requests are answered as before, since callers still come while
+/// the load balancer has not noticed.
 pub async fn accept_connections<L, H, F>(
     listener: Async<TcpListener>,
     executor: Arc<Executor<'static>>,
@@ -106,30 +115,46 @@
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let limits: LimitsSource = Arc::new(limits);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept connection");
-                Timer::after(ACCEPT_RETRY_DELAY.duration()).await;
-                continue;
-            }
-        };
+    let serve = |stream| {
         let guard = ConnectionGuard::new(listener_state.open.clone());
         if guard.open_count > limits().connections {
             log::warn!(open = guard.open_count; "connection closed: too many open connections");
-            continue;
+            return;
         }
         let serving =
             serve_connection(stream, limits.clone(), listener_state.clone(), handler.clone());
-        executor
-            .spawn(async move {
-                let _guard = guard;
-                if let Err(error) = serving.await {
-                    log::debug!(error:% = error; "caller connection failed");
-                }
-            })
-            .detach();
+        let connection = async move {
+            let _guard = guard;
+            if let Err(error) = serving.await {
+                log::debug!(error:% = error; "caller connection failed");
+            }
+        };
+        executor.spawn(connection).detach();
+    };
+    let mut closing = pin!(async {
+        let _ = listener_state.closing.recv().await;
+    });
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            closing.as_mut().await;
+            None
+        };
+        match accepted.or(closed).await {
+            Some(Ok((stream, _))) => serve(stream),
+            Some(Err(error)) => {
+                log::warn!(error:% = error; "cannot accept connection");
+                Timer::after(ACCEPT_RETRY_DELAY.duration()).await;
+            }
+            None => break,
+        }
+    }
+    // The connections that wait to be accepted are answered as well.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        match Async::new(stream) {
+            Ok(stream) => serve(stream),
+            Err(error) => log::warn!(error:% = error; "cannot serve accepted connection"),
+        }
     }
 }
 
@@ -162,27 +187,36 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let ListenerState { shutdown, traffic, .. } = listener_state;
+    let ListenerState { shutdown, closing, traffic, .. } = listener_state;
     let counts = ExchangeCounts::default();
+    let stream = Arc::new(stream);
     let head_limit = limits().head.0 as usize;
-    let socket = CallerSocket::new(stream, counts.clone(), limits, traffic)?;
+    let socket = CallerSocket::new(stream.clone(), counts.clone(), limits, traffic)?;
     let started_counts = counts.clone();
     let service = service_fn(move |request| {
         let active_request = started_counts.start();
         let response_future = handler(request);
+        let shutdown = shutdown.clone();
         async move {
-            let response = response_future.await;
+            let mut response = response_future.await;
+            if shutdown.is_closed() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, active_request)))
         }
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_limit.max(MIN_HEAD_BUFFER_BYTES));
     let mut connection = pin!(builder.serve_connection(socket, service));
-    let shutdown = async {
-        let _ = shutdown.recv().await;
+    let closed = async {
+        let _ = closing.recv().await;
+        if counts.started() == 0 {
+            Timer::after(FIRST_REQUEST_TIME.duration()).await;
+        }
         None
     };
-    let (result, cause) = match async { Some(connection.as_mut().await) }.or(shutdown).await {
+    let (result, cause) = match async { Some(connection.as_mut().await) }.or(closed).await {
         Some(result) => (result, EndCause::CallerOrLimit),
         None => {
             connection.as_mut().graceful_shutdown();
@@ -190,6 +224,7 @@
         }
     };
     log_unanswered(&counts, cause, result.as_ref().err());
+    discard_rest(&stream).await;
     result.map_err(io::Error::other)
 }
 
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -24,6 +24,7 @@
 use hyper::rt::Write;
 
 use super::exchange::ExchangeCounts;
+use super::local_timeout::local_timeout;
 use super::server::LimitsSource;
 use super::traffic::Traffic;
 
@@ -33,6 +34,11 @@
 /// Size of the buffer that each thread reads into.
 const READ_BUFFER_BYTES: usize = 32 << 10;
 
+/// Time for which the rest of a request is read after its connection was shut down.
+const DISCARD_TIME: Millis = Millis(500);
+/// Maximum number of bytes that are read after a connection was shut down.
+const DISCARD_BYTES: usize = 1 << 20;
+
 thread_local! {
     /// Read buffer, shared by the connections of a thread.
     static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BUFFER_BYTES]);
@@ -42,7 +48,7 @@
 /// of a stream and for the caller's next request, and most of these reads would find nothing.
 #[derive(Debug)]
 struct GatedSocket {
-    stream: Async<TcpStream>,
+    stream: Arc<Async<TcpStream>>,
     /// Whether the last read took all received bytes, so that the next one waits until the
     /// connection is readable.
     drained: bool,
@@ -52,7 +58,7 @@
 }
 
 impl GatedSocket {
-    fn new(stream: Async<TcpStream>, traffic: Traffic) -> Self {
+    fn new(stream: Arc<Async<TcpStream>>, traffic: Traffic) -> Self {
         traffic.record_connection();
         Self { stream, drained: false, reads: 0, traffic }
     }
@@ -182,7 +188,8 @@
     ) -> io::Result<(Self, Arc<SocketState>)> {
         stream.get_ref().set_nodelay(true)?;
         let state = Arc::new(SocketState::default());
-        Ok((Self { inner: GatedSocket::new(stream, traffic), state: state.clone() }, state))
+        let inner = GatedSocket::new(Arc::new(stream), traffic);
+        Ok((Self { inner, state: state.clone() }, state))
     }
 }
 
@@ -243,7 +250,7 @@
 
 impl CallerSocket {
     pub(crate) fn new(
-        stream: Async<TcpStream>,
+        stream: Arc<Async<TcpStream>>,
         counts: ExchangeCounts,
         limits: LimitsSource,
         traffic: Traffic,
@@ -331,3 +338,30 @@
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
+
+/// Shuts a connection down, and reads and drops what the caller still sends until it closes the
+/// connection as well. Closing a connection with unread bytes resets it, and the caller may
+/// then lose the response.
+pub(crate) async fn discard_rest(stream: &Async<TcpStream>) {
+    if let Err(error) = stream.get_ref().shutdown(Shutdown::Write) {
+        log::trace!(error:% = error; "caller connection was closed already");
+        return;
+    }
+    let mut left = DISCARD_BYTES;
+    let discard = async {
+        let mut bytes = [0; 4 << 10];
+        while left > 0 {
+            match stream.read_with(|mut stream| stream.read(&mut bytes)).await {
+                Ok(0) => return,
+                Ok(count) => left = left.saturating_sub(count),
+                Err(error) => {
+                    log::trace!(error:% = error; "caller connection closed while it was read out");
+                    return;
+                }
+            }
+        }
+    };
+    if local_timeout(DISCARD_TIME, discard).await.is_none() {
+        log::debug!("caller did not close its connection in time");
+    }
+}
--- a/crates/berylwheel-http/tests/forward.rs
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -53,7 +53,9 @@
     thread::spawn(move || {
         let executor = Arc::new(Executor::new());
         let (_shutdown_sender, shutdown) = async_channel::bounded(1);
-        let state = ListenerState { shutdown, open: Arc::default(), traffic: Traffic::default() };
+        let (_closing_sender, closing) = async_channel::bounded(1);
+        let state =
+            ListenerState { shutdown, closing, open: Arc::default(), traffic: Traffic::default() };
         let serving = accept_connections(
             listener,
             executor.clone(),
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -103,8 +103,10 @@
     /// Number of open connections of callers on a platform.
     open_connections: Arc<AtomicUsize>,
     snapshot: SharedSnapshot,
-    /// Closed when connections of callers should be closed after their current request.
+    /// Closed when each response should ask its caller to close the connection.
     shutdown: Sender<()>,
+    /// Closed when the listeners should end.
+    closing: Sender<()>,
     shutdown_announced: Arc<AtomicBool>,
     stop_limit: Option<Millis>,
     stop: Sender<()>,
@@ -227,6 +229,7 @@
     };
     threads.push(spawn_thread("control", executor, stopped.clone())?);
     let (shutdown, shutdown_signal) = async_channel::bounded::<()>(1);
+    let (closing, closing_signal) = async_channel::bounded::<()>(1);
     let shutdown_announced = Arc::new(AtomicBool::new(false));
     let open_connections = Arc::new(AtomicUsize::new(0));
     if let Some(platform) = platform {
@@ -259,9 +262,12 @@
             &forwarder,
             listener,
             &traffic_executor,
-            shutdown_signal,
-            &open_connections,
-            socket_traffic.callers,
+            ListenerState {
+                shutdown: shutdown_signal,
+                closing: closing_signal,
+                open: open_connections.clone(),
+                traffic: socket_traffic.callers,
+            },
         )?;
     } else {
         let handler = RequestHandler {
@@ -296,6 +302,7 @@
         open_connections,
         snapshot,
         shutdown,
+        closing,
         shutdown_announced,
         stop_limit,
         stop,
@@ -318,12 +325,8 @@
     forwarder: &Forwarder,
     listener: Async<TcpListener>,
     executor: &Arc<Executor<'static>>,
-    shutdown_signal: Receiver<()>,
-    open_connections: &Arc<AtomicUsize>,
-    traffic: Traffic,
+    listener_state: ListenerState,
 ) -> io::Result<()> {
-    let listener_state =
-        ListenerState { shutdown: shutdown_signal, open: open_connections.clone(), traffic };
     if let Some(address) = settings.ready {
         let ready = Async::<TcpListener>::bind(address)?;
         let ready_state = ListenerState {
@@ -340,9 +343,9 @@
 }
 
 impl RouterHandle {
-    /// Announces a graceful shutdown: readiness checks fail, and connections of callers are closed
-    /// after their current request. Requests are accepted until [`RouterHandle::drain`], since the
-    /// load balancer still sends callers here until it has noticed.
+    /// Announces a graceful shutdown: readiness checks fail, and each response asks its caller to
+    /// close the connection. Requests are accepted until [`RouterHandle::drain`], since the load
+    /// balancer still sends callers here until it has noticed.
     ///
     /// Returns how long to wait before the drain.
     pub fn announce_shutdown(&self) -> Millis {
@@ -359,7 +362,9 @@
         }
     }
 
-    /// Starts a graceful shutdown: new requests are refused, running ones complete.
+    /// Starts a graceful shutdown: new requests are refused, running ones complete. Connections stay
+    /// open until [`RouterHandle::wait_drained`] has nothing left to wait for, so that each request
+    /// gets an answer.
     pub fn drain(&self) {
         self.send(Event::Drain);
     }
@@ -385,6 +390,7 @@
             return false;
         }
         // The end of a response may not have been written to the caller's connection yet.
+        self.closing.close();
         let flushed = async {
             while self.active_count() > 0 {
                 Timer::after(FLUSH_INTERVAL.duration()).await;
