Await a silent server when no other one can go on

What callers saw: a stream whose server paused for a second or so was cut, and a request whose server had not begun to answer got 504, although the server would have gone on.

Cause: silence was taken for a failure. The router closed the connection to the silent server first and asked for another one afterwards; without one (retry limit, no free capacity) nothing was left to go on with. The class: the router ends what another one is still doing, before it knows that it can be done elsewhere.

Change: the control thread is asked for another server while the attempt goes on (`Relocate`). Only if there is one is the attempt dropped; otherwise the server is awaited, and asked about again after each further silence, until the deadline.

--- a/crates/berylwheel-router/src/calls/request_guard.rs
+++ b/crates/berylwheel-router/src/calls/request_guard.rs
@@ -63,6 +63,16 @@
         self.request_placement(|reply| Command::Retry(self.request.clone(), outcome, reply)).await
     }
 
+    /// Requests another server while the current one, which is silent, goes on. On success the
+    /// current one counts as ended with `outcome`.
+    ///
+    /// # Errors
+    /// The refusal of the control thread. The request then stays at its current server.
+    pub async fn relocate(&self, outcome: Outcome) -> PlacementResult {
+        let command = |reply| Command::Relocate(self.request.clone(), outcome, reply);
+        self.request_placement(command).await
+    }
+
     /// Queues the request again after it was preempted, and waits until it is restarted.
     ///
     /// # Errors
--- a/crates/berylwheel-router/src/control/command.rs
+++ b/crates/berylwheel-router/src/control/command.rs
@@ -98,6 +98,8 @@
     FirstToken(RequestId),
     /// The backend server failed before anything was sent to the caller; asks for another server.
     Retry(RequestId, Outcome, Sender<PlacementResult>),
+    /// The backend server is silent; asks for another server, and stays at this one without one.
+    Relocate(RequestId, Outcome, Sender<PlacementResult>),
     /// The request was preempted at the engine by more urgent work; asks to be queued again.
     Requeue(RequestId, Sender<PlacementResult>),
     /// The request has ended.
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -66,6 +66,9 @@
             Command::Admit(admit, admission, reply) => self.admit(now, *admit, admission, reply),
             Command::FirstToken(request) => self.scheduler.record_first_token(now, &request),
             Command::Retry(request, outcome, reply) => self.retry(now, &request, outcome, reply),
+            Command::Relocate(request, outcome, reply) => {
+                self.relocate(now, &request, outcome, reply);
+            }
             Command::Requeue(request, reply) => self.requeue(now, &request, reply),
             Command::Finish(finish) => self.finish(now, &finish),
         }
@@ -257,6 +260,39 @@
         );
     }
 
+    /// Moves a request to another server if there is one; otherwise it stays where it is.
+    fn relocate(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        outcome: Outcome,
+        reply: Sender<PlacementResult>,
+    ) {
+        let Some(state) = self.requests.get_mut(request) else { return };
+        let Some(current) = state.server.clone() else { return };
+        state.admit.query.exclude.push(current.clone());
+        let (query, kind) = (&state.admit.query, &state.admit.kind);
+        let refusal = if !self.balancer.can_start(now, query) {
+            Some("no other backend server has free capacity")
+        } else if !self.scheduler.take_retry(now, kind) {
+            Some("the retry limit of this kind of work is reached")
+        } else {
+            None
+        };
+        let placement = match refusal {
+            None => self.place(now, request),
+            Some(_) => None,
+        };
+        if placement.is_some() {
+            self.balancer.request_ended(now, &current, outcome);
+        } else if let Some(state) = self.requests.get_mut(request) {
+            state.admit.query.exclude.pop();
+        }
+        let detail = refusal.unwrap_or("no other backend server has free capacity");
+        let refused = || Refusal::unknown(Code::NoBackend, detail);
+        let _ = reply.try_send(placement.ok_or_else(refused));
+    }
+
     fn requeue(&mut self, now: Timestamp, request: &RequestId, reply: Sender<PlacementResult>) {
         let Some(state) = self.requests.get_mut(request) else { return };
         if let Some(server) = state.server.take() {
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -12,20 +12,16 @@
 use super::attempt::RetryState;
 use super::call::Call;
 use super::classify::AttemptFailure;
-use super::classify::is_repeatable;
 use super::classify::may_retry;
 use super::listen::Forwarder;
+use super::silence::Awaited;
+use super::silence::may_move;
+use super::silence::silence_limit;
 use super::stream::OpenStream;
 use super::stream::ReadResult;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
 
-/// A resumable stream counts as stalled after a pause of this many times the gap that the kind
-/// allows between events.
-const STALL_GAPS: u64 = 3;
-/// Minimum pause after which a resumable stream counts as stalled.
-const MIN_STALL_TIMEOUT: Millis = Millis(800);
-
 /// A response stream that is being relayed. Dropping it closes the connection, so that the server
 /// stops working on the request, and bills the events that were relayed.
 pub(crate) struct Relay {
@@ -95,14 +91,16 @@
             }
             let timeout = self.event_timeout();
             let Some(stream) = &mut self.stream else { return None };
-            let (timed_out, detail) = match self.event_limit.run(timeout, stream.read()).await {
+            let result = match self.event_limit.run(timeout, stream.read()).await {
                 Some(ReadResult::Events) => continue,
                 Some(ReadResult::End) => return self.finish(),
-                Some(ReadResult::Failed(detail)) => (false, detail),
-                None => (true, format!("no event within {timeout}")),
+                Some(ReadResult::Failed(detail)) => {
+                    let failure = AttemptFailure::Unknown { timed_out: false, detail };
+                    self.resume_stream(failure).await
+                }
+                None => self.move_silent_stream(timeout).await,
             };
-            let failure = AttemptFailure::Unknown { timed_out, detail };
-            if let Err(error) = self.resume_stream(failure).await {
+            if let Err(error) = result {
                 return self.fail(error);
             }
         }
@@ -141,42 +139,62 @@
     /// Returns the timeout for the next event.
     fn event_timeout(&self) -> Millis {
         let time_left = self.call.time_left(self.forwarder.clock.now());
-        let stall_timeout = Millis(self.call.kind.gap.0 * STALL_GAPS).max(MIN_STALL_TIMEOUT);
-        let resumable =
-            is_repeatable(&self.call.kind) && self.retry_state.sent < self.call.kind.attempts;
-        if resumable { time_left.min(stall_timeout) } else { time_left }
+        match may_move(&self.call.kind, self.retry_state.sent) {
+            true => time_left.min(silence_limit(&self.call.kind, Awaited::NextEvent)),
+            false => time_left,
+        }
+    }
+
+    /// Moves a stream whose server has been silent for `timeout` to another server. Without another
+    /// server the stream stays, and ends only at its deadline.
+    async fn move_silent_stream(&mut self, timeout: Millis) -> io::Result<()> {
+        let sent = self.retry_state.sent;
+        if may_move(&self.call.kind, sent) {
+            let moving = self.forwarder.move_request(&self.call, &self.guard, sent, timeout);
+            if let Some(next) = moving.await {
+                return self.continue_at(next).await;
+            }
+        }
+        if self.forwarder.clock.now() < self.call.deadline {
+            return Ok(());
+        }
+        let detail = format!("no event within {timeout}, deadline reached");
+        self.resume_stream(AttemptFailure::Unknown { timed_out: true, detail }).await
     }
 
     /// Resumes the stream at another server if the kind of work allows it.
     async fn resume_stream(&mut self, failure: AttemptFailure) -> io::Result<()> {
-        let mut failure = failure;
-        loop {
-            let call = &self.call;
-            log::info!(
-                request = call.id.as_str(), server = self.placement.server.id.as_str(),
-                events = self.event_count, sent = self.retry_state.sent;
-                "stream broke off: {}", failure.detail()
-            );
-            // Closes the connection so that this server stops before the next one starts.
-            self.stream = None;
-            let now = self.forwarder.clock.now();
-            if now >= call.deadline || !may_retry(&call.kind, &failure, self.retry_state.sent) {
-                return Err(io::Error::other(failure.detail().to_owned()));
-            }
-            let next = self.guard.retry(failure.outcome()).await;
-            self.placement = next.map_err(|refusal| {
-                log::info!(request = call.id.as_str(); "stream not resumed: {}", refusal.detail);
-                io::Error::other(refusal.detail)
-            })?;
-            self.forwarder.metrics.count_retry(&call.kind.id);
-            self.retry_state.sent += 1;
-            match self.forwarder.resume(call, &self.placement, self.last_event).await {
-                Ok(stream) => {
-                    self.stream = Some(stream);
-                    return Ok(());
-                }
-                Err(next) => failure = next,
+        let call = &self.call;
+        log::info!(
+            request = call.id.as_str(), server = self.placement.server.id.as_str(),
+            events = self.event_count, sent = self.retry_state.sent;
+            "stream broke off: {}", failure.detail()
+        );
+        // Closes the connection so that this server stops before the next one starts.
+        self.stream = None;
+        let now = self.forwarder.clock.now();
+        if now >= call.deadline || !may_retry(&call.kind, &failure, self.retry_state.sent) {
+            return Err(io::Error::other(failure.detail().to_owned()));
+        }
+        let next = self.guard.retry(failure.outcome()).await.map_err(|refusal| {
+            log::info!(request = call.id.as_str(); "stream not resumed: {}", refusal.detail);
+            io::Error::other(refusal.detail)
+        })?;
+        self.forwarder.metrics.count_retry(&call.kind.id);
+        self.continue_at(next).await
+    }
+
+    /// Resumes the stream at the server of `placement`, or at another one if that fails.
+    async fn continue_at(&mut self, placement: Placement) -> io::Result<()> {
+        self.stream = None;
+        self.placement = placement;
+        self.retry_state.sent += 1;
+        match self.forwarder.resume(&self.call, &self.placement, self.last_event).await {
+            Ok(stream) => {
+                self.stream = Some(stream);
+                Ok(())
             }
+            Err(failure) => Box::pin(self.resume_stream(failure)).await,
         }
     }
 
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -20,19 +20,16 @@
 use super::call::remove_connection_headers;
 use super::classify::AttemptFailure;
 use super::classify::ResponseClass;
-use super::classify::is_repeatable;
 use super::listen::Forwarder;
 use super::relay::Relay;
 use super::response_body::buffer_body;
+use super::silence::AttemptResult;
+use super::silence::Awaited;
 use super::whole::buffered_response;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
 
-/// An attempt that can be retried times out if its first event has not arrived after this many
-/// times the kind's target time.
-const TIMEOUT_TARGETS: u64 = 2;
-
 /// A response stream whose first event has arrived.
 pub(crate) struct OpenStream {
     /// The response, whose body holds the remaining events.
@@ -62,16 +59,25 @@
         let stream = loop {
             // Nothing is billed before the first event is relayed. A caller that received nothing
             // sends the request again and would be billed twice.
-            let failure = match self.open_stream(&call, &placement, &retry_state).await {
-                Ok(OpenResult::Stream(stream)) => break stream,
-                Ok(OpenResult::Whole(response, body)) => {
+            let time_left = call.time_left(self.clock.now());
+            let opening = self.open_with_timeout(&call, &placement, call.last_event, time_left);
+            let opened = self
+                .await_attempt(&call, &guard, &mut retry_state, Awaited::FirstEvent, opening)
+                .await;
+            let failure = match opened {
+                AttemptResult::Moved(next) => {
+                    placement = next;
+                    continue;
+                }
+                AttemptResult::Ended(Ok(OpenResult::Stream(stream))) => break stream,
+                AttemptResult::Ended(Ok(OpenResult::Whole(response, body))) => {
                     let head = response.head.clone();
                     let outcome = response_outcome(response.class, head.status.as_u16());
                     response.release();
                     guard.finish(outcome, true);
                     return Ok(buffered_response(head, body));
                 }
-                Err(failure) => failure,
+                AttemptResult::Ended(Err(failure)) => failure,
             };
             let outcome = failure.outcome();
             placement = match self
@@ -95,19 +101,6 @@
         Ok(Response::from_parts(head, body.boxed_unsync()))
     }
 
-    async fn open_stream(
-        &self,
-        call: &Call,
-        placement: &Placement,
-        retry_state: &RetryState,
-    ) -> Result<OpenResult, AttemptFailure> {
-        let time_left = call.time_left(self.clock.now());
-        let repeatable = is_repeatable(&call.kind) && retry_state.sent + 1 < call.kind.attempts;
-        let retry_timeout = Millis(call.kind.target.0 * TIMEOUT_TARGETS);
-        let timeout = if repeatable { time_left.min(retry_timeout) } else { time_left };
-        self.open_with_timeout(call, placement, call.last_event, timeout).await
-    }
-
     /// Sends the request and waits for the first event that follows `last_event`.
     async fn open_with_timeout(
         &self,
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -19,15 +19,12 @@
 use super::classify::is_repeatable;
 use super::listen::Forwarder;
 use super::response_body::buffer_body;
+use super::silence::AttemptResult;
+use super::silence::Awaited;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
 
-/// An attempt that can be retried times out after this many times the kind's target time.
-const TIMEOUT_TARGETS: u64 = 3;
-/// Minimum timeout of an attempt that can be retried.
-const MIN_TIMEOUT: Millis = Millis(250);
-
 impl Forwarder {
     /// Serves a request whose response is buffered as a whole.
     pub(crate) async fn serve_whole(
@@ -38,8 +35,16 @@
         let (guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
         let mut retry_state = RetryState::default();
         loop {
-            let failure = match self.exchange(&call, &placement, &retry_state).await {
-                Ok((head, body, class)) => {
+            let exchange = self.exchange(&call, &placement);
+            let exchanged = self
+                .await_attempt(&call, &guard, &mut retry_state, Awaited::Response, exchange)
+                .await;
+            let failure = match exchanged {
+                AttemptResult::Moved(next) => {
+                    placement = next;
+                    continue;
+                }
+                AttemptResult::Ended(Ok((head, body, class))) => {
                     let outcome = response_outcome(class, head.status.as_u16());
                     let should_retry = class == ResponseClass::Failure
                         && head.status.is_server_error()
@@ -59,7 +64,7 @@
                     guard.finish(outcome, true);
                     return Ok(buffered_response(head, body));
                 }
-                Err(failure) => failure,
+                AttemptResult::Ended(Err(failure)) => failure,
             };
             let outcome = failure.outcome();
             placement = match self
@@ -79,13 +84,9 @@
         &self,
         call: &Call,
         placement: &Placement,
-        retry_state: &RetryState,
     ) -> Result<(Parts, Bytes, ResponseClass), AttemptFailure> {
         let started = self.clock.now();
-        let time_left = call.time_left(started);
-        let repeatable = is_repeatable(&call.kind) && retry_state.sent + 1 < call.kind.attempts;
-        let retry_timeout = Millis(call.kind.target.0 * TIMEOUT_TARGETS).max(MIN_TIMEOUT);
-        let timeout = if repeatable { time_left.min(retry_timeout) } else { time_left };
+        let timeout = call.time_left(started);
         let mut response = self.send_attempt(call, placement, None, timeout).await?;
         let remaining = Millis(timeout.0.saturating_sub(self.clock.now().since(started).0));
         let buffered = buffer_body(&mut response.body, &self.response_memory);
