Ask callers of a draining router to come back at once

What callers saw: a router that drains refused with a Retry-After of 1 s, although the next connection reaches another router that serves. A booking with a deadline of 1 s waited a third of it for nothing.

Change: the delay of a refusal that sends the caller to another router is the one of a full link, 50 ms. A router that doesn't know its configuration yet still says 1 s, since the others may have started with it.

--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -19,6 +19,7 @@
 use crate::control::command::Placement;
 use crate::control::command::PlacementResult;
 use crate::control::core::Control;
+use crate::control::snapshot::RECONNECT_DELAY;
 use crate::fleet::claims::ClaimResponse;
 
 /// Time that the home router of a key has to answer a claim. Without a response the request runs
@@ -26,8 +27,6 @@
 /// first token within the target of 0.79 s. A home router that has failed causes this delay for 5 s
 /// at most, until it is suspected.
 const CLAIM_TIMEOUT: Millis = Millis(400);
-/// Delay before a caller that was refused by a draining router retries.
-const RETRY_AFTER: Millis = Millis(1_000);
 /// Cost of a service call in the scheduler, in tokens.
 const SERVICE_CALL_COST: Tokens = Tokens(50);
 
@@ -83,7 +82,7 @@
     ) {
         if self.draining {
             let detail = "running streams complete, new requests are refused";
-            let refusal = Refusal::not_run(Code::Draining, detail).retry_after(RETRY_AFTER);
+            let refusal = Refusal::not_run(Code::Draining, detail).retry_after(RECONNECT_DELAY);
             let _ = reply.try_send(Err(refusal));
             return;
         }
--- a/crates/berylwheel-router/src/control/snapshot.rs
+++ b/crates/berylwheel-router/src/control/snapshot.rs
@@ -13,8 +13,11 @@
 use berylwheel_types::Refusal;
 use berylwheel_types::Version;
 
-/// Delay before a caller that was refused by a router that does not serve retries.
-const RETRY_AFTER: Millis = Millis(1_000);
+/// Retry delay for a caller that has to reconnect to another router, which may serve it at once.
+pub(crate) const RECONNECT_DELAY: Millis = Millis(50);
+/// Retry delay for a caller of a router that does not know its configuration yet. The others may
+/// have started at the same time.
+const START_DELAY: Millis = Millis(1_000);
 
 /// Whether a router accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,12 +59,12 @@
                 Code::Draining,
                 "running streams complete, new requests are refused",
             )
-            .retry_after(RETRY_AFTER)),
+            .retry_after(RECONNECT_DELAY)),
             _ => Err(Refusal::not_run(
                 Code::ConfigurationUnknown,
                 "neither the store nor enough peers have confirmed the configuration",
             )
-            .retry_after(RETRY_AFTER)),
+            .retry_after(START_DELAY)),
         }
     }
 }
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -38,6 +38,7 @@
 use super::respond::refusal_response;
 use crate::calls::memory::MemoryReservation;
 use crate::control::command::AdmitRequest;
+use crate::control::snapshot::RECONNECT_DELAY;
 
 /// Workspace that requests of open kinds are accounted to.
 const OPEN_WORKSPACE: &str = "open";
@@ -70,8 +71,6 @@
 /// How long a connection with an unread request body stays open so that the caller can read the
 /// response.
 const CLOSE_DELAY: Millis = Millis(300);
-/// Retry delay for a caller that has to reconnect to another router.
-const RECONNECT_DELAY: Millis = Millis(50);
 
 /// The kind, rank and accounts of a request whose caller is authorized.
 struct Authorized {
