Refuse the requests of connections over the limit before closing them

What callers would see: with too many open connections a router closed new ones without an answer, so that a caller could not know whether its request had run.

Test: connection_over_the_limit_gets_a_refusal failed on the code before (no byte) and passes.

--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -15,7 +15,9 @@
 use async_io::Async;
 use async_io::Timer;
 use berylwheel_types::ByteSize;
+use berylwheel_types::Code;
 use berylwheel_types::Millis;
+use berylwheel_types::Refusal;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::HeaderValue;
@@ -26,6 +28,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -35,6 +38,7 @@
 use super::socket::CallerSocket;
 use super::socket::discard_rest;
 use super::traffic::Traffic;
+use crate::problem::problem_body;
 
 /// Delay before retrying a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Millis = Millis(10);
@@ -42,6 +46,11 @@
 /// Time that a caller has after connecting to send its first request when the listener closes.
 const FIRST_REQUEST_TIME: Millis = Millis(250);
 
+/// Number of connections beyond the limit that get a refusal at least.
+const MIN_REFUSED_CONNECTIONS: usize = 8;
+/// Retry delay of a caller whose connection is one too many, in seconds.
+const CONNECTION_RETRY_SECONDS: &str = "1";
+
 /// Minimum buffer size that `hyper` accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
@@ -117,12 +126,20 @@
     let limits: LimitsSource = Arc::new(limits);
     let serve = |stream| {
         let guard = ConnectionGuard::new(listener_state.open.clone());
-        if guard.open_count > limits().connections {
-            log::warn!(open = guard.open_count; "connection closed: too many open connections");
+        let open = guard.open_count;
+        let limit = limits().connections;
+        if open > limit + refused_connections(limit) {
+            log::warn!(open; "connection closed: too many open connections");
             return;
         }
-        let serving =
-            serve_connection(stream, limits.clone(), listener_state.clone(), handler.clone());
+        let access = if open > limit { Access::Refused } else { Access::Served };
+        let serving = serve_connection(
+            stream,
+            limits.clone(),
+            listener_state.clone(),
+            access,
+            handler.clone(),
+        );
         let connection = async move {
             let _guard = guard;
             if let Err(error) = serving.await {
@@ -158,6 +175,32 @@
     }
 }
 
+/// Whether the requests of a connection are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Access {
+    Served,
+    /// Too many connections are open: the first request is refused and the connection closed.
+    Refused,
+}
+
+/// Returns how many connections beyond the limit get a refusal. Further ones are closed at once.
+fn refused_connections(limit: usize) -> usize {
+    (limit / 16).max(MIN_REFUSED_CONNECTIONS)
+}
+
+/// Refuses a request because too many connections are open.
+fn too_many_connections() -> Response<ResponseBody> {
+    let refusal = Refusal::not_run(Code::QueueFull, "too many open connections");
+    let mut response = Response::new(full_body(problem_body(&refusal, "").to_string()));
+    let status = StatusCode::from_u16(refusal.code.status());
+    *response.status_mut() = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static(CONNECTION_RETRY_SECONDS));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Counts a connection as open until the guard is dropped.
 struct ConnectionGuard {
     open: Arc<AtomicUsize>,
@@ -181,6 +224,7 @@
     stream: Async<TcpStream>,
     limits: LimitsSource,
     listener_state: ListenerState,
+    access: Access,
     handler: H,
 ) -> io::Result<()>
 where
@@ -195,10 +239,13 @@
     let started_counts = counts.clone();
     let service = service_fn(move |request| {
         let active_request = started_counts.start();
-        let response_future = handler(request);
+        let response_future = (access == Access::Served).then(|| handler(request));
         let shutdown = shutdown.clone();
         async move {
-            let mut response = response_future.await;
+            let mut response = match response_future {
+                Some(response_future) => response_future.await,
+                None => too_many_connections(),
+            };
             if shutdown.is_closed() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/berylwheel-http/tests/forward.rs
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -152,6 +152,21 @@
     }
 }
 
+/// Guards against closing a connection without an answer because too many are open.
+#[test]
+fn connection_over_the_limit_gets_a_refusal() {
+    let address = start_echo_server();
+    let open: Vec<TcpStream> =
+        (0..LIMITS.connections).map(|_| TcpStream::connect(address).unwrap()).collect();
+    for _ in 0..3 {
+        let response = exchange(address, b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        let response = String::from_utf8_lossy(&response).to_ascii_lowercase();
+        assert!(response.starts_with("http/1.1 429 "), "{response}");
+        assert!(response.contains("not-run") && response.contains("retry-after: 1"), "{response}");
+    }
+    drop(open);
+}
+
 /// Starts a server that sends one of `responses` for each read, and then closes the connection if
 /// its flag is set. Returns the address and a channel that receives the number of each connection.
 fn start_scripted_server(responses: Vec<(Vec<u8>, bool)>) -> (SocketAddr, mpsc::Receiver<usize>) {
