Relay the events that arrive together with a gap

A caller lost events in the middle of a stream that then ended as complete: a server sent events 1, 2 and 4 at once, the stream was resumed after event 2 at another server, and the caller got events 3, 4 and 5.

The cause: draining the received events counted events 1 and 2 as relayed, met the gap before event 4, and dropped the buffer with events 1 and 2 together with the error. Ruled out: a loss in the splitter (each event was split and counted) and in the resumed request (it named event 2 as the last one).

Draining now stops before an event that does not follow, relays the events before it, and fails in the next call. The check of the order is a function of its own.

Events before a gap are relayed once and in order; a gap is never skipped.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use berylwheel_http::IdleLimit;
+use berylwheel_http::ServerEvent;
 use berylwheel_route::Outcome;
 use berylwheel_types::Millis;
 use berylwheel_types::Tokens;
@@ -45,6 +46,15 @@
     ended: bool,
 }
 
+/// How an event relates to the last event that was relayed.
+enum EventOrder {
+    Next,
+    /// The event was already relayed.
+    Repeated,
+    /// The event does not continue the stream, for the given reason.
+    Invalid(String),
+}
+
 type NextFrame = Option<(io::Result<Frame<Bytes>>, Relay)>;
 
 impl Relay {
@@ -108,18 +118,22 @@
         }
     }
 
-    /// Drains the received events into one buffer, skipping those that were already relayed. Fails
-    /// if an event is missing.
+    /// Drains the received events into one buffer, skipping those that were already relayed. Stops
+    /// before an event that does not follow the one before it, and fails if that is the first one.
     fn drain_events(&mut self) -> Result<Bytes, String> {
         let mut bytes = Vec::new();
         let mut first = None;
         while let Some(event) = self.stream.as_mut().and_then(|stream| stream.events.pop_front()) {
-            if let (Some(id), Some(last)) = (event.id, self.last_event) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return Err(format!("event {id} follows event {last}; events are missing"));
+            match self.check_order(&event) {
+                EventOrder::Next => {}
+                EventOrder::Repeated => continue,
+                EventOrder::Invalid(detail) if first.is_none() => return Err(detail),
+                EventOrder::Invalid(_) => {
+                    // The next call fails, after the events before this one have been relayed.
+                    if let Some(stream) = &mut self.stream {
+                        stream.events.push_front(event);
+                    }
+                    break;
                 }
             }
             self.last_event = event.id.or(self.last_event);
@@ -138,6 +152,19 @@
         Ok(if bytes.is_empty() { first.unwrap_or_default() } else { Bytes::from(bytes) })
     }
 
+    /// Compares the id of an event with that of the last event that was relayed.
+    fn check_order(&self, event: &ServerEvent) -> EventOrder {
+        let (Some(id), Some(last)) = (event.id, self.last_event) else { return EventOrder::Next };
+        if id <= last {
+            return EventOrder::Repeated;
+        }
+        if id > last + 1 {
+            let detail = format!("event {id} follows event {last}; events are missing");
+            return EventOrder::Invalid(detail);
+        }
+        EventOrder::Next
+    }
+
     /// Returns the timeout for the next event.
     fn event_timeout(&self) -> Millis {
         let time_left = self.call.time_left(self.forwarder.clock.now());
