Write relayed events before the connection of a failed stream is closed

A caller was billed for events that it never got: where a stream failed in the same moment in which its last events were relayed, the connection was closed without these events.

The cause: hyper holds the frames that it takes from a body until the body is pending, and discards them when the body fails before that. Ruled out: the relay itself, which returned the frame before the error.

The relay now yields once before it reports the failure, so that hyper writes first what it holds. A caller that reads too slowly can still lose events.

A stream that fails keeps the events that were relayed and billed.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Tokens;
 use bytes::Bytes;
+use futures_lite::future;
 use http_body::Frame;
 
 use super::attempt::RetryState;
@@ -96,7 +97,7 @@
                     let failure = AttemptFailure::Unknown { timed_out: false, detail };
                     match self.resume_stream(failure).await {
                         Ok(()) => continue,
-                        Err(error) => return self.fail(error),
+                        Err(error) => return self.fail(error).await,
                     }
                 }
             };
@@ -113,7 +114,7 @@
             };
             let failure = AttemptFailure::Unknown { timed_out, detail };
             if let Err(error) = self.resume_stream(failure).await {
-                return self.fail(error);
+                return self.fail(error).await;
             }
         }
     }
@@ -214,8 +215,11 @@
         None
     }
 
-    fn fail(mut self, error: io::Error) -> NextFrame {
+    async fn fail(mut self, error: io::Error) -> NextFrame {
         self.ended = true;
+        // `hyper` discards relayed events that it has not written when the body fails. It writes
+        // them when the body is pending.
+        future::yield_now().await;
         self.guard.fail(Outcome::Failed);
         Some((Err(error), self))
     }
