Resume a stream only with a response that continues it

Callers found pages, JSON, text and whole HTTP heads in the middle of a resumed stream, or events of another run, and the stream then ended as complete.

The cause: a resumed response needed only a status of 2xx, the seal and the request's id. Its content type was not compared, so any body with empty lines was split into "events". An event without an id was always relayed. Events with ids that had been relayed already were dropped and the ones behind them relayed, so a server that began again at 1 was joined to the run of another server. Ruled out: error statuses (each was discarded, with and without seal and id), responses to another request or with a content encoding, cut bodies, and bytes that are no HTTP; none of these reached a caller.

A resumed response must now have the status and content type of the first one, and each of its events the id that follows; comments pass. Where only comments were relayed, the stream begins anew with any event. check_resumed is a pure function of the relayed stream and the next part of the response. A response that fails the check counts as a failed attempt: the stream is resumed at another server if the kind of work allows one more, and breaks off otherwise. An error status is given up at its head now, without waiting for its body. What a stream whose first response repeats an event does is unchanged.

A resumed stream holds only events that continue it.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -17,6 +17,10 @@
 use super::classify::is_repeatable;
 use super::classify::may_retry;
 use super::listen::Forwarder;
+use super::resumed::RelayedStream;
+use super::resumed::ResumedPart;
+use super::resumed::StreamFormat;
+use super::resumed::check_resumed;
 use super::stream::OpenStream;
 use super::stream::ReadResult;
 use crate::calls::request_guard::RequestGuard;
@@ -38,8 +42,7 @@
     retry_state: RetryState,
     /// The server's stream; `None` while it is being resumed at another server.
     stream: Option<OpenStream>,
-    /// Id of the last event that was relayed.
-    last_event: Option<u64>,
+    relayed: RelayedStream,
     /// Number of events that were relayed.
     event_count: u64,
     /// Time limit for the next event.
@@ -67,7 +70,8 @@
         retry_state: RetryState,
         stream: OpenStream,
     ) -> Self {
-        let last_event = call.last_event;
+        let format = StreamFormat::of(&stream.response.head);
+        let relayed = RelayedStream { format, last_event: call.last_event };
         let stream = Some(stream);
         let event_limit = IdleLimit::new(forwarder.clock.clone());
         Self {
@@ -77,7 +81,7 @@
             placement,
             retry_state,
             stream,
-            last_event,
+            relayed,
             event_count: 0,
             event_limit,
             ended: false,
@@ -137,7 +141,7 @@
                     break;
                 }
             }
-            self.last_event = event.id.or(self.last_event);
+            self.relayed.last_event = event.id.or(self.relayed.last_event);
             self.event_count += 1;
             match (&first, bytes.is_empty()) {
                 (None, true) => first = Some(event.bytes),
@@ -153,9 +157,15 @@
         Ok(if bytes.is_empty() { first.unwrap_or_default() } else { Bytes::from(bytes) })
     }
 
-    /// Compares the id of an event with that of the last event that was relayed.
+    /// Compares the id of an event with that of the last event that was relayed. A resumed stream
+    /// has no other events than those that follow it.
     fn check_order(&self, event: &ServerEvent) -> EventOrder {
-        let (Some(id), Some(last)) = (event.id, self.last_event) else { return EventOrder::Next };
+        if self.stream.as_ref().is_some_and(|stream| stream.resumed) {
+            let checked = check_resumed(&self.relayed, ResumedPart::Event(event));
+            return checked.map_or_else(EventOrder::Invalid, |()| EventOrder::Next);
+        }
+        let last_event = self.relayed.last_event;
+        let (Some(id), Some(last)) = (event.id, last_event) else { return EventOrder::Next };
         if id <= last {
             return EventOrder::Repeated;
         }
@@ -195,7 +205,7 @@
             self.placement = next.map_err(|refusal| io::Error::other(refusal.detail))?;
             self.forwarder.metrics.count_retry(&call.kind.id);
             self.retry_state.sent += 1;
-            match self.forwarder.resume(call, &self.placement, self.last_event).await {
+            match self.forwarder.resume(call, &self.placement, &self.relayed).await {
                 Ok(stream) => {
                     self.stream = Some(stream);
                     return Ok(());
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -24,6 +24,10 @@
 use super::listen::Forwarder;
 use super::relay::Relay;
 use super::response_body::buffer_body;
+use super::resumed::RelayedStream;
+use super::resumed::ResumedPart;
+use super::resumed::StreamFormat;
+use super::resumed::check_resumed;
 use super::whole::buffered_response;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
@@ -41,6 +45,8 @@
     pub splitter: EventSplitter,
     /// Received events that were not yet relayed.
     pub events: VecDeque<ServerEvent>,
+    /// Whether the stream continues that of another server.
+    pub resumed: bool,
 }
 
 /// The result of opening a stream.
@@ -105,18 +111,20 @@
         let repeatable = is_repeatable(&call.kind) && retry_state.sent + 1 < call.kind.attempts;
         let retry_timeout = Millis(call.kind.target.0 * TIMEOUT_TARGETS);
         let timeout = if repeatable { time_left.min(retry_timeout) } else { time_left };
-        self.open_with_timeout(call, placement, call.last_event, timeout).await
+        self.open_with_timeout(call, placement, None, timeout).await
     }
 
-    /// Sends the request and waits for the first event that follows `last_event`.
+    /// Sends the request and waits for the first event, which follows those of `relayed` if a stream
+    /// is resumed.
     async fn open_with_timeout(
         &self,
         call: &Call,
         placement: &Placement,
-        last_event: Option<u64>,
+        relayed: Option<&RelayedStream>,
         timeout: Millis,
     ) -> Result<OpenResult, AttemptFailure> {
         let started = self.clock.now();
+        let last_event = relayed.map_or(call.last_event, |relayed| relayed.last_event);
         let response = self.send_attempt(call, placement, last_event, timeout).await?;
         let remaining = Millis(timeout.0.saturating_sub(self.clock.now().since(started).0));
         let server = &placement.server.id;
@@ -124,6 +132,12 @@
             let detail = format!("{server}: no first event within {timeout}");
             AttemptFailure::Unknown { timed_out: true, detail }
         };
+        if let Some(relayed) = relayed {
+            let format = StreamFormat::of(&response.head);
+            check_resumed(relayed, ResumedPart::Head(&format)).map_err(|error| {
+                AttemptFailure::Unknown { timed_out: false, detail: format!("{server}: {error}") }
+            })?;
+        }
         if response.class != ResponseClass::Success {
             let mut response = response;
             let buffered = buffer_body(&mut response.body, &self.response_memory);
@@ -134,8 +148,12 @@
             })?;
             return Ok(OpenResult::Whole(Box::new(response), body));
         }
-        let mut stream =
-            OpenStream { response, splitter: EventSplitter::default(), events: VecDeque::new() };
+        let mut stream = OpenStream {
+            response,
+            splitter: EventSplitter::default(),
+            events: VecDeque::new(),
+            resumed: relayed.is_some(),
+        };
         let first = async {
             match stream.read().await {
                 ReadResult::Events => Ok(()),
@@ -153,15 +171,15 @@
         }
     }
 
-    /// Resumes a stream after `last_event` at the server of `placement`.
+    /// Resumes a stream after the events of `relayed` at the server of `placement`.
     pub(crate) async fn resume(
         &self,
         call: &Call,
         placement: &Placement,
-        last_event: Option<u64>,
+        relayed: &RelayedStream,
     ) -> Result<OpenStream, AttemptFailure> {
         let time_left = call.time_left(self.clock.now());
-        match self.open_with_timeout(call, placement, last_event, time_left).await? {
+        match self.open_with_timeout(call, placement, Some(relayed), time_left).await? {
             OpenResult::Stream(stream) => Ok(*stream),
             OpenResult::Whole(response, _) => {
                 let detail = format!("{} responded {}", placement.server.id, response.head.status);
