Do not resume a stream behind an event without an id

A caller got the same events twice: a server sent events without ids and broke off, the request was sent to another server without the id of a last event, and that server's stream was joined to the first one from its start. Behind an error event without an id, the stream went on with another server's events.

The cause: whether a stream can be resumed was decided by the kind of work alone, not by whether the server numbered what was relayed. Ruled out: the check of resumed responses, which has no last id to compare with here.

The relay now keeps whether the last event has an id; a stream whose last event has none is not resumed, and not cut for a long pause either. Comments do not count, and a later event with an id makes the stream resumable again.

A stream is resumed only where the next server can know what was relayed.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -21,6 +21,7 @@
 use super::resumed::ResumedPart;
 use super::resumed::StreamFormat;
 use super::resumed::check_resumed;
+use super::resumed::is_comment;
 use super::stream::OpenStream;
 use super::stream::ReadResult;
 use crate::calls::request_guard::RequestGuard;
@@ -43,6 +44,8 @@
     /// The server's stream; `None` while it is being resumed at another server.
     stream: Option<OpenStream>,
     relayed: RelayedStream,
+    /// Whether the last relayed event has an id, so that another server can continue after it.
+    numbered: bool,
     /// Number of events that were relayed.
     event_count: u64,
     /// Time limit for the next event.
@@ -82,6 +85,7 @@
             retry_state,
             stream,
             relayed,
+            numbered: true,
             event_count: 0,
             event_limit,
             ended: false,
@@ -142,6 +146,7 @@
                 }
             }
             self.relayed.last_event = event.id.or(self.relayed.last_event);
+            self.numbered = event.id.is_some() || (self.numbered && is_comment(&event));
             self.event_count += 1;
             match (&first, bytes.is_empty()) {
                 (None, true) => first = Some(event.bytes),
@@ -180,8 +185,9 @@
     fn event_timeout(&self) -> Millis {
         let time_left = self.call.time_left(self.forwarder.clock.now());
         let stall_timeout = Millis(self.call.kind.gap.0 * STALL_GAPS).max(MIN_STALL_TIMEOUT);
-        let resumable =
-            is_repeatable(&self.call.kind) && self.retry_state.sent < self.call.kind.attempts;
+        let resumable = self.numbered
+            && is_repeatable(&self.call.kind)
+            && self.retry_state.sent < self.call.kind.attempts;
         if resumable { time_left.min(stall_timeout) } else { time_left }
     }
 
@@ -197,6 +203,9 @@
             );
             // Closes the connection so that this server stops before the next one starts.
             self.stream = None;
+            if !self.numbered {
+                return Err(io::Error::other(failure.detail().to_owned()));
+            }
             let now = self.forwarder.clock.now();
             if now >= call.deadline || !may_retry(&call.kind, &failure, self.retry_state.sent) {
                 return Err(io::Error::other(failure.detail().to_owned()));
