End a stream if no event follows its last one

A stream whose last event had been relayed broke off for its caller: its server closed the connection just before the end of the body, and the next server had nothing left to send. A caller that resumed such a stream itself got 502.

The cause: a response without events always counted as a failed attempt. Ruled out: a stream whose end arrives before its connection breaks, which ended as complete before as well.

What a resumed response without events means: the caller's request names the last event, the server has signed its response to that request, a success counts with its complete body, and the response to a resumed request is the rest of the stream. A complete body without events therefore states that nothing follows, and the stream ends as complete. This holds only if the body shows that it is complete, by its length or its last chunk: one that ends with its connection can come from a server that failed before its next event, and counts as failed. Not covered: a server that signs a complete, empty response although events follow. Without the id of a last event, a stream without events fails as before.

stream_ends_if_no_event_follows_the_last_one, with a chunked body and one with a length, resumed by the router and by the caller: before, two incomplete streams and two responses of 502; after, four complete ones. A cut chunked body, one that is shorter than its length and one without framing still fail, in resumed_response_is_joined_only_if_it_continues_the_stream.

A stream ends as complete exactly if a server states its end.

--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -9,6 +9,8 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
@@ -28,6 +30,7 @@
 use super::resumed::ResumedPart;
 use super::resumed::StreamFormat;
 use super::resumed::check_resumed;
+use super::resumed::is_comment;
 use super::whole::buffered_response;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
@@ -37,7 +40,7 @@
 /// times the kind's target time.
 const TIMEOUT_TARGETS: u64 = 2;
 
-/// A response stream whose first event has arrived.
+/// A response stream whose first event has arrived, or its end if it has no further events.
 pub(crate) struct OpenStream {
     /// The response, whose body holds the remaining events.
     pub response: ServerResponse,
@@ -47,6 +50,9 @@
     pub events: VecDeque<ServerEvent>,
     /// Whether the stream continues that of another server.
     pub resumed: bool,
+    /// Whether any event was received; comments are none.
+    has_event: bool,
+    ended: bool,
 }
 
 /// The result of opening a stream.
@@ -153,10 +159,14 @@
             splitter: EventSplitter::default(),
             events: VecDeque::new(),
             resumed: relayed.is_some(),
+            has_event: false,
+            ended: false,
         };
         let first = async {
             match stream.read().await {
                 ReadResult::Events => Ok(()),
+                // No event follows the last one.
+                ReadResult::End if last_event.is_some() => Ok(()),
                 ReadResult::End => Err("the stream ended before its first event".to_owned()),
                 ReadResult::Failed(detail) => Err(detail),
             }
@@ -203,12 +213,19 @@
 impl OpenStream {
     /// Reads until a complete event or the end of the stream is received.
     pub(crate) async fn read(&mut self) -> ReadResult {
-        loop {
+        while !self.ended {
             match self.response.body.frame().await {
                 None if self.splitter.has_partial_event() => {
                     return ReadResult::Failed("the stream ended within an event".to_owned());
                 }
-                None => return ReadResult::End,
+                // The server may have failed before its first event.
+                None if !self.has_event && !has_framing(&self.response.head.headers) => {
+                    return ReadResult::Failed("the connection ended before an event".to_owned());
+                }
+                None => {
+                    self.ended = true;
+                    break;
+                }
                 Some(Err(error)) => return ReadResult::Failed(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
@@ -216,6 +233,7 @@
                 }
             }
             while let Some(event) = self.splitter.next_event() {
+                self.has_event |= !is_comment(&event);
                 self.events.push_back(event);
             }
             if self.splitter.is_over_limit() {
@@ -225,5 +243,15 @@
                 return ReadResult::Events;
             }
         }
+        ReadResult::End
     }
 }
+
+/// Returns whether the end of the body shows that it is complete. Other bodies end with their
+/// connection.
+fn has_framing(headers: &HeaderMap) -> bool {
+    let encoding = headers.get(header::TRANSFER_ENCODING).and_then(|value| value.to_str().ok());
+    let encoding = encoding.and_then(|value| value.rsplit(',').next());
+    headers.contains_key(header::CONTENT_LENGTH)
+        || encoding.is_some_and(|value| value.trim().eq_ignore_ascii_case("chunked"))
+}
