Resume an engine's stream that breaks off within an event

Callers of chat completions got a stream that ended as complete in the middle: two tokens, the last chunk, and neither an error event nor "[DONE]". It happened where an engine's connection broke within a line of an event. Where the body ended there with its last chunk, the stream failed although the engine could go on.

The panic ended the task that relays the stream, which dropped the sender of the caller's body, and a dropped sender ends a body as complete. The second case: the reader returned a line without its end as an event, which was no JSON. Ruled out: engines' error statuses, pages, HTTP heads, events of another request and bytes that are no HTTP as the answer to the resumed request; none reached a caller after a break behind a whole event. The panic was seen in the test profile; a release build was not run.

EventReader now reads bytes up to the end of a line, and discards a line without its end as part of an incomplete event.

A stream of an engine ends with "[DONE]", or with an error and no last chunk.

--- a/crates/berylwheel-http/src/event.rs
+++ b/crates/berylwheel-http/src/event.rs
@@ -1,5 +1,6 @@
 //! Server-sent events: encoding and reading of the `data` lines used by the chat completions API.
 
+use std::error::Error;
 use std::io;
 
 use futures_lite::AsyncBufRead;
@@ -39,26 +40,30 @@
         Self { reader }
     }
 
-    /// Returns the next `data` line's content, or `None` at the end of the stream.
+    /// Returns the next `data` line's content, or `None` at the end of the stream. A line without
+    /// its end belongs to an incomplete event and is discarded.
     ///
     /// # Errors
     /// Fails if reading fails, or if a line is larger than 1 MB or not UTF-8.
     pub async fn next(&mut self) -> io::Result<Option<String>> {
         loop {
-            let mut line = String::new();
-            let n = (&mut self.reader).take(MAX_LINE_BYTES).read_line(&mut line).await?;
-            if n == 0 {
-                return Ok(None);
-            }
+            // `read_line` can panic if reading fails within a line.
+            let mut line = Vec::new();
+            let n = (&mut self.reader).take(MAX_LINE_BYTES).read_until(b'\n', &mut line).await?;
             if n as u64 == MAX_LINE_BYTES {
-                return Err(io::Error::new(
-                    io::ErrorKind::InvalidData,
-                    "line of event stream is larger than 1 MB",
-                ));
+                return Err(invalid_data("line of event stream is larger than 1 MB"));
+            }
+            if line.last() != Some(&b'\n') {
+                return Ok(None);
             }
+            let line = str::from_utf8(&line).map_err(invalid_data)?;
             if let Some(data) = line.strip_prefix("data:") {
                 return Ok(Some(data.trim().to_owned()));
             }
         }
     }
 }
+
+fn invalid_data(error: impl Into<Box<dyn Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
