Merge the checks of resumed streams

Merged with the silence of servers: a stream whose last event has no id is neither resumed nor moved.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -3,10 +3,12 @@
 use std::io;
 
 use berylwheel_http::IdleLimit;
+use berylwheel_http::ServerEvent;
 use berylwheel_route::Outcome;
 use berylwheel_types::Millis;
 use berylwheel_types::Tokens;
 use bytes::Bytes;
+use futures_lite::future;
 use http_body::Frame;
 
 use super::attempt::RetryState;
@@ -14,6 +16,11 @@
 use super::classify::AttemptFailure;
 use super::classify::may_retry;
 use super::listen::Forwarder;
+use super::resumed::RelayedStream;
+use super::resumed::ResumedPart;
+use super::resumed::StreamFormat;
+use super::resumed::check_resumed;
+use super::resumed::is_comment;
 use super::silence::Awaited;
 use super::silence::may_move;
 use super::silence::silence_limit;
@@ -32,8 +39,9 @@
     retry_state: RetryState,
     /// The server's stream; `None` while it is being resumed at another server.
     stream: Option<OpenStream>,
-    /// Id of the last event that was relayed.
-    last_event: Option<u64>,
+    relayed: RelayedStream,
+    /// Whether the last relayed event has an id, so that another server can continue after it.
+    numbered: bool,
     /// Number of events that were relayed.
     event_count: u64,
     /// Time limit for the next event.
@@ -41,6 +49,15 @@
     ended: bool,
 }
 
+/// How an event relates to the last event that was relayed.
+enum EventOrder {
+    Next,
+    /// The event was already relayed.
+    Repeated,
+    /// The event does not continue the stream, for the given reason.
+    Invalid(String),
+}
+
 type NextFrame = Option<(io::Result<Frame<Bytes>>, Relay)>;
 
 impl Relay {
@@ -52,7 +69,8 @@
         retry_state: RetryState,
         stream: OpenStream,
     ) -> Self {
-        let last_event = call.last_event;
+        let format = StreamFormat::of(&stream.response.head);
+        let relayed = RelayedStream { format, last_event: call.last_event };
         let stream = Some(stream);
         let event_limit = IdleLimit::new(forwarder.clock.clone());
         Self {
@@ -62,7 +80,8 @@
             placement,
             retry_state,
             stream,
-            last_event,
+            relayed,
+            numbered: true,
             event_count: 0,
             event_limit,
             ended: false,
@@ -82,7 +101,7 @@
                     let failure = AttemptFailure::Unknown { timed_out: false, detail };
                     match self.resume_stream(failure).await {
                         Ok(()) => continue,
-                        Err(error) => return self.fail(error),
+                        Err(error) => return self.fail(error).await,
                     }
                 }
             };
@@ -101,26 +120,31 @@
                 None => self.move_silent_stream(timeout).await,
             };
             if let Err(error) = result {
-                return self.fail(error);
+                return self.fail(error).await;
             }
         }
     }
 
-    /// Drains the received events into one buffer, skipping those that were already relayed. Fails
-    /// if an event is missing.
+    /// Drains the received events into one buffer, skipping those that were already relayed. Stops
+    /// before an event that does not follow the one before it, and fails if that is the first one.
     fn drain_events(&mut self) -> Result<Bytes, String> {
         let mut bytes = Vec::new();
         let mut first = None;
         while let Some(event) = self.stream.as_mut().and_then(|stream| stream.events.pop_front()) {
-            if let (Some(id), Some(last)) = (event.id, self.last_event) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return Err(format!("event {id} follows event {last}; events are missing"));
+            match self.check_order(&event) {
+                EventOrder::Next => {}
+                EventOrder::Repeated => continue,
+                EventOrder::Invalid(detail) if first.is_none() => return Err(detail),
+                EventOrder::Invalid(_) => {
+                    // The next call fails, after the events before this one have been relayed.
+                    if let Some(stream) = &mut self.stream {
+                        stream.events.push_front(event);
+                    }
+                    break;
                 }
             }
-            self.last_event = event.id.or(self.last_event);
+            self.relayed.last_event = event.id.or(self.relayed.last_event);
+            self.numbered = event.id.is_some() || (self.numbered && is_comment(&event));
             self.event_count += 1;
             match (&first, bytes.is_empty()) {
                 (None, true) => first = Some(event.bytes),
@@ -136,20 +160,43 @@
         Ok(if bytes.is_empty() { first.unwrap_or_default() } else { Bytes::from(bytes) })
     }
 
+    /// Compares the id of an event with that of the last event that was relayed. A resumed stream
+    /// has no other events than those that follow it.
+    fn check_order(&self, event: &ServerEvent) -> EventOrder {
+        if self.stream.as_ref().is_some_and(|stream| stream.resumed) {
+            let checked = check_resumed(&self.relayed, ResumedPart::Event(event));
+            return checked.map_or_else(EventOrder::Invalid, |()| EventOrder::Next);
+        }
+        let last_event = self.relayed.last_event;
+        let (Some(id), Some(last)) = (event.id, last_event) else { return EventOrder::Next };
+        if id <= last {
+            return EventOrder::Repeated;
+        }
+        if id > last + 1 {
+            let detail = format!("event {id} follows event {last}; events are missing");
+            return EventOrder::Invalid(detail);
+        }
+        EventOrder::Next
+    }
+
     /// Returns the timeout for the next event.
     fn event_timeout(&self) -> Millis {
         let time_left = self.call.time_left(self.forwarder.clock.now());
-        match may_move(&self.call.kind, self.retry_state.sent) {
+        match self.may_move() {
             true => time_left.min(silence_limit(&self.call.kind, Awaited::NextEvent)),
             false => time_left,
         }
     }
 
+    fn may_move(&self) -> bool {
+        self.numbered && may_move(&self.call.kind, self.retry_state.sent)
+    }
+
     /// Moves a stream whose server has been silent for `timeout` to another server. Without another
     /// server the stream stays, and ends only at its deadline.
     async fn move_silent_stream(&mut self, timeout: Millis) -> io::Result<()> {
-        let sent = self.retry_state.sent;
-        if may_move(&self.call.kind, sent) {
+        if self.may_move() {
+            let sent = self.retry_state.sent;
             let moving = self.forwarder.move_request(&self.call, &self.guard, sent, timeout);
             if let Some(next) = moving.await {
                 return self.continue_at(next).await;
@@ -172,6 +219,9 @@
         );
         // Closes the connection so that this server stops before the next one starts.
         self.stream = None;
+        if !self.numbered {
+            return Err(io::Error::other(failure.detail().to_owned()));
+        }
         let now = self.forwarder.clock.now();
         if now >= call.deadline || !may_retry(&call.kind, &failure, self.retry_state.sent) {
             return Err(io::Error::other(failure.detail().to_owned()));
@@ -189,7 +239,7 @@
         self.stream = None;
         self.placement = placement;
         self.retry_state.sent += 1;
-        match self.forwarder.resume(&self.call, &self.placement, self.last_event).await {
+        match self.forwarder.resume(&self.call, &self.placement, &self.relayed).await {
             Ok(stream) => {
                 self.stream = Some(stream);
                 Ok(())
@@ -208,8 +258,11 @@
         None
     }
 
-    fn fail(mut self, error: io::Error) -> NextFrame {
+    async fn fail(mut self, error: io::Error) -> NextFrame {
         self.ended = true;
+        // `hyper` discards relayed events that it has not written when the body fails. It writes
+        // them when the body is pending.
+        future::yield_now().await;
         self.guard.fail(Outcome::Failed);
         Some((Err(error), self))
     }
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -9,6 +9,8 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
@@ -23,6 +25,11 @@
 use super::listen::Forwarder;
 use super::relay::Relay;
 use super::response_body::buffer_body;
+use super::resumed::RelayedStream;
+use super::resumed::ResumedPart;
+use super::resumed::StreamFormat;
+use super::resumed::check_resumed;
+use super::resumed::is_comment;
 use super::silence::AttemptResult;
 use super::silence::Awaited;
 use super::whole::buffered_response;
@@ -30,7 +37,7 @@
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
 
-/// A response stream whose first event has arrived.
+/// A response stream whose first event has arrived, or its end if it has no further events.
 pub(crate) struct OpenStream {
     /// The response, whose body holds the remaining events.
     pub response: ServerResponse,
@@ -38,6 +45,11 @@
     pub splitter: EventSplitter,
     /// Received events that were not yet relayed.
     pub events: VecDeque<ServerEvent>,
+    /// Whether the stream continues that of another server.
+    pub resumed: bool,
+    /// Whether any event was received; comments are none.
+    has_event: bool,
+    ended: bool,
 }
 
 /// The result of opening a stream.
@@ -60,7 +72,7 @@
             // Nothing is billed before the first event is relayed. A caller that received nothing
             // sends the request again and would be billed twice.
             let time_left = call.time_left(self.clock.now());
-            let opening = self.open_with_timeout(&call, &placement, call.last_event, time_left);
+            let opening = self.open_with_timeout(&call, &placement, None, time_left);
             let opened = self
                 .await_attempt(&call, &guard, &mut retry_state, Awaited::FirstEvent, opening)
                 .await;
@@ -101,15 +113,17 @@
         Ok(Response::from_parts(head, body.boxed_unsync()))
     }
 
-    /// Sends the request and waits for the first event that follows `last_event`.
+    /// Sends the request and waits for the first event, which follows those of `relayed` if a stream
+    /// is resumed.
     async fn open_with_timeout(
         &self,
         call: &Call,
         placement: &Placement,
-        last_event: Option<u64>,
+        relayed: Option<&RelayedStream>,
         timeout: Millis,
     ) -> Result<OpenResult, AttemptFailure> {
         let started = self.clock.now();
+        let last_event = relayed.map_or(call.last_event, |relayed| relayed.last_event);
         let response = self.send_attempt(call, placement, last_event, timeout).await?;
         let remaining = Millis(timeout.0.saturating_sub(self.clock.now().since(started).0));
         let server = &placement.server.id;
@@ -117,6 +131,12 @@
             let detail = format!("{server}: no first event within {timeout}");
             AttemptFailure::Unknown { timed_out: true, detail }
         };
+        if let Some(relayed) = relayed {
+            let format = StreamFormat::of(&response.head);
+            check_resumed(relayed, ResumedPart::Head(&format)).map_err(|error| {
+                AttemptFailure::Unknown { timed_out: false, detail: format!("{server}: {error}") }
+            })?;
+        }
         if response.class != ResponseClass::Success {
             let mut response = response;
             let buffered = buffer_body(&mut response.body, &self.response_memory);
@@ -127,11 +147,19 @@
             })?;
             return Ok(OpenResult::Whole(Box::new(response), body));
         }
-        let mut stream =
-            OpenStream { response, splitter: EventSplitter::default(), events: VecDeque::new() };
+        let mut stream = OpenStream {
+            response,
+            splitter: EventSplitter::default(),
+            events: VecDeque::new(),
+            resumed: relayed.is_some(),
+            has_event: false,
+            ended: false,
+        };
         let first = async {
             match stream.read().await {
                 ReadResult::Events => Ok(()),
+                // No event follows the last one.
+                ReadResult::End if last_event.is_some() => Ok(()),
                 ReadResult::End => Err("the stream ended before its first event".to_owned()),
                 ReadResult::Failed(detail) => Err(detail),
             }
@@ -146,15 +174,15 @@
         }
     }
 
-    /// Resumes a stream after `last_event` at the server of `placement`.
+    /// Resumes a stream after the events of `relayed` at the server of `placement`.
     pub(crate) async fn resume(
         &self,
         call: &Call,
         placement: &Placement,
-        last_event: Option<u64>,
+        relayed: &RelayedStream,
     ) -> Result<OpenStream, AttemptFailure> {
         let time_left = call.time_left(self.clock.now());
-        match self.open_with_timeout(call, placement, last_event, time_left).await? {
+        match self.open_with_timeout(call, placement, Some(relayed), time_left).await? {
             OpenResult::Stream(stream) => Ok(*stream),
             OpenResult::Whole(response, _) => {
                 let detail = format!("{} responded {}", placement.server.id, response.head.status);
@@ -178,12 +206,19 @@
 impl OpenStream {
     /// Reads until a complete event or the end of the stream is received.
     pub(crate) async fn read(&mut self) -> ReadResult {
-        loop {
+        while !self.ended {
             match self.response.body.frame().await {
                 None if self.splitter.has_partial_event() => {
                     return ReadResult::Failed("the stream ended within an event".to_owned());
                 }
-                None => return ReadResult::End,
+                // The server may have failed before its first event.
+                None if !self.has_event && !has_framing(&self.response.head.headers) => {
+                    return ReadResult::Failed("the connection ended before an event".to_owned());
+                }
+                None => {
+                    self.ended = true;
+                    break;
+                }
                 Some(Err(error)) => return ReadResult::Failed(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
@@ -191,6 +226,7 @@
                 }
             }
             while let Some(event) = self.splitter.next_event() {
+                self.has_event |= !is_comment(&event);
                 self.events.push_back(event);
             }
             if self.splitter.is_over_limit() {
@@ -200,5 +236,15 @@
                 return ReadResult::Events;
             }
         }
+        ReadResult::End
     }
 }
+
+/// Returns whether the end of the body shows that it is complete. Other bodies end with their
+/// connection.
+fn has_framing(headers: &HeaderMap) -> bool {
+    let encoding = headers.get(header::TRANSFER_ENCODING).and_then(|value| value.to_str().ok());
+    let encoding = encoding.and_then(|value| value.rsplit(',').next());
+    headers.contains_key(header::CONTENT_LENGTH)
+        || encoding.is_some_and(|value| value.trim().eq_ignore_ascii_case("chunked"))
+}
