Take an answer without an id only on a new connection

A caller of a stream got 503 "not run", or the stream ran at two servers, although the first server had run it. Such a caller also got a 404 or a sealed 503 that belonged to an earlier request.

Cause: a server that writes an earlier refusal once more on a kept connection, just after the next request was written, answers that request with it. `classify_response` told such a copy by its id only, and accepted a response without an id as the request's own. Of several ids only the first counted, an id that is not ASCII counted as none, and a 101 response could count as a refusal; each of these ran a request twice on a new connection as well.

Ruled out: a copy that has arrived before the next request is written, whole or in part (`hyper` closes the connection; copies written while it was idle did harm only where they came after that check); a copy with the earlier request's id or an empty one; bookings on a kept connection (they always open one); a copy of this request's own refusal (the connection of a refused attempt is closed). Interim responses are skipped and decide nothing. Bytes after a refusal are never read, since its connection is closed.

Change: the client tells whether a connection carried a request before (`PooledConnection::is_reused`). A response without an id counts only on a new connection; elsewhere it is unverified, so the outcome is unknown and the connection is closed. Several or unreadable ids name no request, and a status below 200 is no response. A connection whose response named no request is not kept, since the server may still send the response to it.

The rows 404 and 421 without an id of `success_requires_seal_and_matching_id` were wrong for kept connections. They moved to the new table, which states both results; the remaining rows are now checked for both kinds of connection.

Conclusion: "not run" is told for a response only if it names this request, or is the first of its connection.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -99,9 +99,16 @@
     upstream: UpstreamClient,
     address: SocketAddr,
     connection: UpstreamConnection,
+    reused: bool,
 }
 
 impl PooledConnection {
+    /// Returns whether the connection carried another request before this one, whose server may send
+    /// a further response to it.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Returns the connection to the pool, for at most the `idle_timeout` stated by the server.
     pub fn release(mut self, idle_timeout: Option<Millis>) {
         let now = self.upstream.clock.now();
@@ -250,7 +257,8 @@
         };
         match local_timeout(limit, connection.sender.try_send_request(request)).await {
             Some(Ok(response)) => {
-                Ok((response, PooledConnection { upstream: self.clone(), address, connection }))
+                let (upstream, reused) = (self.clone(), written_before > 0);
+                Ok((response, PooledConnection { upstream, address, connection, reused }))
             }
             Some(Err(mut error)) => {
                 let unsent = error.take_message();
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -50,9 +50,10 @@
 }
 
 impl ServerResponse {
-    /// Returns the connection to the pool; call it once the body has been read to its end.
+    /// Returns the connection to the pool; call it once the body has been read to its end. A server
+    /// that did not name the request may still send the response to it.
     pub(crate) fn release(self) {
-        if !self.decoded.close {
+        if !self.decoded.close && self.decoded.id.is_some() {
             self.connection.release(self.decoded.idle_timeout);
         }
     }
@@ -113,16 +114,17 @@
         if let Some(load) = decoded.load {
             self.report_load(&server.id, load);
         }
-        let class = classify_response(call.id.as_str(), head.status.as_u16(), &decoded);
+        let (status, reused) = (head.status.as_u16(), connection.is_reused());
+        let class = classify_response(call.id.as_str(), status, &decoded, reused);
         let response = ServerResponse { head, decoded, class, body, connection };
         match class {
             ResponseClass::Success | ResponseClass::Failure => Ok(response),
             ResponseClass::NotRun => {
-                let status = response.head.status;
-                Err(AttemptFailure::NotRun {
-                    misdirected: status.as_u16() == MISDIRECTED,
-                    detail: format!("{} responded {status} without running the request", server.id),
-                })
+                let detail = format!(
+                    "{} responded {} without running the request",
+                    server.id, response.head.status
+                );
+                Err(AttemptFailure::NotRun { misdirected: status == MISDIRECTED, detail })
             }
             ResponseClass::Unverified => {
                 let detail =
--- a/crates/berylwheel-router/src/forward/classify.rs
+++ b/crates/berylwheel-router/src/forward/classify.rs
@@ -28,18 +28,27 @@
     Unverified,
 }
 
-/// Classifies the head of a response to the request `id`.
+/// Classifies the head of a response to the request `id`. `reused` states whether the connection
+/// carried another request before. A response without an id may then belong to that request.
 ///
 /// ```
 /// use berylwheel_router::{ResponseHeaders, ResponseClass, classify_response};
 /// let unsealed = ResponseHeaders { id: Some("a".into()), ..ResponseHeaders::default() };
 /// let headers = ResponseHeaders { sealed: true, ..unsealed };
-/// assert_eq!(classify_response("a", 200, &headers), ResponseClass::Success);
-/// assert_eq!(classify_response("b", 200, &headers), ResponseClass::Unverified);
-/// assert_eq!(classify_response("a", 421, &ResponseHeaders::default()), ResponseClass::NotRun);
+/// assert_eq!(classify_response("a", 200, &headers, true), ResponseClass::Success);
+/// assert_eq!(classify_response("b", 200, &headers, false), ResponseClass::Unverified);
+/// let unnamed = ResponseHeaders::default();
+/// assert_eq!(classify_response("a", 421, &unnamed, false), ResponseClass::NotRun);
+/// assert_eq!(classify_response("a", 421, &unnamed, true), ResponseClass::Unverified);
 /// ```
-pub fn classify_response(id: &str, status: u16, headers: &ResponseHeaders) -> ResponseClass {
-    if headers.id.as_deref().is_some_and(|other| other != id) {
+pub fn classify_response(
+    id: &str,
+    status: u16,
+    headers: &ResponseHeaders,
+    reused: bool,
+) -> ResponseClass {
+    let verified = headers.id.as_deref().map_or(!reused, |named| named == id);
+    if !verified || status < 200 {
         return ResponseClass::Unverified;
     }
     if headers.not_run || status == MISDIRECTED {
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -71,7 +71,8 @@
 /// Decoded headers of a server's response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ResponseHeaders {
-    /// Id of the attempt that the response belongs to.
+    /// Id of the attempt that the response belongs to. Several or unreadable ids are no attempt's
+    /// id, but differ from a response without any.
     pub id: Option<String>,
     /// Whether the server marked the response as its own.
     pub sealed: bool,
--- a/crates/berylwheel-router/tests/classify.rs
+++ b/crates/berylwheel-router/tests/classify.rs
@@ -29,14 +29,43 @@
         (200, encoded, ResponseClass::Unverified),
         (500, response_headers(Some("a"), true), ResponseClass::Failure),
         (500, response_headers(Some("b"), true), ResponseClass::Unverified),
-        (404, response_headers(None, false), ResponseClass::Failure),
         (503, not_run.clone(), ResponseClass::NotRun),
         (503, response_headers(Some("a"), true), ResponseClass::Failure),
-        (421, response_headers(None, false), ResponseClass::NotRun),
-        (429, not_run, ResponseClass::NotRun),
+        (421, response_headers(Some("a"), false), ResponseClass::NotRun),
+        (429, not_run.clone(), ResponseClass::NotRun),
+        (101, not_run, ResponseClass::Unverified),
     ];
     for (status, headers, expected) in cases {
-        assert_eq!(classify_response("a", status, &headers), expected, "{status} {headers:?}");
+        for reused in [false, true] {
+            let class = classify_response("a", status, &headers, reused);
+            assert_eq!(class, expected, "{status} {headers:?} reused: {reused}");
+        }
+    }
+}
+
+/// Guards against an earlier response, sent once more on a kept connection, that is taken for the
+/// response to a later request.
+#[test]
+fn response_without_its_id_counts_only_on_a_new_connection() {
+    let unmarked = |id| response_headers(id, false);
+    let marked = |id| ResponseHeaders { not_run: true, ..response_headers(id, false) };
+    let unverified = ResponseClass::Unverified;
+    let cases = [
+        (503, marked(None), ResponseClass::NotRun),
+        (429, marked(None), ResponseClass::NotRun),
+        (400, marked(None), ResponseClass::NotRun),
+        (421, unmarked(None), ResponseClass::NotRun),
+        (404, unmarked(None), ResponseClass::Failure),
+        (500, response_headers(None, true), ResponseClass::Failure),
+        (503, marked(Some("b")), unverified),
+        (503, marked(Some("")), unverified),
+        (503, marked(Some("a, b")), unverified),
+        (503, marked(Some("a, a")), unverified),
+        (421, unmarked(Some("b")), unverified),
+    ];
+    for (status, headers, expected) in cases {
+        let classes = [false, true].map(|reused| classify_response("a", status, &headers, reused));
+        assert_eq!(classes, [expected, unverified], "{status} {headers:?}");
     }
 }
 
