Pass on no promise of "not run" that the server did not state

A caller of a booking or of a stream that must not be repeated got a server's sealed 408, 429 or 503 although the server had run the request, and took it for "not run, try again".

Cause: a server states that it did not run a request by a mark of its own, and these statuses alone state nothing. The router passed on every failure that named the request. To the caller, though, 408, 421, 429 and 503 are a promise.

Ruled out: changing the status of the sealed response, which must stay the server's; and refusing with 503 of our own, which would be the same false promise. A 421 that names the request, or is the first response of its connection, still counts as not run without the mark: the request names its server, and only another one answers 421.

Change: `may_pass_on` decides by kind and status. For a request that may run only once, such a failure becomes a refusal of our own with 502, no seal and `ran: unknown`, and the connection is closed. It counts as a failure of the server, also for 408 and 429, which counted as a success before. Requests that may be repeated still get the server's response with its status and seal; so does any request for other statuses, such as 500.

Conclusion: a status that promises "not run" reaches a caller that may send its request once only if a server stated so, or nothing was sent.

--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -21,6 +21,7 @@
 use super::classify::ResponseClass;
 use super::classify::classify_response;
 use super::classify::is_repeatable;
+use super::classify::may_pass_on;
 use super::classify::may_retry;
 use super::link::connect_timeout;
 use super::listen::Forwarder;
@@ -118,6 +119,13 @@
         let class = classify_response(call.id.as_str(), status, &decoded, reused);
         let response = ServerResponse { head, decoded, class, body, connection };
         match class {
+            ResponseClass::Failure if !may_pass_on(&call.kind, status) => {
+                let detail = format!(
+                    "{} responded {} without stating whether the request ran",
+                    server.id, response.head.status
+                );
+                Err(AttemptFailure::Unknown { timed_out: false, detail })
+            }
             ResponseClass::Success | ResponseClass::Failure => Ok(response),
             ResponseClass::NotRun => {
                 let detail = format!(
--- a/crates/berylwheel-router/src/forward/classify.rs
+++ b/crates/berylwheel-router/src/forward/classify.rs
@@ -14,6 +14,8 @@
 
 /// Status of a response of a server that the request was not meant for.
 pub(crate) const MISDIRECTED: u16 = 421;
+/// Statuses that tell a caller that its request did not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 
 /// Classification of a response by its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -146,6 +148,22 @@
     }
 }
 
+/// Returns whether a server's failure with this status, which does not state that the request did
+/// not run, may be passed on to the caller of a request of this kind. A caller that may send the
+/// request only once takes some statuses as that statement.
+///
+/// ```
+/// use berylwheel_router::may_pass_on;
+/// use berylwheel_settings::Settings;
+/// let text = "[pool p]\n[kind k]\nservice = plain\nhost = h\npath = /\npools = p\nrepeat = once\n";
+/// let settings = Settings::parse("example", text).unwrap();
+/// assert!(may_pass_on(&settings.kinds()[0], 500));
+/// assert!(!may_pass_on(&settings.kinds()[0], 503));
+/// ```
+pub fn may_pass_on(kind: &KindSettings, status: u16) -> bool {
+    is_repeatable(kind) || !NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Returns whether a request of this kind may be sent to another server after `failure`, when it
 /// has been sent to `sent` servers so far.
 pub fn may_retry(kind: &KindSettings, failure: &AttemptFailure, sent: u32) -> bool {
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub use classify::ResponseClass;
 pub use classify::classify_response;
 pub use classify::is_repeatable;
+pub use classify::may_pass_on;
 pub use classify::may_retry;
 pub use link::LinkLoad;
 pub use link::LinkUse;
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -29,6 +29,7 @@
 pub use forward::classify_response;
 pub use forward::connect_timeout;
 pub use forward::is_repeatable;
+pub use forward::may_pass_on;
 pub use forward::may_retry;
 pub use operate::change::ChangeRequest;
 pub use operate::change::ConfigStore;
--- a/crates/berylwheel-router/tests/classify.rs
+++ b/crates/berylwheel-router/tests/classify.rs
@@ -5,6 +5,7 @@
 use berylwheel_router::ResponseClass;
 use berylwheel_router::ResponseHeaders;
 use berylwheel_router::classify_response;
+use berylwheel_router::may_pass_on;
 use berylwheel_router::may_retry;
 use berylwheel_settings::KindSettings;
 use berylwheel_settings::Settings;
@@ -99,6 +100,19 @@
     }
 }
 
+/// Guards against a status that tells a caller "not run" although the server did not state it.
+#[test]
+fn failures_that_promise_not_run_reach_only_callers_that_may_repeat() {
+    let kinds =
+        ["idempotent", "once", "once\nanswer = stream", "once\nanswer = stream\nresume = yes"];
+    let kinds = kinds.map(|repeat| kind(&format!("repeat = {repeat}")));
+    for status in [400, 404, 408, 409, 421, 429, 500, 502, 503, 504] {
+        let promise = [408, 421, 429, 503].contains(&status);
+        let actual = [0, 1, 2, 3].map(|kind| may_pass_on(&kinds[kind], status));
+        assert_eq!(actual, [true, !promise, !promise, true], "{status}");
+    }
+}
+
 /// Guards against servers that are avoided, and requests that are sent to one after the other, because
 /// the network link of this VM is full.
 #[test]
