Refuse a call that an earlier attempt sent as unknown

A caller of the product's own interface was told "not run" (1322) for a lookup, or for a call that its service deduplicates by key, although a server had received it.

Cause: a call that may be repeated goes to another server after a failure. The refusal was made from the last attempt alone: when that one could not connect, it stated "not run" for the earlier attempt as well.

Ruled out: calls that must not be repeated; they are retried only while nothing was sent.

Change: `call_unrecorded` remembers whether any attempt was sent, and `failure_refusal` takes that.

Conclusion: "not run" holds for all attempts of a call and not only for the last one.

--- a/crates/berylwheel-router/src/calls/at_most_once.rs
+++ b/crates/berylwheel-router/src/calls/at_most_once.rs
@@ -148,7 +148,7 @@
             }
             let retried = match self.clock.now() < recorded.call.deadline {
                 true => guard.retry(Outcome::Failed).await,
-                false => Err(failure_refusal(&error)),
+                false => Err(failure_refusal(&error, error.sent)),
             };
             match retried {
                 Ok(next) => placement = next,
--- a/crates/berylwheel-router/src/calls/service.rs
+++ b/crates/berylwheel-router/src/calls/service.rs
@@ -107,6 +107,7 @@
         let price = admit.amount;
         let repeatable = call.kind.repeat != Repeat::Once;
         let (mut guard, mut placement) = self.admit(admit, caller).await?;
+        let mut sent = false;
         loop {
             match self.send_call(&call, &placement, repeatable).await {
                 Ok(response) => {
@@ -120,7 +121,8 @@
                         request = call.id.as_str(), server = placement.server.id.as_str();
                         "attempt failed: {error}"
                     );
-                    let refusal = failure_refusal(&error);
+                    sent |= error.sent;
+                    let refusal = failure_refusal(&error, sent);
                     if !repeatable || self.clock.now() >= call.deadline {
                         guard.finish(outcome, false);
                         return Err(refusal);
@@ -194,9 +196,11 @@
     if error.timed_out { Outcome::TimedOut } else { Outcome::Failed }
 }
 
-pub(crate) fn failure_refusal(error: &ClientError) -> Refusal {
+/// Returns the refusal for a call whose last attempt failed with `error`. `sent` states whether any
+/// attempt was sent.
+pub(crate) fn failure_refusal(error: &ClientError, sent: bool) -> Refusal {
     let code = if error.timed_out { Code::BackendTimeout } else { Code::BackendFailed };
-    match error.sent {
+    match sent {
         true => Refusal::unknown(code, error.to_string()),
         false => Refusal::not_run(code, error.to_string()),
     }
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -2,6 +2,11 @@
 
 mod support;
 
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use berylwheel_http::OutgoingRequest;
@@ -181,6 +186,45 @@
     assert!(response.status == 200 || response.execution_state() == "unknown", "{response:?}");
 }
 
+/// Guards against "not run" for a call that a server received, after a second server was unreachable.
+#[test]
+fn call_that_was_sent_is_not_refused_as_not_run_after_a_failed_connection() {
+    let received = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let closing = listener.local_addr().unwrap();
+    let count = received.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut method = [0; 4];
+            let read = stream.and_then(|mut stream| stream.read_exact(&mut method));
+            // Routers also poll the load of their servers.
+            count.fetch_add(usize::from(read.is_ok() && &method == b"POST"), Ordering::SeqCst);
+        }
+    });
+    let unreachable = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let server = |name, address| {
+        format!(
+            "[server {name}]\naddress = {address}\nkinds = twice\nconcurrency = 100\ndomain = d0\n"
+        )
+    };
+    let sections = format!(
+        "[kind twice]\nservice = plain\nrepeat = by-key\ndeadline = 3s\n{}{}",
+        server("closing", closing),
+        server("unreachable", unreachable)
+    );
+    let fleet = Fleet::start_with_settings("sent_call", 1, &[], 1_000, &sections, ["chat", "m1"]);
+    let before = received.load(Ordering::SeqCst);
+    for n in 0..20 {
+        let earlier = received.load(Ordering::SeqCst);
+        let key = format!("k{n}");
+        let call = caller_request(Method::Post, "/services/twice/x", Some(&key), "{}");
+        let response = send(fleet.router(0), call);
+        let sent = received.load(Ordering::SeqCst) > earlier;
+        assert!(!sent || response.execution_state() == "unknown", "{response:?}");
+    }
+    assert!(received.load(Ordering::SeqCst) > before, "no call was sent");
+}
+
 /// Guards against an engine that accepts requests and never responds: its requests must end with a
 /// timeout code, and later requests must go to another engine.
 #[test]
