Refuse a lookup that failed at a server before as unknown

A caller of a lookup got 503 "not run" with a retry delay although the first server had run it and had answered 500.

Cause: an idempotent request is sent to another server after a server error. That retry counted the attempt but not that it may have run, so the second server's "not run" was told for the whole request.

Ruled out: attempts that fail without an answer; `next_server` records for those that the request may have run.

Change: the retry after a server error records it as well. The caller now gets 502 without a retry delay, and may send the lookup again at once.

Test, before -> after: `repeated_refusal` `lookup_that_failed_and_was_then_refused_is_not_told_as_not_run`: failed ("http/1.1 503 service unavailable") -> ok

--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -47,6 +47,7 @@
                         && retry_state.sent + 1 < call.kind.attempts;
                     if should_retry {
                         retry_state.sent += 1;
+                        retry_state.maybe_ran = true;
                         if let Ok(next) = guard.retry(outcome).await {
                             log::info!(
                                 request = call.id.as_str(), server = placement.server.id.as_str(),
