Guard the own interface against copies that arrive early

The client of the product's own interface reads what arrives with a response into a buffer that it drops with it, and keeps the connection. A second copy of the response, or its first part, may thus be read and lost unseen.

Looked for: a copy, whole or in two parts, that answers the next request when it comes with the response, while the connection is idle, or partly after the next request. It does not: what is left of a part is no response, and a connection with unread bytes is not used again.

Not covered, and unchanged: a whole copy that arrives after the next request was written is taken for its response. Services and engines name no request in the heads of their responses. Only requests that may be repeated use kept connections here; calls that must not be repeated always open one.

It is a guard; no code is changed.

--- a/crates/berylwheel-http/tests/client.rs
+++ b/crates/berylwheel-http/tests/client.rs
@@ -116,3 +116,51 @@
     let error = fetched.expect_err("no connection is established");
     assert!(!error.sent && error.timed_out, "{error}");
 }
+
+/// Guards against a second copy of a response, whole or in two parts, that answers the next request
+/// of a reused connection. The parts come with the response, while the connection is idle, and after
+/// the next request.
+#[test]
+fn second_copy_of_a_response_answers_no_request() {
+    let copy = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nr1";
+    let (half, rest) = copy.split_at(copy.len() / 2);
+    let cases =
+        [[copy, "", ""], ["", copy, ""], [half, rest, ""], [half, "", rest], ["", half, rest]];
+    for parts in cases {
+        let (idle, idle_reached) = mpsc::channel();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let (mut stream, idle) = (stream.expect("a caller"), idle.clone());
+                thread::spawn(move || {
+                    let [with, between, after] = if number == 0 { parts } else { [""; 3] };
+                    let mut head = [0; 4_096];
+                    let _ = stream.read(&mut head);
+                    let response =
+                        if number == 0 { copy.to_owned() } else { copy.replace("r1", "r2") };
+                    let _ = stream.write_all((response + with).as_bytes());
+                    // The caller has read the response, and with it what was sent along.
+                    thread::sleep(Duration::from_millis(50));
+                    let _ = stream.write_all(between.as_bytes());
+                    let _ = idle.send(());
+                    if matches!(stream.read(&mut head), Ok(count) if count > 0) {
+                        let _ = stream
+                            .write_all((after.to_owned() + &copy.replace("r1", "r2")).as_bytes());
+                    }
+                });
+            }
+        });
+        let client = Client::default();
+        let fetch = || {
+            let outgoing = OutgoingRequest::new(Method::Get, "/");
+            block_on(client.fetch(address, &outgoing, 100, LONG_TIME_LIMIT)).map(|(_, body)| body)
+        };
+        assert_eq!(fetch().expect("the first response"), b"r1", "{parts:?}");
+        idle_reached.recv().expect("the server runs");
+        match fetch() {
+            Ok(body) => assert_eq!(body, b"r2", "{parts:?}"),
+            Err(error) => assert!(error.sent, "{parts:?}: {error}"),
+        }
+    }
+}
