--- a/crates/berylwheel-router/src/forward/classify.rs
+++ b/crates/berylwheel-router/src/forward/classify.rs
@@ -14,6 +14,8 @@
 
 /// Status of a response of a server that the request was not meant for.
 pub(crate) const MISDIRECTED: u16 = 421;
+/// Statuses that tell a caller that its request did not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 
 /// Classification of a response by its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,18 +30,27 @@
     Unverified,
 }
 
-/// Classifies the head of a response to the request `id`.
+/// Classifies the head of a response to the request `id`. `reused` states whether the connection
+/// carried another request before. A response without an id may then belong to that request.
 ///
 /// ```
 /// use berylwheel_router::{ResponseHeaders, ResponseClass, classify_response};
 /// let unsealed = ResponseHeaders { id: Some("a".into()), ..ResponseHeaders::default() };
 /// let headers = ResponseHeaders { sealed: true, ..unsealed };
-/// assert_eq!(classify_response("a", 200, &headers), ResponseClass::Success);
-/// assert_eq!(classify_response("b", 200, &headers), ResponseClass::Unverified);
-/// assert_eq!(classify_response("a", 421, &ResponseHeaders::default()), ResponseClass::NotRun);
+/// assert_eq!(classify_response("a", 200, &headers, true), ResponseClass::Success);
+/// assert_eq!(classify_response("b", 200, &headers, false), ResponseClass::Unverified);
+/// let unnamed = ResponseHeaders::default();
+/// assert_eq!(classify_response("a", 421, &unnamed, false), ResponseClass::NotRun);
+/// assert_eq!(classify_response("a", 421, &unnamed, true), ResponseClass::Unverified);
 /// ```
-pub fn classify_response(id: &str, status: u16, headers: &ResponseHeaders) -> ResponseClass {
-    if headers.id.as_deref().is_some_and(|other| other != id) {
+pub fn classify_response(
+    id: &str,
+    status: u16,
+    headers: &ResponseHeaders,
+    reused: bool,
+) -> ResponseClass {
+    let verified = headers.id.as_deref().map_or(!reused, |named| named == id);
+    if !verified || status < 200 {
         return ResponseClass::Unverified;
     }
     if headers.not_run || status == MISDIRECTED {
@@ -137,6 +148,22 @@
     }
 }
 
+/// Returns whether a server's failure with this status, which does not state that the request did
+/// not run, may be passed on to the caller of a request of this kind. A caller that may send the
+/// request only once takes some statuses as that statement.
+///
+/// ```
+/// use berylwheel_router::may_pass_on;
+/// use berylwheel_settings::Settings;
+/// let text = "[pool p]\n[kind k]\nservice = plain\nhost = h\npath = /\npools = p\nrepeat = once\n";
+/// let settings = Settings::parse("example", text).unwrap();
+/// assert!(may_pass_on(&settings.kinds()[0], 500));
+/// assert!(!may_pass_on(&settings.kinds()[0], 503));
+/// ```
+pub fn may_pass_on(kind: &KindSettings, status: u16) -> bool {
+    is_repeatable(kind) || !NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Returns whether a request of this kind may be sent to another server after `failure`, when it
 /// has been sent to `sent` servers so far.
 pub fn may_retry(kind: &KindSettings, failure: &AttemptFailure, sent: u32) -> bool {
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -34,6 +34,7 @@
 pub use forward::classify_response;
 pub use forward::connect_timeout;
 pub use forward::is_repeatable;
+pub use forward::may_pass_on;
 pub use forward::may_retry;
 pub use forward::silence_limit;
 pub use operate::change::ChangeRequest;
