Take a server with a replaced entry out at once, and log it once

What callers see: requests that still go to a server whose entry was replaced by one that names none, for up to 2.3 s after an outage of the store. Operators see the odd entry in the log with each read of the list, with up to a megabyte of its text.

Cause: such an entry counted as missing. An entry that is missing soon after an outage stays usable, since its server may renew it; a replaced one is no such case. Each full read logged each odd entry anew, with the text of the error.

Change: the list knows entries that were replaced, and removes their servers at once. The watch keeps the revisions of the odd entries that it logged and logs each once; messages have at most 200 characters.

Conclusion: an odd entry is out of use from its read on, and visible once.

--- a/crates/berylwheel-route/src/server_list.rs
+++ b/crates/berylwheel-route/src/server_list.rs
@@ -46,6 +46,8 @@
     Changed(Box<ListedServer>),
     /// An entry was removed.
     Removed(BackendId),
+    /// An entry was replaced by one that names no server.
+    Replaced(BackendId),
     /// The store failed to answer.
     StoreFailed,
 }
@@ -131,6 +133,7 @@
             ServerListEvent::All(listed) => self.replace_all(now, listed),
             ServerListEvent::Changed(listed) => self.upsert(*listed),
             ServerListEvent::Removed(id) => self.mark_missing(now, &id, REMOVAL_GRACE),
+            ServerListEvent::Replaced(id) => self.remove(id),
             ServerListEvent::StoreFailed => {}
         }
     }
@@ -201,11 +204,14 @@
             (Some(until), Some(entry)) => {
                 entry.expires_at = entry.expires_at.or(Some(until.min(now + limit)));
             }
-            (None, Some(_)) => {
-                self.entries.remove(id);
-                self.pending_change().removed.push(id.clone());
-            }
+            (None, Some(_)) => self.remove(id.clone()),
             (_, None) => {}
         }
     }
+
+    fn remove(&mut self, id: BackendId) {
+        if self.entries.remove(&id).is_some() {
+            self.pending_change().removed.push(id);
+        }
+    }
 }
--- a/crates/berylwheel-route/tests/server_list.rs
+++ b/crates/berylwheel-route/tests/server_list.rs
@@ -96,3 +96,18 @@
     );
     assert!(list.poll(at(20)).unwrap().restarted.is_empty());
 }
+
+/// Guards against using a server whose entry was replaced by one that names none, also while
+/// missing entries may still be renewed after an outage.
+#[test]
+fn replaced_entry_is_unusable_at_once() {
+    let mut list = ServerList::new(EXPIRY_GRACE);
+    list.apply(at(0), ServerListEvent::All(vec![entry("a"), entry("b")]));
+    list.apply(at(100), ServerListEvent::StoreFailed);
+    list.apply(at(5_000), ServerListEvent::All(vec![entry("b")]));
+    list.apply(at(5_000), ServerListEvent::Replaced(id("a")));
+    let change = list.poll(at(5_000)).unwrap();
+    assert_eq!((change.servers.len(), change.removed), (1, vec![id("a")]));
+    list.apply(at(5_100), ServerListEvent::Replaced(id("a")));
+    assert_eq!(list.poll(at(5_100)), None);
+}
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -13,6 +13,7 @@
 use berylwheel_store::StoreError;
 use berylwheel_store::SwapResult;
 use berylwheel_types::Clock;
+use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
@@ -32,6 +33,8 @@
 /// Maximum delay between watches while changes continue. A server that leaves must receive no work
 /// from two seconds later.
 const MAX_BATCH_DELAY: Millis = Millis(700);
+/// Maximum length of a message about an invalid entry, in characters.
+const MESSAGE_LIMIT: usize = 200;
 /// Polling interval for the configuration until the operator has written the first one.
 const POLL_INTERVAL: Millis = Millis(200);
 
@@ -66,10 +69,11 @@
             }
         }
         loop {
-            match effects.store.watch(&key, revision + 1).await {
+            match effects.store.watch(&key, revision.saturating_add(1)).await {
                 Ok(changes) => {
+                    revision = last_revision(&changes).max(revision);
                     if let Some(newest) = changes.iter().rfind(|change| !change.deleted) {
-                        (revision, applied) = (newest.revision, Some(newest.revision));
+                        applied = Some(newest.revision);
                         send_configuration(&effects, platform.as_ref(), newest).await;
                     }
                     pace = delay.wait_after(&effects.clock, &changes).await;
@@ -78,7 +82,7 @@
                     }
                 }
                 Err(error) => {
-                    log_watch_error("configuration", &error);
+                    handle_watch_error("configuration", &error).await;
                     pace = Pace::Slow;
                     break;
                 }
@@ -132,6 +136,7 @@
             effects.send(Event::ExternalConfigRead(Box::new(config))).await;
         }
         Err(error) => {
+            let error = shorten(&error);
             log::error!(revision = entry.revision; "invalid configuration ignored: {error}")
         }
     }
@@ -140,6 +145,7 @@
 /// Reads the list of backend servers and watches it for changes.
 pub async fn watch_servers(effects: Effects, platform: Arc<dyn Platform>) {
     let prefix = platform.servers_prefix().to_owned();
+    let mut invalid = InvalidEntries::default();
     loop {
         let (entries, mut revision) = match effects.store.range_with_revision(&prefix, true).await {
             Ok(read) => read,
@@ -150,31 +156,37 @@
                 continue;
             }
         };
-        let listed =
-            entries.iter().filter_map(|entry| match server_event(platform.as_ref(), entry) {
-                Some(ServerListEvent::Changed(listed)) => Some(*listed),
-                _ => None,
-            });
-        let event = ServerListEvent::All(listed.collect());
-        effects.send(Event::ServerListEvent(event)).await;
+        invalid.retain(&entries);
+        let (mut listed, mut replaced) = (Vec::new(), Vec::new());
+        for entry in &entries {
+            match server_event(platform.as_ref(), &mut invalid, entry) {
+                Some(ServerListEvent::Changed(server)) => listed.push(*server),
+                Some(event) => replaced.push(event),
+                None => {}
+            }
+        }
+        for event in std::iter::once(ServerListEvent::All(listed)).chain(replaced) {
+            effects.send(Event::ServerListEvent(event)).await;
+        }
         let mut watch_delay = WatchDelay::new(&effects.clock);
         loop {
-            match effects.store.watch(&prefix, revision + 1).await {
+            match effects.store.watch(&prefix, revision.saturating_add(1)).await {
                 Ok(changes) => {
+                    revision = last_revision(&changes).max(revision);
                     for change in &changes {
-                        revision = revision.max(change.revision);
-                        if let Some(event) = server_event(platform.as_ref(), change) {
+                        let event = server_event(platform.as_ref(), &mut invalid, change);
+                        if let Some(event) = event {
                             effects.send(Event::ServerListEvent(event)).await;
                         }
                     }
                     watch_delay.wait_after(&effects.clock, &changes).await;
                 }
                 Err(error) => {
-                    log_watch_error("server list", &error);
                     if !matches!(error, StoreError::Compacted(_)) {
                         let event = ServerListEvent::StoreFailed;
                         effects.send(Event::ServerListEvent(event)).await;
                     }
+                    handle_watch_error("server list", &error).await;
                     break;
                 }
             }
@@ -182,17 +194,53 @@
     }
 }
 
+/// The invalid entries that were logged, each with its revision.
+#[derive(Debug, Default)]
+struct InvalidEntries(FastMap<String, u64>);
+
+impl InvalidEntries {
+    /// Logs an invalid entry, once for each of its revisions.
+    fn log(&mut self, entry: &Entry, error: &str) {
+        if self.0.insert(entry.key.clone(), entry.revision) == Some(entry.revision) {
+            return;
+        }
+        let (key, error) = (shorten(&entry.key), shorten(error));
+        log::warn!(key = key.as_str(); "invalid server entry: {error}");
+    }
+
+    /// Forgets the entries that are not among `entries`.
+    fn retain(&mut self, entries: &[Entry]) {
+        if !self.0.is_empty() {
+            self.0.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
+        }
+    }
+}
+
+/// Returns the start of a text that may repeat a value of any length.
+fn shorten(text: &str) -> String {
+    text.chars().take(MESSAGE_LIMIT).collect()
+}
+
+fn last_revision(changes: &[Entry]) -> u64 {
+    changes.iter().map(|change| change.revision).max().unwrap_or_default()
+}
+
 /// Returns the change of the server list that an entry stands for. An entry that cannot be decoded
 /// removes the server, since the entry that it replaced no longer applies.
-fn server_event(platform: &dyn Platform, entry: &Entry) -> Option<ServerListEvent> {
+fn server_event(
+    platform: &dyn Platform,
+    invalid: &mut InvalidEntries,
+    entry: &Entry,
+) -> Option<ServerListEvent> {
     if entry.deleted {
+        invalid.0.remove(&entry.key);
         return platform.server_id(&entry.key).map(ServerListEvent::Removed);
     }
     match platform.decode_server(&entry.key, &entry.value) {
         Ok(listed) => Some(ServerListEvent::Changed(Box::new(listed))),
         Err(error) => {
-            log::warn!(key = entry.key.as_str(); "invalid server entry: {error}");
-            platform.server_id(&entry.key).map(ServerListEvent::Removed)
+            invalid.log(entry, &error);
+            platform.server_id(&entry.key).map(ServerListEvent::Replaced)
         }
     }
 }
@@ -241,11 +289,16 @@
     serde_json::from_slice(value).map_err(|error| StoreError::Protocol(error.to_string()))
 }
 
-fn log_watch_error(what: &str, error: &StoreError) {
+/// Logs why a watch ended. Delays the next one if the response cannot be decoded, since the store
+/// then answers at once.
+async fn handle_watch_error(what: &str, error: &StoreError) {
     match error {
         StoreError::Compacted(_) => {
             log::info!(what; "watch ended: revision was compacted; reading all entries again")
         }
         error => log::info!(what, error:% = error; "watch ended"),
     }
+    if let StoreError::Protocol(_) = error {
+        Timer::after(RETRY_DELAY.duration()).await;
+    }
 }
