Ignore changes of keys that only begin with that of the configuration

What callers see: the routes of another entry, such as a copy that somebody kept beside the configuration, and 404 on those of the configuration in force.

Cause: a watch returns the changes of all keys with a prefix, and the newest was applied whatever its key.

Ruled out: configurations that cannot be decoded; they left the one in force, and the next valid one was applied.

Change: only changes of the key itself count. The watch continues after all of them.

Test (platform/tests/odd_entries.rs), before -> after: odd_configuration_leaves_the_one_in_force: failed, the routes of the copy were in force (404, 200 instead of 200, 404) -> passed.

Conclusion: one key is the configuration.

--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -72,7 +72,9 @@
             match effects.store.watch(&key, revision.saturating_add(1)).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
-                    if let Some(newest) = changes.iter().rfind(|change| !change.deleted) {
+                    // The watch also returns changes of keys that begin with this one.
+                    let newest = changes.iter().rfind(|c| c.key == key && !c.deleted);
+                    if let Some(newest) = newest {
                         applied = Some(newest.revision);
                         send_configuration(&effects, platform.as_ref(), newest).await;
                     }
