Add up limits and reported loads of servers without overflow

What callers see: with overflow checks the router ends; without them a wrong number of free places.

Cause: the places and the reported loads of all servers were added up as 32-bit numbers. Two servers that state or report the largest number exceed that.

Change: places are added up to the largest number, loads as floats.

Test (crates/berylwheel-route/tests/load.rs), before -> after: largest_limits_and_reports_do_not_overflow: failed, attempt to add with overflow -> passed.

--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -258,7 +258,7 @@
             let others = c.load - f64::from(c.state.load.own_count());
             (limit - others).max((limit * share).floor()) as u32
         };
-        self.candidates(now, query).iter().map(allowed).sum()
+        self.candidates(now, query).iter().map(allowed).fold(0, u32::saturating_add)
     }
 
     /// Returns the fraction of a server's concurrency limit that this router may always use.
@@ -283,7 +283,8 @@
         let limit = self.policy.report_expiry;
         let reported: Vec<u32> =
             eligible.iter().filter_map(|s| s.load.others(now, limit)).collect();
-        let mean = reported.iter().sum::<u32>() as f64 / reported.len().max(1) as f64;
+        let total: f64 = reported.iter().map(|others| f64::from(*others)).sum();
+        let mean = total / reported.len().max(1) as f64;
         let share = self.share(query);
         let mut candidates = Vec::with_capacity(eligible.len());
         for state in eligible {
--- a/crates/berylwheel-route/tests/load.rs
+++ b/crates/berylwheel-route/tests/load.rs
@@ -150,3 +150,16 @@
         assert!((3..=6).contains(&count), "e{n} was probed {count} times");
     }
 }
+
+/// Guards against an overflow when servers state or report the largest possible numbers.
+#[test]
+fn largest_limits_and_reports_do_not_overflow() {
+    let query = query("m1", 0);
+    let mut balancer = balancer_with_engines(3, u32::MAX);
+    assert_eq!(balancer.capacity(at(0), &query), u32::MAX);
+    for name in ["e0", "e1", "e2"] {
+        balancer.apply_report(at(10), &id(name), load_report(at(10), u32::MAX));
+    }
+    assert!(balancer.can_start(at(10), &query), "the share of this router is free");
+    assert_eq!(balancer.capacity(at(10), &query), u32::MAX);
+}
