Refuse ledger pages without bytes, and pause before an odd authority

What callers see: a workspace may spend its total once more, after another writer has emptied its ledger page. Routers stay without a link to the others after an authority row that is JSON but holds no key, also once it is repaired.

An authority from which no certificate can be issued ended the task; one that cannot be decoded was read every 100 ms, without a line in the log (both from the code).

Ruled out: pages of another format, truncated or with any other bytes were refused and left as they are. Serial numbers do not overflow (guard).

Change: a page without bytes, or with a version that leaves no room for further ones, cannot be decoded. Requests that need it are refused, and it is not written, until it is repaired. The authority is read again each second until it is valid; the error is logged when it changes.

Conclusion: an unreadable row is never taken for an absent one.

--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -18,6 +18,9 @@
 /// Format number of an encoded page, stored in its first byte.
 const FORMAT: u8 = 4;
 
+/// Largest version of a page, which leaves room for all further changes.
+const MAX_VERSION: u64 = u64::MAX / 2;
+
 /// Estimated encoded sizes of the parts of a page in bytes, used by [`LedgerPage::estimated_size`].
 const ACCOUNT_SIZE: usize = 32;
 const ROW_SIZE: usize = 48;
@@ -133,19 +136,24 @@
         postcard::to_extend(self, vec![FORMAT]).expect("page encodes")
     }
 
-    /// Decodes a page. Empty input decodes to an empty page.
+    /// Decodes a page. A page that has never been written has no bytes to decode: its content is the
+    /// default.
     ///
     /// # Errors
     ///
-    /// Fails if the bytes have another format, are truncated or are not a valid page.
+    /// Fails if the bytes are empty, have another format, are truncated or are not a valid page.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodePageError> {
-        match bytes.split_first() {
-            None => Ok(Self::default()),
-            Some((&FORMAT, rest)) => {
-                postcard::from_bytes(rest).map_err(|e| DecodePageError(e.to_string()))
-            }
-            Some((format, _)) => Err(DecodePageError(format!("unknown format {format}"))),
+        let error = |detail: &dyn fmt::Display| DecodePageError(detail.to_string());
+        let page: Self = match bytes.split_first() {
+            // Taken for a new page, it would be granted its budgets again.
+            None => return Err(error(&"no bytes")),
+            Some((&FORMAT, rest)) => postcard::from_bytes(rest).map_err(|e| error(&e))?,
+            Some((format, _)) => return Err(error(&format!("unknown format {format}"))),
+        };
+        if page.version > MAX_VERSION {
+            return Err(error(&format!("version {}", page.version)));
         }
+        Ok(page)
     }
 
     /// Returns the version of the page, which is incremented by each change.
--- a/crates/berylwheel-budget/tests/operate.rs
+++ b/crates/berylwheel-budget/tests/operate.rs
@@ -103,6 +103,13 @@
     assert_eq!(LedgerPage::decode(&bytes), Ok(ledger.page));
     assert!(LedgerPage::decode(&bytes[..bytes.len() - 1]).is_err());
     assert!(LedgerPage::decode(&[9, 0]).is_err());
+    // Another writer's value must not pass for a page that was never written.
+    assert!(LedgerPage::decode(&[]).is_err());
+    // The largest version: ten bytes, of which the last has one bit.
+    let mut last_version = vec![4; 1];
+    last_version.extend([0xff; 9]);
+    last_version.extend([1, 0, 0]);
+    assert!(LedgerPage::decode(&last_version).is_err());
 }
 
 /// A total must be applied once, and must not be reverted by an older configuration.
--- a/crates/berylwheel-budget/tests/serials.rs
+++ b/crates/berylwheel-budget/tests/serials.rs
@@ -37,3 +37,14 @@
     });
     outcome.unwrap_or_else(|error| panic!("seed {SEED}: {error}"));
 }
+
+/// Guards against an overflow at the largest serial number, which a page or an engine may state.
+#[test]
+fn the_largest_serial_number_does_not_overflow() {
+    let mut serials = SerialSet::default();
+    for serial in [u64::MAX, 0, u64::MAX - 1, 1, u64::MAX] {
+        serials.insert(serial);
+    }
+    assert!(serials.contains(u64::MAX) && !serials.contains(2));
+    assert_eq!(serials.ranges(), 2);
+}
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -33,6 +33,8 @@
 /// Maximum delay between watches while changes continue. A server that leaves must receive no work
 /// from two seconds later.
 const MAX_BATCH_DELAY: Millis = Millis(700);
+/// Delay between reads of a certificate authority that is not valid.
+const AUTHORITY_DELAY: Millis = Millis(1_000);
 /// Maximum length of a message about an invalid entry, in characters.
 const MESSAGE_LIMIT: usize = 200;
 /// Polling interval for the configuration until the operator has written the first one.
@@ -250,22 +252,26 @@
 /// Issues this router's certificate from the authority in the store, which the first router
 /// generates.
 pub async fn fetch_identity(effects: Effects, name: RouterId) {
+    let mut logged = String::new();
     loop {
-        match load_or_create_authority(&effects.store).await {
-            Ok(authority) => {
-                match authority.identity(&name) {
-                    Ok(identity) => {
-                        effects.send(Event::IdentityIssued(identity)).await;
-                    }
-                    Err(error) => {
-                        log::error!("cannot issue the certificate of this router: {error}")
-                    }
+        let identity = load_or_create_authority(&effects.store).await.and_then(|authority| {
+            authority.identity(&name).map_err(|error| StoreError::Protocol(error.to_string()))
+        });
+        match identity {
+            Ok(identity) => return effects.send(Event::IdentityIssued(identity)).await,
+            Err(StoreError::Protocol(error)) => {
+                let error = shorten(&error);
+                if logged != error {
+                    log::error!("cannot issue the certificate of this router: {error}");
+                    logged = error;
                 }
-                return;
+                Timer::after(AUTHORITY_DELAY.duration()).await;
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "cannot read the certificate authority");
+                Timer::after(RETRY_DELAY.duration()).await;
             }
-            Err(error) => log::debug!(error:% = error; "cannot read the certificate authority"),
         }
-        Timer::after(RETRY_DELAY.duration()).await;
     }
 }
 
