Refuse requests that are submitted while a drained router leaves

What callers saw: a request whose body was complete after the last running one had ended got no answer. Its connection stayed open until the process ended.

Cause: once a drain had nothing left to wait for, the control thread deregistered the router and closed the link to its peers, which takes as long as the store needs, and read no events meanwhile. It then dropped its receiver. A closed channel keeps the events that are left in it for as long as a sender exists, and with them their reply channels, so the submitted request went on waiting after that.

Ruled out: requests submitted after the control thread has ended; sending fails and they are refused.

Change: events are read and dropped while the router leaves, which closes their reply channels and refuses their requests as not run; then the channel is closed and what is left in it is dropped.

Test: request_that_is_read_at_the_end_of_a_drain_is_refused failed before (no byte in 15 s, the read timeout of the test) and passes (503). The store of the test does not answer the write that deregisters the router.

Conclusion: the window is as long as two store calls at each planned stop, and longer while the store is slow.

--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -137,13 +137,23 @@
             }
             self.drive(now);
             if self.draining && self.is_drained() {
-                self.leave_fleet().await;
+                self.end(events).await;
                 let _ = drained.send(()).await;
                 return;
             }
         }
     }
 
+    /// Leaves the fleet and closes the channel of events. A request that is submitted in the
+    /// meantime is refused: its reply channel closes when its event is dropped.
+    async fn end(&mut self, events: Receiver<Event>) {
+        let discard = async { while events.recv().await.is_ok() {} };
+        self.leave_fleet().or(discard).await;
+        // Events that are left in a closed channel would keep their reply channels open.
+        events.close();
+        while events.try_recv().is_ok() {}
+    }
+
     fn handle_event(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::Command(command) => self.handle_command(now, command),
