End a planned stop within its limit also while responses are sent

What callers saw: nothing directly. A caller that reads nothing of a large response kept the process running until the flush limit of 10 s, which begins after the drain, and the process was killed at the stop limit with whatever else it still had to send.

Cause: the stop limit bounded the wait for the last request, but not that for the rest of its response, nor the closing of connections after it.

Change: both waits together are bounded by what is left of the stop limit. Without a stop limit nothing changes.

Ruled out: idle connections, which are closed, and callers that do not close their side, which are read out for 500 ms at most.

Test: stop_does_not_wait_beyond_its_limit_for_a_caller_that_reads_nothing failed before ("the stop outlasts its limit", 8 s after the drain began) and passes.

Conclusion: a request that ends less than 0.75 s before the limit may leave connections that are not closed in order; the process then ends with status 1 instead of being killed.

--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -380,12 +380,17 @@
         self.send(Event::SettingsReloaded(Box::new(settings)));
     }
 
-    /// Waits until a graceful shutdown has completed, at most for the drain limit of the settings,
-    /// and returns whether it completed in time.
+    /// Waits until a graceful shutdown has completed, at most for the drain limit of the settings
+    /// and for what is left of the stop limit, and returns whether it completed in time.
     pub async fn wait_drained(&self) -> bool {
+        let Some(stop) = self.stop_limit else { return self.wait_flushed().await };
+        timeout(remaining_drain_time(stop), self.wait_flushed()).await.unwrap_or(false)
+    }
+
+    /// Waits until the last request has ended, and then until its response has been sent.
+    async fn wait_flushed(&self) -> bool {
         let settings = self.snapshot.load().settings.clone();
         let limit = settings.map_or(DEFAULT_DRAIN_LIMIT, |settings| settings.fleet().drain_limit);
-        let limit = self.stop_limit.map_or(limit, |stop| limit.min(remaining_drain_time(stop)));
         if timeout(limit, self.drained.recv()).await.is_none() {
             return false;
         }
