--- a/crates/berylwheel-command/src/serve.rs
+++ b/crates/berylwheel-command/src/serve.rs
@@ -107,8 +107,13 @@
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. Reloads the settings on SIGHUP or when the settings file changes.
-async fn wait_for_stop_signal(signals: &mut Signals, running: &RouterHandle, file: &PathBuf) {
+/// Waits for SIGTERM or SIGINT and returns it, or `None` if signals cannot be received any more.
+/// Reloads the settings on SIGHUP or when the settings file changes.
+async fn wait_for_stop_signal(
+    signals: &mut Signals,
+    running: &RouterHandle,
+    file: &PathBuf,
+) -> Option<Signal> {
     let mut loaded = fs::read(file).ok();
     loop {
         let signal = async { Some(signals.next().await) };
@@ -118,7 +123,7 @@
         };
         let current = match signal.or(poll).await {
             Some(Some(Ok(Signal::Hup))) => fs::read(file).ok(),
-            Some(_) => return,
+            Some(received) => return received.and_then(Result::ok),
             None => {
                 let current = fs::read(file).ok();
                 if current == loaded {
@@ -135,8 +140,8 @@
     }
 }
 
-/// Drains the router after the first stop signal. Exits with status 1 on a second stop signal or at
-/// the drain limit.
+/// Drains the router after the first stop signal. Exits with status 1 at the drain limit, or on a
+/// SIGINT during the drain. A further SIGTERM changes nothing, since supervisors repeat it.
 async fn run_until_stopped(
     running: RouterHandle,
     mut signals: Signals,
@@ -151,7 +156,9 @@
         running.wait_drained().await
     };
     let second_signal = async {
-        wait_for_stop_signal(&mut signals, &running, file).await;
+        while wait_for_stop_signal(&mut signals, &running, file).await == Some(Signal::Term) {
+            log::info!("signal received again, still draining");
+        }
         false
     };
     if drained.or(second_signal).await {
@@ -159,7 +166,7 @@
         log::info!("drained; no requests left");
         return Ok(());
     }
-    log::error!(requests = running.active_count(); "stopped with requests left: second signal or drain limit");
+    log::error!(requests = running.active_count(); "stopped with requests left: SIGINT or drain limit");
     log::logger().flush();
     process::exit(1);
 }
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -39,6 +39,7 @@
 use crate::calls::memory::MemoryReservation;
 use crate::control::command::AdmitRequest;
 use crate::control::snapshot::RECONNECT_DELAY;
+use crate::control::snapshot::Snapshot;
 
 /// Workspace that requests of open kinds are accounted to.
 const OPEN_WORKSPACE: &str = "open";
@@ -120,7 +121,7 @@
         let snapshot = self.snapshot.load_full();
         let settings = snapshot.serving_settings()?;
         let (call, admit) = {
-            let authorized = self.authorize(&parts, &decoded, settings)?;
+            let authorized = authorize(&parts, &decoded, &snapshot, settings)?;
             let body = self.check_link(body)?;
             let body = self.read_body(body, settings).await?;
             build_call(parts, body, decoded, authorized, settings, id, arrived_at)?
@@ -131,35 +132,6 @@
         }
     }
 
-    /// Finds the kind of a request by host and path and checks the caller's key.
-    fn authorize(
-        &self,
-        parts: &Parts,
-        decoded: &RequestHeaders,
-        settings: &Settings,
-    ) -> Result<Authorized, Refusal> {
-        let host = request_host(parts)?;
-        let snapshot = self.snapshot.load();
-        let path = parts.uri.path();
-        let unknown = || Refusal::not_run(Code::UnknownKind, format!("{host}{path}"));
-        let kind = snapshot.paths.find(host, path).ok_or_else(unknown)?;
-        let kind = settings.kind(kind).ok_or_else(unknown)?.clone();
-        if kind.open {
-            let rank = kind.rank;
-            return Ok(Authorized { kind, rank, workspace: None, budget: None });
-        }
-        let refused = |detail| Refusal::not_run(Code::UnknownKey, detail);
-        let key = decoded.key.as_deref().ok_or_else(|| refused("the request has no caller key"))?;
-        let owner = snapshot
-            .access
-            .caller(key)
-            .ok_or_else(|| refused("no workspace has this caller key"))?;
-        let (workspace, budget) = owner;
-        let configured = settings.workspace(&workspace);
-        let rank = configured.and_then(|workspace| workspace.rank).unwrap_or(kind.rank);
-        Ok(Authorized { kind, rank, workspace: Some(workspace), budget: Some(budget) })
-    }
-
     /// Rejects a large request while the VM's link is full. Its bytes would be queued twice,
     /// inbound and on the way to a backend server, while the caller's next connection goes to
     /// another router.
@@ -209,6 +181,32 @@
     }
 }
 
+/// Finds the kind of a request by host and path and checks the caller's key.
+fn authorize(
+    parts: &Parts,
+    decoded: &RequestHeaders,
+    snapshot: &Snapshot,
+    settings: &Settings,
+) -> Result<Authorized, Refusal> {
+    let host = request_host(parts)?;
+    let path = parts.uri.path();
+    let unknown = || Refusal::not_run(Code::UnknownKind, format!("{host}{path}"));
+    let kind = snapshot.paths.find(host, path).ok_or_else(unknown)?;
+    let kind = settings.kind(kind).ok_or_else(unknown)?.clone();
+    if kind.open {
+        let rank = kind.rank;
+        return Ok(Authorized { kind, rank, workspace: None, budget: None });
+    }
+    let refused = |detail| Refusal::not_run(Code::UnknownKey, detail);
+    let key = decoded.key.as_deref().ok_or_else(|| refused("the request has no caller key"))?;
+    let owner =
+        snapshot.access.caller(key).ok_or_else(|| refused("no workspace has this caller key"))?;
+    let (workspace, budget) = owner;
+    let configured = settings.workspace(&workspace);
+    let rank = configured.and_then(|workspace| workspace.rank).unwrap_or(kind.rank);
+    Ok(Authorized { kind, rank, workspace: Some(workspace), budget: Some(budget) })
+}
+
 fn build_call(
     parts: Parts,
     (body, reservation): (Bytes, MemoryReservation),
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::thread;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -218,6 +219,22 @@
     assert_conserved(&account);
 }
 
+/// Guards against cutting streams because a supervisor repeats its stop signal.
+#[test]
+fn repeated_stop_signal_does_not_cut_streams() {
+    let mut fleet = Fleet::start("repeat-stop", 1, &["--token-interval-ms", "20"], 1_000_000);
+    let router = fleet.router(0);
+    let stream = thread::spawn(move || try_send(router, chat_request(100, true, None)));
+    wait_request_count(&fleet, 0, 1);
+    for _ in 0..3 {
+        fleet.routers[0].signal("TERM");
+        thread::sleep(Duration::from_millis(100));
+    }
+    let response = stream.join().expect("the thread ends").expect("a response");
+    assert!(response.body.contains("[DONE]"), "{}", response.body);
+    assert!(fleet.routers[0].wait_exit(), "expected the router to exit with status 0");
+}
+
 fn wait_account(fleet: &Fleet) -> Value {
     wait_until("a router returns the account", || {
         let account = fleet.account();
