Keep what servers say about themselves until their process ends

Cause: the load balancer kept notices of leaving servers without their source, and forgot all of them at each full read of the server list. The list forgot the start time of an entry that it removed, so a server that comes back could not be told from a restart.

Change: `standing.rs` holds one state a server in place of the table of notices. Notices of the VM list and of peers end as before, with a full read or `leaving_hold`. What a server says in a response belongs to the process at the address that the request was sent to. It outlasts the removal of the entry, and ends when the list shows a later start time or another address. A server may also ask for a pause, which is bounded, does not eject it and ends in a slow start. The list keeps the latest start time of the last 512 removed entries, and an earlier one than the latest is no restart. The state dump shows source, begin and end.

Ruled out: clearing the word of a server when its listed address changes, since an outdated list may name an earlier address for a while; time limits on it, since a server may serve for many seconds after it says that it leaves.

Tests, `cargo test -p berylwheel-route`. Before, none of them compiles, since the state does not exist. After, all pass: - servers_get_no_requests_that_they_declined (2,000 histories of responses, lists, notices, restarts and time) - responses_of_an_earlier_process_change_nothing - a_pause_is_bounded_and_leaves_no_trace

Conclusion: what a server declines holds through any history of lists and notices that the test plays. Two processes of one id that both answer at different addresses at the same time are not told apart.

--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -7,6 +7,8 @@
 use berylwheel_types::Timestamp;
 use serde::Serialize;
 
+use crate::LeavingSource;
+
 /// All servers as seen by one router, sorted by name.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct RouteDump {
@@ -42,6 +44,14 @@
     pub ejected_until: Option<Timestamp>,
     /// Whether the server gets no new requests because it is shutting down.
     pub leaving: bool,
+    /// Who reported it as leaving.
+    pub leaving_source: Option<LeavingSource>,
+    /// When that was reported.
+    pub leaving_since: Option<Timestamp>,
+    /// The begin of the server's last pause.
+    pub paused_since: Option<Timestamp>,
+    /// The end of the server's last pause, in which it gets no requests.
+    pub paused_until: Option<Timestamp>,
     /// Fraction of the server's capacity that the router uses, from 0 to 1. Below 1 during slow
     /// start.
     pub weight: f64,
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -1,5 +1,5 @@
-//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets
-//! and servers that shut down.
+//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets,
+//! servers that shut down and servers that ask for a pause.
 //!
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
 //! the random number generator is seeded.
@@ -14,6 +14,7 @@
 mod policy;
 mod server;
 mod server_list;
+mod standing;
 mod state;
 mod subset;
 
@@ -31,4 +32,9 @@
 pub use server_list::ServerList;
 pub use server_list::ServerListEvent;
 pub use server_list::ServerStatus;
+pub use standing::LeavingSource;
+pub use standing::PauseNote;
+pub use standing::PauseRequest;
+pub use standing::ServerSignal;
+pub use standing::SignalEffect;
 pub use subset::subset_of;
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -20,15 +20,12 @@
 use crate::ServerDump;
 use crate::choice::Candidate;
 use crate::choice::choose;
+use crate::standing::Standing;
 use crate::state::ServerState;
 use crate::subset::Pool;
 use crate::subset::Subset;
 use crate::subset::subsets_by_pool;
 
-/// Maximum number of leaving servers that are remembered, including servers that are not
-/// configured. Bounds the memory that false notices can use.
-const LEAVING_LIMIT: usize = 4_096;
-
 /// Selects backend servers for the requests of one router.
 ///
 /// ```
@@ -62,20 +59,20 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     router: RouterId,
-    policy: RoutePolicy,
+    pub(crate) policy: RoutePolicy,
     rng: SmallRng,
     routers: usize,
     configured: bool,
     pub(crate) states: FastMap<BackendId, ServerState>,
     pub(crate) subsets: FastMap<Pool, Subset>,
-    /// Servers that are shutting down according to the VM list or a peer, with the time of the last
-    /// notice.
-    leaving: FastMap<BackendId, Timestamp>,
+    /// What is known of servers besides their configuration and load. Outlasts the removal of a
+    /// server, since an outdated list may bring it back.
+    pub(crate) standings: FastMap<BackendId, Standing>,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
     probe_credit: f64,
     last_probe: Timestamp,
     /// The most recent time passed to a method, used by the dump.
-    last_time: Timestamp,
+    pub(crate) last_time: Timestamp,
 }
 
 impl LoadBalancer {
@@ -89,7 +86,7 @@
             configured: false,
             states: FastMap::default(),
             subsets: FastMap::default(),
-            leaving: FastMap::default(),
+            standings: FastMap::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
             last_time: Timestamp::default(),
@@ -111,14 +108,15 @@
                 previous.insert(id.clone());
             }
         }
+        let mut moved = Vec::new();
         for server in servers {
             let Some(state) = self.states.get_mut(&server.id) else {
                 self.states.insert(server.id.clone(), ServerState::new(server, start_time));
                 continue;
             };
             if state.server.address != server.address {
-                self.leaving.remove(&server.id);
                 state.reset(now);
+                moved.push(server.id.clone());
             } else if !previous.contains(&server.id) {
                 state.reset(now);
             }
@@ -126,6 +124,10 @@
             state.server = server;
         }
         self.states.retain(|_, state| state.present || state.load.own_count() > 0);
+        for server in &moved {
+            self.clear_notice(server);
+        }
+        self.prune_standings(now);
         self.subsets = subsets_by_pool(&self.router, &self.states, self.policy.subset_size);
         for state in self.states.values_mut() {
             state.in_subset = false;
@@ -141,7 +143,7 @@
     /// Resets the state of a server whose process has been replaced by a new one.
     pub fn server_restarted(&mut self, now: Timestamp, server: &BackendId) {
         self.last_time = now;
-        self.leaving.remove(server);
+        self.renew_standing(now, server);
         if let Some(state) = self.states.get_mut(server) {
             state.reset(now);
         }
@@ -178,60 +180,6 @@
         }
     }
 
-    /// Marks a server as leaving after a notice from the VM list or a peer. It gets no new
-    /// requests.
-    ///
-    /// The notice may arrive before the server is configured.
-    pub fn set_leaving(&mut self, now: Timestamp, server: &BackendId) {
-        if self.leaving.len() >= LEAVING_LIMIT && !self.leaving.contains_key(server) {
-            let oldest = self.leaving.iter().filter(|(id, _)| !self.states.contains_key(*id));
-            let oldest = oldest.min_by_key(|(_, at)| **at).map(|(id, _)| id.clone());
-            if let Some(id) = oldest {
-                self.leaving.remove(&id);
-            }
-        }
-        self.last_time = now;
-        self.leaving.insert(server.clone(), now);
-        self.limit_ejections(now);
-    }
-
-    /// Marks a server as draining after the server itself said so, as in a 503 response. A later
-    /// load report that does not say so reverses this.
-    pub fn set_draining(&mut self, now: Timestamp, server: &BackendId) {
-        self.last_time = now;
-        if let Some(state) = self.states.get_mut(server) {
-            state.draining_at = Some(now);
-        }
-        self.limit_ejections(now);
-    }
-
-    /// Marks a server as live because the VM list, as just read, shows it so.
-    ///
-    /// The server gets requests again, with a slow start, if the last notice of its shutdown is at
-    /// least [`RoutePolicy::leaving_hold`] old.
-    pub fn set_live(&mut self, now: Timestamp, server: &BackendId) {
-        let Some(at) = self.leaving.get(server) else { return };
-        if now.since(*at) < self.policy.leaving_hold {
-            return;
-        }
-        self.last_time = now;
-        self.leaving.remove(server);
-        if let Some(state) = self.states.get_mut(server) {
-            state.start_time = Some(now);
-        }
-    }
-
-    /// Clears the set of leaving servers, for use when an up-to-date server list replaces it.
-    pub fn clear_leaving(&mut self) {
-        self.leaving.clear();
-    }
-
-    /// Returns whether a server gets no new requests because it is leaving or draining.
-    pub fn is_leaving(&self, server: &BackendId) -> bool {
-        self.leaving.contains_key(server)
-            || self.states.get(server).is_some_and(|state| state.draining_at.is_some())
-    }
-
     /// Returns whether [`LoadBalancer::pick`] would find a server.
     pub fn can_start(&self, now: Timestamp, query: &RouteQuery) -> bool {
         self.candidates(now, query).iter().any(|c| c.has_room)
@@ -275,7 +223,7 @@
             let id = &state.server.id;
             state.supports(query)
                 && !query.exclude.contains(id)
-                && !self.is_leaving(id)
+                && self.accepts_requests(now, state)
                 && !state.health.is_ejected(now)
                 && !state.is_misdirected(now, &self.policy)
         });
@@ -294,7 +242,8 @@
             // either condition its own requests stay within the limit, since the load includes
             // them.
             let has_room = load < concurrency || f64::from(own) < (concurrency * share).floor();
-            let capacity = concurrency * state.weight(now, &self.policy);
+            let pause_end = self.pause_end(&state.server.id);
+            let capacity = concurrency * state.weight(now, &self.policy, pause_end);
             candidates.push(Candidate { state, load, capacity, has_room });
         }
         candidates
@@ -316,6 +265,10 @@
         if outcome == Outcome::Misdirected {
             state.misdirected_at = Some(now);
         }
+        if outcome == Outcome::Ok {
+            self.end_pauses(server);
+        }
+        let Some(state) = self.states.get_mut(server) else { return };
         let should_eject = state.health.record_outcome(now, outcome, &self.policy);
         if !state.present && state.load.own_count() == 0 {
             self.states.remove(server);
@@ -334,8 +287,11 @@
         let earned = now.since(self.last_probe).0 as f64 * rate / 1_000.0;
         self.probe_credit = (self.probe_credit + earned).min(rate);
         self.last_probe = now;
-        let overdue =
-            self.states.values().filter(|s| s.present && s.in_subset && s.probe_due <= now);
+        let is_overdue = |s: &&ServerState| {
+            let is_used = s.present && s.in_subset && !self.is_paused(now, &s.server.id);
+            is_used && s.probe_due <= now
+        };
+        let overdue = self.states.values().filter(is_overdue);
         let mut due: Vec<(Timestamp, BackendId)> =
             overdue.map(|s| (s.probe_due, s.server.id.clone())).collect();
         due.sort_unstable();
@@ -370,7 +326,11 @@
                 failures: state.health.failures(),
                 ejected_until: state.health.ejection_end().filter(|until| *until > now),
                 leaving: self.is_leaving(&state.server.id),
-                weight: state.weight(now, &self.policy),
+                leaving_source: self.leaving_since(&state.server.id).map(|(source, _)| source),
+                leaving_since: self.leaving_since(&state.server.id).map(|(_, since)| since),
+                paused_since: self.last_pause(&state.server.id).map(|pause| pause.since),
+                paused_until: self.last_pause(&state.server.id).map(|pause| pause.until),
+                weight: state.weight(now, &self.policy, self.pause_end(&state.server.id)),
                 prefixes: state.cached.len(),
             })
             .collect();
--- a/crates/berylwheel-route/src/policy.rs
+++ b/crates/berylwheel-route/src/policy.rs
@@ -49,6 +49,8 @@
     /// Time since the last notice of a server's shutdown before the VM list can mark the server as
     /// live again. The list lags and may still show a server as live that is shutting down.
     pub leaving_hold: Millis,
+    /// Maximum duration of a pause that a server asks for in one response.
+    pub pause_limit: Millis,
     /// How long a server gets no requests after another one responded at its address. A server list
     /// drops the entry of a silent server within this time.
     pub misdirected_hold: Millis,
@@ -71,6 +73,7 @@
             probe_interval: Millis(1_000),
             probe_rate: 40,
             leaving_hold: Millis(60_000),
+            pause_limit: Millis(300_000),
             misdirected_hold: Millis(4_000),
         }
     }
--- a/crates/berylwheel-route/src/server_list.rs
+++ b/crates/berylwheel-route/src/server_list.rs
@@ -61,11 +61,31 @@
     pub removed: Vec<BackendId>,
 }
 
+/// Maximum number of removed entries that are remembered.
+const REMOVED_LIMIT: usize = 512;
+
+/// Whether an entry is in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Presence {
+    Listed,
+    /// Missing from the list, but usable until the given time.
+    Expiring(Timestamp),
+    /// Removed at the given time. The entry is kept only for its start time.
+    Removed(Timestamp),
+}
+
 #[derive(Debug)]
 struct Entry {
     listed: ListedServer,
-    /// When an entry that is missing from the list stops being usable; `None` if it is in the list.
-    expires_at: Option<Timestamp>,
+    presence: Presence,
+    /// The latest start time that was listed under this id.
+    latest_start: Option<u64>,
+}
+
+impl Entry {
+    fn is_removed(&self) -> bool {
+        matches!(self.presence, Presence::Removed(_))
+    }
 }
 
 /// Tracks the usable servers of a platform's list.
@@ -142,15 +162,16 @@
 
     /// Removes expired entries and returns the changes since the last call, if any.
     pub fn poll(&mut self, now: Timestamp) -> Option<ListChange> {
-        let is_expired = |entry: &Entry| entry.expires_at.is_some_and(|until| until <= now);
+        let is_expired =
+            |entry: &Entry| matches!(entry.presence, Presence::Expiring(until) if until <= now);
         let expired: Vec<BackendId> =
             self.entries.iter().filter(|(_, e)| is_expired(e)).map(|(id, _)| id.clone()).collect();
         for id in expired {
-            self.entries.remove(&id);
-            self.pending_change().removed.push(id);
+            self.remove(now, id);
         }
         let mut change = self.pending.take()?;
-        let ready = self.entries.values().filter(|e| e.listed.status == ServerStatus::Ready);
+        let is_usable = |e: &&Entry| !e.is_removed() && e.listed.status == ServerStatus::Ready;
+        let ready = self.entries.values().filter(is_usable);
         change.servers = ready.map(|entry| entry.listed.server.clone()).collect();
         change.servers.sort_by(|a, b| a.id.cmp(&b.id));
         Some(change)
@@ -161,7 +182,8 @@
     }
 
     fn replace_all(&mut self, now: Timestamp, listed: Vec<ListedServer>) {
-        let mut missing: Vec<BackendId> = self.entries.keys().cloned().collect();
+        let current = self.entries.iter().filter(|(_, entry)| !entry.is_removed());
+        let mut missing: Vec<BackendId> = current.map(|(id, _)| id.clone()).collect();
         missing.retain(|id| listed.iter().all(|entry| entry.server.id != *id));
         for entry in listed {
             self.upsert(entry);
@@ -174,20 +196,28 @@
 
     fn upsert(&mut self, listed: ListedServer) {
         let id = listed.server.id.clone();
-        let previous =
-            self.entries.insert(id.clone(), Entry { listed: listed.clone(), expires_at: None });
-        let Some(Entry { listed: previous, .. }) = previous else {
+        let started_at = listed.started_at;
+        let entry =
+            Entry { listed: listed.clone(), presence: Presence::Listed, latest_start: started_at };
+        let Some(previous) = self.entries.insert(id.clone(), entry) else {
             self.pending_change();
             return;
         };
-        let restarted = previous.started_at < listed.started_at && previous.started_at.is_some();
-        if restarted {
+        // A list that is out of date may name an earlier process again.
+        let latest = previous.latest_start;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.latest_start = latest.max(started_at);
+        }
+        if latest.is_some() && latest < started_at {
             self.pending_change().restarted.push(id.clone());
         }
-        if previous.status == ServerStatus::Ready && listed.status == ServerStatus::Draining {
+        let was_removed = previous.is_removed();
+        let Entry { listed: previous, .. } = previous;
+        let was_ready = !was_removed && previous.status == ServerStatus::Ready;
+        if was_ready && listed.status == ServerStatus::Draining {
             self.pending_change().removed.push(id);
         }
-        if previous != listed {
+        if was_removed || previous != listed {
             self.pending_change();
         }
     }
@@ -197,15 +227,29 @@
     fn mark_missing(&mut self, now: Timestamp, id: &BackendId, limit: Millis) {
         let grace_end =
             self.recovered_at.map(|at| at + self.expiry_grace).filter(|until| now < *until);
-        match (grace_end, self.entries.get_mut(id)) {
-            (Some(until), Some(entry)) => {
-                entry.expires_at = entry.expires_at.or(Some(until.min(now + limit)));
-            }
-            (None, Some(_)) => {
-                self.entries.remove(id);
-                self.pending_change().removed.push(id.clone());
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        match (grace_end, entry.presence) {
+            (Some(until), Presence::Listed) => {
+                entry.presence = Presence::Expiring(until.min(now + limit));
             }
-            (_, None) => {}
+            (Some(_), Presence::Expiring(_)) | (_, Presence::Removed(_)) => {}
+            (None, _) => self.remove(now, id.clone()),
+        }
+    }
+
+    fn remove(&mut self, now: Timestamp, id: BackendId) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.presence = Presence::Removed(now);
+        }
+        self.pending_change().removed.push(id);
+        let removed = self.entries.iter().filter_map(|(id, entry)| match entry.presence {
+            Presence::Removed(at) => Some((at, id)),
+            _ => None,
+        });
+        if removed.clone().count() > REMOVED_LIMIT
+            && let Some(oldest) = removed.min().map(|(_, id)| id.clone())
+        {
+            self.entries.remove(&oldest);
         }
     }
 }
--- a/crates/berylwheel-route/src/state.rs
+++ b/crates/berylwheel-route/src/state.rs
@@ -85,9 +85,15 @@
     }
 
     /// Returns the fraction of the server's capacity to use: below 1 during slow start, which
-    /// begins at `start_time` and at the end of an ejection.
-    pub fn weight(&self, now: Timestamp, policy: &RoutePolicy) -> f64 {
-        let Some(start) = self.start_time.max(self.health.ejection_end()) else { return 1.0 };
+    /// begins at `start_time` and at the end of an ejection or a pause.
+    pub fn weight(
+        &self,
+        now: Timestamp,
+        policy: &RoutePolicy,
+        pause_end: Option<Timestamp>,
+    ) -> f64 {
+        let start = self.start_time.max(self.health.ejection_end()).max(pause_end);
+        let Some(start) = start else { return 1.0 };
         let elapsed = now.since(start).0 as f64;
         let share = elapsed / (policy.slow_start.0.max(1)) as f64;
         (INITIAL_WEIGHT + (1.0 - INITIAL_WEIGHT) * share).min(1.0)
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -117,7 +117,7 @@
 
     pub(super) fn apply_server_event(&mut self, now: Timestamp, event: ServerListEvent) {
         if matches!(event, ServerListEvent::All(_)) {
-            self.balancer.clear_leaving();
+            self.balancer.clear_notices();
         }
         self.server_list.apply(now, event);
     }
