Place no requests at a server that says in a response that it leaves

Callers saw requests sent to servers that were about to end: each response of such a server said so, and the router went on placing requests there until the server list showed it. With the store down, or with a list that still named the server ready, that was until the server had gone.

Cause: the adapter did not decode the header.

Change: the head of any response with the id of the request is looked at, whatever its status, and what it says goes to the control thread before the response is passed on. The control thread takes events in order, so a request of a caller that has read the response is placed after it, as are retries and resumes. Idle connections to the server are closed, and those in use when their request ends. Streams go on. Requests in the queue have no server yet and go elsewhere. The counter `server_signals` counts such responses.

Ruled out: ending requests that are placed and not sent yet, since their callers sent them before the response was passed on, and the server still serves them.

Conclusion: from the response on, a request of a caller that arrives later is never placed at that process by this router. A router that restarts forgets it. Other routers learn of it from the list or from their own next response, unless their store fails.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -75,11 +76,19 @@
 pub struct UpstreamClient {
     executor: Arc<Executor<'static>>,
     clock: Clock,
-    idle: Arc<Mutex<FastMap<SocketAddr, VecDeque<UpstreamConnection>>>>,
+    pools: Arc<Mutex<FastMap<SocketAddr, Pool>>>,
     opened_connections: Arc<AtomicU64>,
     traffic: Traffic,
 }
 
+/// Connections to one server.
+#[derive(Debug, Default)]
+struct Pool {
+    idle: VecDeque<UpstreamConnection>,
+    /// Set when the connections of this pool must not be used again. Those in use share it.
+    closed: Arc<AtomicBool>,
+}
+
 /// A connection and the task that drives it. Dropping it cancels the task and closes the
 /// connection.
 #[derive(Debug)]
@@ -87,6 +96,8 @@
     sender: SendRequest<Full<Bytes>>,
     _task: Task<()>,
     socket: Arc<SocketState>,
+    /// Whether the pool that the connection belongs to was closed.
+    closed: Arc<AtomicBool>,
     idle_since: Timestamp,
     expires_at: Timestamp,
 }
@@ -102,7 +113,8 @@
 }
 
 impl PooledConnection {
-    /// Returns the connection to the pool, for at most the `idle_timeout` stated by the server.
+    /// Returns the connection to the pool, for at most the `idle_timeout` stated by the server. It
+    /// is closed if the pool was closed in the meantime.
     pub fn release(mut self, idle_timeout: Option<Millis>) {
         let now = self.upstream.clock.now();
         let keep_time = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
@@ -111,9 +123,12 @@
         self.connection.idle_since = now;
         self.connection.expires_at = now + keep_time;
         let mut pools = self.upstream.lock();
+        if self.connection.closed.load(Ordering::Relaxed) {
+            return;
+        }
         let pool = pools.entry(self.address).or_default();
-        if pool.len() < MAX_IDLE_CONNECTIONS {
-            pool.push_back(self.connection);
+        if pool.idle.len() < MAX_IDLE_CONNECTIONS {
+            pool.idle.push_back(self.connection);
         }
     }
 }
@@ -124,7 +139,7 @@
         Self {
             executor,
             clock,
-            idle: Arc::default(),
+            pools: Arc::default(),
             opened_connections: Arc::default(),
             traffic: Traffic::default(),
         }
@@ -144,11 +159,20 @@
     pub fn close_expired(&self) {
         let now = self.clock.now();
         self.lock().retain(|_, pool| {
-            pool.retain(|connection| now < connection.expires_at && !connection.sender.is_closed());
-            !pool.is_empty()
+            pool.idle
+                .retain(|connection| now < connection.expires_at && !connection.sender.is_closed());
+            // Connections in use keep their pool, so that closing it reaches them.
+            !pool.idle.is_empty() || Arc::strong_count(&pool.closed) > 1
         });
     }
 
+    /// Closes the idle connections to a server, and those in use when their request has ended.
+    pub fn close_idle(&self, address: SocketAddr) {
+        if let Some(pool) = self.lock().remove(&address) {
+            pool.closed.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Sends a request, and returns the response once its head has arrived.
     ///
     /// # Errors
@@ -178,8 +202,8 @@
         self.exchange(address, connection, request, remaining).await.map_err(|(error, _)| error)
     }
 
-    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, VecDeque<UpstreamConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Pool>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the usable connection that has been idle longest. Stray bytes after its last response
@@ -188,7 +212,7 @@
         let now = self.clock.now();
         let mut pools = self.lock();
         let pool = pools.get_mut(&address)?;
-        while let Some(connection) = pool.pop_front() {
+        while let Some(connection) = pool.idle.pop_front() {
             let usable = now < connection.expires_at && now.since(connection.idle_since) < max_idle;
             if usable && connection.sender.is_ready() {
                 connection.socket.check_before_reuse();
@@ -230,7 +254,15 @@
             }
         });
         let now = self.clock.now();
-        Ok(UpstreamConnection { sender, _task: task, socket, idle_since: now, expires_at: now })
+        let closed = self.lock().entry(address).or_default().closed.clone();
+        Ok(UpstreamConnection {
+            closed,
+            sender,
+            _task: task,
+            socket,
+            idle_since: now,
+            expires_at: now,
+        })
     }
 
     /// Sends a request over a connection. An error includes the request if none of it was written.
--- a/crates/berylwheel-http/tests/forward.rs
+++ b/crates/berylwheel-http/tests/forward.rs
@@ -204,6 +204,32 @@
     assert_eq!(connections.try_iter().count(), 2);
 }
 
+/// Guards against reuse of connections to a server that leaves, idle or in use when it said so, and
+/// against a new connection for each request from then on.
+#[test]
+fn closed_pools_are_not_reused() {
+    let address = start_echo_server();
+    let opened = with_upstream(async |upstream| {
+        let exchange = async || {
+            let (response, connection) = upstream.send(address, request(), OPTIONS).await.unwrap();
+            response.into_body().collect().await.unwrap();
+            connection
+        };
+        let (idle, in_use) = (exchange().await, exchange().await);
+        idle.release(None);
+        upstream.close_idle(address);
+        in_use.release(None);
+        let mut opened = Vec::new();
+        for _ in 0..2 {
+            let connection = exchange().await;
+            opened.push(upstream.opened_connections());
+            connection.release(None);
+        }
+        opened
+    });
+    assert_eq!(opened, [3, 3]);
+}
+
 /// Guards against bytes or connections that are missing from the counts of the link's load.
 #[test]
 fn traffic_counts_all_bytes_and_connections() {
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -155,6 +155,7 @@
             Event::LoadReported(server, report) => self.balancer.apply_report(now, &server, report),
             Event::CacheChanged(server, reports) => self.apply_cache_events(now, &server, &reports),
             Event::ServerDraining(server) => self.balancer.set_draining(now, &server),
+            Event::ServerSignal(server, signal) => self.apply_server_signal(now, &server, signal),
             Event::VmListRead(vms) => self.update_vms(now, &vms),
             Event::PeerMessage(inbound) => self.handle_peer_message(now, inbound),
             Event::RootRead(root) => self.handle_root_read(now, root),
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -10,6 +10,7 @@
 use berylwheel_peer::PeerIdentity;
 use berylwheel_route::LoadReport;
 use berylwheel_route::ServerListEvent;
+use berylwheel_route::ServerSignal;
 use berylwheel_settings::RouterSettings;
 use berylwheel_types::BackendId;
 use berylwheel_types::Incarnation;
@@ -66,6 +67,8 @@
     CacheChanged(BackendId, Vec<CacheReport>),
     /// A backend server refused a request because it is draining.
     ServerDraining(BackendId),
+    /// A backend server said something about itself in a response.
+    ServerSignal(BackendId, ServerSignal),
     /// The platform's VM list was read.
     VmListRead(Vec<Vm>),
     /// A message from another router.
--- a/crates/berylwheel-router/src/control/mod.rs
+++ b/crates/berylwheel-router/src/control/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod event;
 mod holder;
 pub(crate) mod requests;
+mod signals;
 pub(crate) mod snapshot;
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -6,6 +6,7 @@
 use berylwheel_http::SendOptions;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
+use berylwheel_route::ServerSignal;
 use berylwheel_settings::Repeat;
 use berylwheel_types::BackendId;
 use berylwheel_types::Millis;
@@ -27,6 +28,7 @@
 use super::platform::ForwardedRequest;
 use super::platform::ReportedLoad;
 use super::platform::ResponseHeaders;
+use super::signal::response_signal;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
 use crate::control::event::Event;
@@ -113,6 +115,9 @@
         if let Some(load) = decoded.load {
             self.report_load(&server.id, load);
         }
+        if let Some(signal) = response_signal(call.id.as_str(), &decoded, server.address, now) {
+            self.report_signal(&server.id, signal);
+        }
         let class = classify_response(call.id.as_str(), head.status.as_u16(), &decoded);
         let response = ServerResponse { head, decoded, class, body, connection };
         match class {
@@ -165,6 +170,16 @@
         guard.retry(outcome).await.map_err(|_| refusal)
     }
 
+    /// Reports what a server said about itself. The report precedes the requests of callers that
+    /// have received the response.
+    fn report_signal(&self, server: &BackendId, signal: ServerSignal) {
+        if signal.leaving {
+            self.metrics.count_signal("leaving");
+            self.upstream.close_idle(signal.address);
+        }
+        self.send_event(Event::ServerSignal(server.clone(), signal));
+    }
+
     fn report_load(&self, server: &BackendId, load: ReportedLoad) {
         let report = LoadReport {
             at: self.clock.now(),
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -85,6 +85,8 @@
     pub idle_timeout: Option<Millis>,
     /// Whether the server closes the connection after the response.
     pub close: bool,
+    /// Whether the server states that it is leaving.
+    pub leaving: bool,
 }
 
 /// A version of the operator's configuration.
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -30,6 +30,7 @@
 pub use forward::connect_timeout;
 pub use forward::is_repeatable;
 pub use forward::may_retry;
+pub use forward::response_signal;
 pub use operate::change::ChangeRequest;
 pub use operate::change::ConfigStore;
 pub use operate::change::EditRequest;
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -69,6 +69,11 @@
             .try_send();
     }
 
+    /// Counts a response in which a server said that it leaves.
+    pub fn count_signal(&self, cause: &str) {
+        let _ = self.client.incr_with_tags("server_signals").with_tag("cause", cause).try_send();
+    }
+
     pub fn count_retry(&self, kind: &KindId) {
         let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
     }
