Honour the pause that a server asks for when it rejects a request

Callers saw 503s with a delay of 100 ms while servers had asked for seconds, and retries that were rejected like the first attempt. A pool that wanted nothing got every request twice, and callers with a longer deadline than the pause were lost as well.

Cause: the delay of a server's 503 was not decoded.

Change: a 503 with a delay begins a pause of its server at this router, for placements, retries, resumes and probes. It is not an ejection. It counts whether or not the 503 says that the request did not run; whether the request is repeated does not depend on it. While all servers of a pool pause, `decide_wait` queues a request that can be served between the first end and its deadline, and refuses others at once with that end, also those already in the queue. The same time is told to callers whose last attempt was rejected.

Ruled out: telling peers, since the delay is for this router only; trials before the end, since the other servers or the next end serve the caller.

Conclusion: a paused server gets only what was on its way. A request whose connection is still being established when the pause begins is sent once it is; that is open.

--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
 //! the random number generator is seeded.
 
+mod availability;
 mod cache;
 mod choice;
 mod dump;
@@ -18,6 +19,9 @@
 mod state;
 mod subset;
 
+pub use availability::Availability;
+pub use availability::WaitDecision;
+pub use availability::decide_wait;
 pub use dump::RouteDump;
 pub use dump::ServerDump;
 pub use load_balancer::LoadBalancer;
--- a/crates/berylwheel-route/src/standing.rs
+++ b/crates/berylwheel-route/src/standing.rs
@@ -362,6 +362,11 @@
         }
     }
 
+    /// Returns whether any server has asked for a pause that has not ended.
+    pub fn has_pauses(&self, now: Timestamp) -> bool {
+        self.standings.values().any(|standing| standing.is_paused(now))
+    }
+
     /// Ends a series of pauses after a successful response.
     pub(crate) fn end_pauses(&mut self, server: &BackendId) {
         let standing = self.standings.get_mut(server);
--- a/crates/berylwheel-route/tests/standing.rs
+++ b/crates/berylwheel-route/tests/standing.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::collections::VecDeque;
+
 use berylwheel_route::LeavingSource;
 use berylwheel_route::ListedServer;
 use berylwheel_route::LoadBalancer;
+use berylwheel_route::Outcome;
 use berylwheel_route::PauseNote;
 use berylwheel_route::PauseRequest;
 use berylwheel_route::RoutePolicy;
@@ -12,6 +15,8 @@
 use berylwheel_route::ServerListEvent;
 use berylwheel_route::ServerSignal;
 use berylwheel_route::ServerStatus;
+use berylwheel_route::WaitDecision;
+use berylwheel_route::decide_wait;
 use berylwheel_types::BackendId;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
@@ -289,3 +294,82 @@
         prop_assert_eq!(picked, "s0 s1 s2 s3");
     }
 }
+
+/// What a load of callers got, and what the servers that want a pause were sent.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Played {
+    served: u32,
+    attempts: u32,
+    /// Attempts at servers that wanted none.
+    rejected: u32,
+    /// Callers that were refused at once.
+    refused: u32,
+    /// Callers that waited until their deadline.
+    expired: u32,
+}
+
+/// Plays 100 callers a second and server for 4 s, each with two attempts and a deadline after 1 s.
+/// The first `pausing` servers reject requests for 2 s and say so.
+fn play(servers: usize, pausing: usize, honoured: bool) -> Played {
+    const SERVICE_TIME: Millis = Millis(20);
+    let end = at(2_000);
+    let mut balancer = balancer_with_engines(servers, 16);
+    let query = query("m1", 0);
+    let rejecting: Vec<BackendId> = (0..pausing).map(|n| id(&format!("e{n}"))).collect();
+    let mut played = Played::default();
+    let mut running: Vec<(Timestamp, BackendId)> = Vec::new();
+    let mut waiting: VecDeque<(Timestamp, u32)> = VecDeque::new();
+    for ms in 0..4_000_u64 {
+        let now = at(ms);
+        for (_, server) in running.extract_if(.., |(end, _)| *end <= now) {
+            balancer.request_ended(now, &server, Outcome::Ok);
+        }
+        let arrived = |ms: u64| ms * servers as u64 / 10;
+        waiting.extend((arrived(ms)..arrived(ms + 1)).map(|_| (now + Millis(1_000), 0)));
+        let count = waiting.len();
+        waiting.retain(|(deadline, _)| *deadline > now);
+        played.expired += (count - waiting.len()) as u32;
+        while !waiting.is_empty() {
+            let Some(server) = balancer.pick(now, &query) else { break };
+            let Some((deadline, sent)) = waiting.pop_front() else { break };
+            played.attempts += 1;
+            balancer.request_started(now, &server.id);
+            if now >= end || !rejecting.contains(&server.id) {
+                played.served += 1;
+                running.push((now + SERVICE_TIME, server.id));
+                continue;
+            }
+            played.rejected += 1;
+            balancer.request_ended(now, &server.id, Outcome::Cancelled);
+            if honoured {
+                let pause = PauseRequest::Wait(end.since(now));
+                balancer.apply_signal(now, &server.id, signal(now, false, pause));
+            }
+            if sent == 0 {
+                waiting.push_back((deadline, 1));
+            }
+        }
+        let availability = balancer.availability(now, &query);
+        let count = waiting.len();
+        waiting.retain(|(deadline, _)| {
+            decide_wait(now, *deadline, SERVICE_TIME, availability) == WaitDecision::Queue
+        });
+        played.refused += (count - waiting.len()) as u32;
+    }
+    played
+}
+
+/// Guards against sending callers in vain to servers that want a pause, and against serving fewer
+/// of them.
+#[test]
+fn honoured_pauses_serve_more_callers_with_fewer_attempts() {
+    for servers in [3_usize, 9, 60] {
+        for pausing in [1, servers.div_ceil(2), servers] {
+            let [before, after] = [false, true].map(|honoured| play(servers, pausing, honoured));
+            println!("{servers} servers, {pausing} pausing: {before:?} -> {after:?}");
+            assert!(after.rejected as usize <= pausing && after.expired == 0, "{after:?}");
+            assert!(after.served >= before.served, "{before:?} {after:?}");
+            assert!(after.attempts <= before.attempts, "{before:?} {after:?}");
+        }
+    }
+}
--- a/crates/berylwheel-router/src/calls/request_guard.rs
+++ b/crates/berylwheel-router/src/calls/request_guard.rs
@@ -4,6 +4,7 @@
 use async_channel::Sender;
 use berylwheel_route::Outcome;
 use berylwheel_types::Code;
+use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
 use berylwheel_types::Tokens;
@@ -63,6 +64,15 @@
         self.request_placement(|reply| Command::Retry(self.request.clone(), outcome, reply)).await
     }
 
+    /// Returns the time until a server may accept the request, if all of them have asked for a
+    /// pause.
+    pub async fn pause_delay(&self) -> Option<Millis> {
+        let (reply, delay) = async_channel::bounded(1);
+        let command = Command::PauseDelay(self.request.clone(), reply);
+        self.events.send(Event::Command(command)).await.ok()?;
+        delay.recv().await.ok().flatten()
+    }
+
     /// Queues the request again after it was preempted, and waits until it is restarted.
     ///
     /// # Errors
--- a/crates/berylwheel-router/src/control/command.rs
+++ b/crates/berylwheel-router/src/control/command.rs
@@ -12,6 +12,7 @@
 use berylwheel_types::BudgetId;
 use berylwheel_types::ByteSize;
 use berylwheel_types::KindId;
+use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
@@ -100,6 +101,9 @@
     Retry(RequestId, Outcome, Sender<PlacementResult>),
     /// The request was preempted at the engine by more urgent work; asks to be queued again.
     Requeue(RequestId, Sender<PlacementResult>),
+    /// Asks for the time until a server may accept the request, if all of them have asked for a
+    /// pause.
+    PauseDelay(RequestId, Sender<Option<Millis>>),
     /// The request has ended.
     Finish(Finish),
 }
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -202,6 +202,7 @@
         }
         self.drive_fleet(now);
         self.refuse_and_preempt(now);
+        self.refuse_paused(now);
         self.drive_holder(now);
         self.start_queued(now);
         for server in self.balancer.due_probes(now) {
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -67,6 +67,10 @@
             Command::FirstToken(request) => self.scheduler.record_first_token(now, &request),
             Command::Retry(request, outcome, reply) => self.retry(now, &request, outcome, reply),
             Command::Requeue(request, reply) => self.requeue(now, &request, reply),
+            Command::PauseDelay(request, reply) => {
+                // Nobody receives this if the caller has disconnected.
+                let _ = reply.try_send(self.pause_delay(now, &request));
+            }
             Command::Finish(finish) => self.finish(now, &finish),
         }
     }
@@ -159,6 +163,10 @@
 
     /// Submits a request whose tokens are reserved to the scheduler.
     pub fn enqueue(&mut self, now: Timestamp, request: &RequestId) {
+        if let Some(refusal) = self.pause_refusal(now, request) {
+            self.refuse(request, refusal);
+            return;
+        }
         let Some(state) = self.requests.get_mut(request) else { return };
         state.stage = Stage::Queued;
         let admit = &state.admit;
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -6,9 +6,11 @@
 use berylwheel_http::SendOptions;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
+use berylwheel_route::PauseRequest;
 use berylwheel_route::ServerSignal;
 use berylwheel_settings::Repeat;
 use berylwheel_types::BackendId;
+use berylwheel_types::ExecutionState;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use http::Request;
@@ -115,7 +117,10 @@
         if let Some(load) = decoded.load {
             self.report_load(&server.id, load);
         }
-        if let Some(signal) = response_signal(call.id.as_str(), &decoded, server.address, now) {
+        let status = head.status.as_u16();
+        if let Some(signal) =
+            response_signal(call.id.as_str(), status, &decoded, server.address, now)
+        {
             self.report_signal(&server.id, signal);
         }
         let class = classify_response(call.id.as_str(), head.status.as_u16(), &decoded);
@@ -164,15 +169,21 @@
         );
         let refusal = failure.refusal(retry_state.maybe_ran, RETRY_AFTER);
         if self.clock.now() >= call.deadline || !may_retry(&call.kind, &failure, retry_state.sent) {
-            return Err(refusal);
+            return Err(with_pause(guard, refusal).await);
         }
         self.metrics.count_retry(&call.kind.id);
-        guard.retry(outcome).await.map_err(|_| refusal)
+        match guard.retry(outcome).await {
+            Ok(next) => Ok(next),
+            Err(_) => Err(with_pause(guard, refusal).await),
+        }
     }
 
     /// Reports what a server said about itself. The report precedes the requests of callers that
     /// have received the response.
     fn report_signal(&self, server: &BackendId, signal: ServerSignal) {
+        if signal.pause != PauseRequest::None {
+            self.metrics.count_signal("pause");
+        }
         if signal.leaving {
             self.metrics.count_signal("leaving");
             self.upstream.close_idle(signal.address);
@@ -199,6 +210,18 @@
     }
 }
 
+/// Sets the retry delay of a request that did not run to the end of its servers' pause, if all of
+/// them have asked for one.
+async fn with_pause(guard: &RequestGuard, refusal: Refusal) -> Refusal {
+    if refusal.ran != ExecutionState::NotRun {
+        return refusal;
+    }
+    match guard.pause_delay().await {
+        Some(delay) => refusal.retry_after(delay),
+        None => refusal,
+    }
+}
+
 fn single_run_idle(call: &Call) -> Millis {
     match call.kind.repeat {
         Repeat::Once | Repeat::Never if call.prompt_tokens.0 == 0 => Millis(0),
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -5,6 +5,7 @@
 
 use berylwheel_http::UpstreamClient;
 use berylwheel_route::ListedServer;
+use berylwheel_route::PauseRequest;
 use berylwheel_settings::Settings;
 use berylwheel_store::Store;
 use berylwheel_types::BackendId;
@@ -87,6 +88,8 @@
     pub close: bool,
     /// Whether the server states that it is leaving.
     pub leaving: bool,
+    /// The delay before the next request that the server asks for.
+    pub pause: PauseRequest,
 }
 
 /// A version of the operator's configuration.
--- a/crates/berylwheel-router/src/forward/signal.rs
+++ b/crates/berylwheel-router/src/forward/signal.rs
@@ -8,6 +8,9 @@
 
 use super::platform::ResponseHeaders;
 
+/// Status of a response whose delay applies to all requests to the server.
+const UNAVAILABLE: u16 = 503;
+
 /// Returns what a server says about itself in its response to the request `id`, which was sent to
 /// `address` at `sent_at`. Returns `None` if it says nothing or if the response belongs to another
 /// request.
@@ -18,11 +21,12 @@
 /// let (address, sent_at) = ("127.0.0.1:9000".parse().unwrap(), Timestamp::from_millis(0));
 /// let id = Some("a".to_owned());
 /// let headers = ResponseHeaders { id, leaving: true, ..ResponseHeaders::default() };
-/// assert!(response_signal("a", &headers, address, sent_at).unwrap().leaving);
-/// assert_eq!(response_signal("b", &headers, address, sent_at), None);
+/// assert!(response_signal("a", 200, &headers, address, sent_at).unwrap().leaving);
+/// assert_eq!(response_signal("b", 200, &headers, address, sent_at), None);
 /// ```
 pub fn response_signal(
     id: &str,
+    status: u16,
     headers: &ResponseHeaders,
     address: SocketAddr,
     sent_at: Timestamp,
@@ -30,6 +34,8 @@
     if headers.id.as_deref() != Some(id) {
         return None;
     }
-    let pause = PauseRequest::None;
-    headers.leaving.then_some(ServerSignal { address, sent_at, leaving: true, pause })
+    let pause = if status == UNAVAILABLE { headers.pause } else { PauseRequest::None };
+    let leaving = headers.leaving;
+    let is_silent = !leaving && pause == PauseRequest::None;
+    (!is_silent).then_some(ServerSignal { address, sent_at, leaving, pause })
 }
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -69,7 +69,7 @@
             .try_send();
     }
 
-    /// Counts a response in which a server said that it leaves.
+    /// Counts a response in which a server said that it leaves or wants a pause.
     pub fn count_signal(&self, cause: &str) {
         let _ = self.client.incr_with_tags("server_signals").with_tag("cause", cause).try_send();
     }
--- a/crates/berylwheel-router/tests/signal.rs
+++ b/crates/berylwheel-router/tests/signal.rs
@@ -1,20 +1,29 @@
 //! What servers say about themselves in the heads of their responses.
 
+use berylwheel_route::PauseRequest;
 use berylwheel_router::ResponseHeaders;
 use berylwheel_router::response_signal;
+use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 
-/// Guards against taking a notice from a response to another request.
+/// Guards against overlooking a notice because of the status, and against taking one from a
+/// response to another request.
 #[test]
-fn signals_are_taken_from_responses_to_the_request() {
+fn signals_are_taken_from_any_response_to_the_request() {
     let (address, sent_at) = ("127.0.0.1:9000".parse().unwrap(), Timestamp::from_millis(5));
-    let signal = |id: Option<&str>, leaving| {
+    let signal = |id: Option<&str>, status, leaving, pause| {
         let id = id.map(str::to_owned);
-        let headers = ResponseHeaders { id, leaving, ..ResponseHeaders::default() };
-        response_signal("a", &headers, address, sent_at)
+        let headers = ResponseHeaders { id, leaving, pause, ..ResponseHeaders::default() };
+        response_signal("a", status, &headers, address, sent_at)
     };
-    assert!(signal(Some("a"), true).unwrap().leaving);
-    assert_eq!(signal(Some("b"), true), None, "another request");
-    assert_eq!(signal(None, true), None, "no id");
-    assert_eq!(signal(Some("a"), false), None);
+    let wait = PauseRequest::Wait(Millis(100));
+    for status in [200, 204, 400, 404, 421, 429, 500, 503, 504] {
+        let found = signal(Some("a"), status, true, wait).unwrap();
+        assert!(found.leaving, "{status}");
+        let expected = if status == 503 { wait } else { PauseRequest::None };
+        assert_eq!(found.pause, expected, "{status}");
+        assert_eq!(signal(Some("b"), status, true, wait), None, "{status}: another request");
+        assert_eq!(signal(None, status, true, wait), None, "{status}: no id");
+        assert_eq!(signal(Some("a"), status, false, PauseRequest::None), None, "{status}");
+    }
 }
--- a/crates/berylwheel-schedule/src/scheduler.rs
+++ b/crates/berylwheel-schedule/src/scheduler.rs
@@ -343,6 +343,18 @@
         self.kinds.get_mut(kind).is_some_and(Kind::take_retry)
     }
 
+    /// Returns the mean time that requests of `kind` take at a server, or zero if it is unknown.
+    ///
+    /// ```
+    /// use berylwheel_schedule::{SchedulePolicy, Scheduler};
+    /// use berylwheel_types::Millis;
+    /// let scheduler = Scheduler::new(SchedulePolicy::default());
+    /// assert_eq!(scheduler.service_time(&"chat".parse().unwrap()), Millis(0));
+    /// ```
+    pub fn service_time(&self, kind: &KindId) -> Millis {
+        Millis(self.kinds.get(kind).map_or(0, |kind| kind.service_time() as u64))
+    }
+
     /// Returns the cumulative totals to send in heartbeats: the 16 pairs of workspace and rank that
     /// received the most tokens recently.
     pub fn served_totals(&self) -> Vec<ServedTokens> {
