--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -1,9 +1,10 @@
-//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets
-//! and servers that shut down.
+//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets,
+//! servers that shut down and servers that ask for a pause.
 //!
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
 //! the random number generator is seeded.
 
+mod availability;
 mod cache;
 mod choice;
 mod dump;
@@ -14,9 +15,13 @@
 mod policy;
 mod server;
 mod server_list;
+mod standing;
 mod state;
 mod subset;
 
+pub use availability::Availability;
+pub use availability::WaitDecision;
+pub use availability::decide_wait;
 pub use dump::RouteDump;
 pub use dump::ServerDump;
 pub use load_balancer::LoadBalancer;
@@ -31,4 +36,9 @@
 pub use server_list::ServerList;
 pub use server_list::ServerListEvent;
 pub use server_list::ServerStatus;
+pub use standing::LeavingSource;
+pub use standing::PauseNote;
+pub use standing::PauseRequest;
+pub use standing::ServerSignal;
+pub use standing::SignalEffect;
 pub use subset::subset_of;
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -6,8 +6,11 @@
 use berylwheel_http::SendOptions;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
+use berylwheel_route::PauseRequest;
+use berylwheel_route::ServerSignal;
 use berylwheel_settings::Repeat;
 use berylwheel_types::BackendId;
+use berylwheel_types::ExecutionState;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use http::Request;
@@ -28,6 +31,7 @@
 use super::platform::ForwardedRequest;
 use super::platform::ReportedLoad;
 use super::platform::ResponseHeaders;
+use super::signal::response_signal;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
 use crate::control::event::Event;
@@ -116,6 +120,10 @@
             self.report_load(&server.id, load);
         }
         let (status, reused) = (head.status.as_u16(), connection.is_reused());
+        let signal = response_signal(call.id.as_str(), status, &decoded, server.address, now);
+        if let Some(signal) = signal {
+            self.report_signal(&server.id, signal);
+        }
         let class = classify_response(call.id.as_str(), status, &decoded, reused);
         let response = ServerResponse { head, decoded, class, body, connection };
         match class {
@@ -169,10 +177,26 @@
         );
         let refusal = failure.refusal(retry_state.maybe_ran, RETRY_AFTER);
         if self.clock.now() >= call.deadline || !may_retry(&call.kind, &failure, retry_state.sent) {
-            return Err(refusal);
+            return Err(with_pause(guard, refusal).await);
         }
         self.metrics.count_retry(&call.kind.id);
-        guard.retry(outcome).await.map_err(|_| refusal)
+        match guard.retry(outcome).await {
+            Ok(next) => Ok(next),
+            Err(_) => Err(with_pause(guard, refusal).await),
+        }
+    }
+
+    /// Reports what a server said about itself. The report precedes the requests of callers that
+    /// have received the response.
+    fn report_signal(&self, server: &BackendId, signal: ServerSignal) {
+        if signal.pause != PauseRequest::None {
+            self.metrics.count_signal("pause");
+        }
+        if signal.leaving {
+            self.metrics.count_signal("leaving");
+            self.upstream.close_idle(signal.address);
+        }
+        self.send_event(Event::ServerSignal(server.clone(), signal));
     }
 
     fn report_load(&self, server: &BackendId, load: ReportedLoad) {
@@ -194,6 +218,18 @@
     }
 }
 
+/// Sets the retry delay of a request that did not run to the end of its servers' pause, if all of
+/// them have asked for one.
+async fn with_pause(guard: &RequestGuard, refusal: Refusal) -> Refusal {
+    if refusal.ran != ExecutionState::NotRun {
+        return refusal;
+    }
+    match guard.pause_delay().await {
+        Some(delay) => refusal.retry_after(delay),
+        None => refusal,
+    }
+}
+
 fn single_run_idle(call: &Call) -> Millis {
     match call.kind.repeat {
         Repeat::Once | Repeat::Never if call.prompt_tokens.0 == 0 => Millis(0),
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -36,6 +36,7 @@
 pub use forward::is_repeatable;
 pub use forward::may_pass_on;
 pub use forward::may_retry;
+pub use forward::response_signal;
 pub use forward::silence_limit;
 pub use operate::change::ChangeRequest;
 pub use operate::change::ConfigStore;
