Keep time for a refusal before the deadline, and count what is read out on the link

- A silent server was awaited until the very deadline of its caller, so that the refusal came when the caller had gone.
A tenth of the time, 60 ms at most, is kept for the refusal now (`wait_time`).
- What is read out of a closing connection was not counted as traffic of the link, and the rest of a large request that is refused because the link is full was pulled over it.
It is counted, and such a request is left unread, as before the reading out.

Test: the example of `wait_time`; the tests of platform, http and router pass.

--- a/crates/berylwheel-http/src/forward/exchange.rs
+++ b/crates/berylwheel-http/src/forward/exchange.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -15,6 +16,11 @@
 
 use super::server::ResponseBody;
 
+/// Marks a response, as an extension, whose request is not to be read to its end: its connection is
+/// closed as it is, since the link has no room for the rest.
+#[derive(Debug, Clone, Copy)]
+pub struct LeaveUnread;
+
 /// Counts the requests on a caller's connection. Clones share the counts.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ExchangeCounts(Arc<Counts>);
@@ -26,6 +32,7 @@
     answered: AtomicU64,
     /// Number of bytes received since the last request head was read or its response ended.
     received: AtomicU64,
+    leave_unread: AtomicBool,
 }
 
 impl ExchangeCounts {
@@ -50,6 +57,15 @@
         self.0.received.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the rest of the last request is to be left unread.
+    pub(crate) fn leaves_unread(&self) -> bool {
+        self.0.leave_unread.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave_unread(&self) {
+        self.0.leave_unread.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn record_received(&self, bytes: u64) {
         self.0.received.fetch_add(bytes, Ordering::Relaxed);
     }
--- a/crates/berylwheel-http/src/forward/mod.rs
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -19,6 +19,7 @@
 pub use collect::collect_body;
 pub use events::EventSplitter;
 pub use events::ServerEvent;
+pub use exchange::LeaveUnread;
 pub use idle_limit::IdleLimit;
 pub use idle_limit::IdleSchedule;
 pub use local_timeout::local_timeout;
--- a/crates/berylwheel-http/src/forward/server.rs
+++ b/crates/berylwheel-http/src/forward/server.rs
@@ -35,6 +35,7 @@
 
 use super::exchange::CountedBody;
 use super::exchange::ExchangeCounts;
+use super::exchange::LeaveUnread;
 use super::socket::CallerSocket;
 use super::socket::discard_rest;
 use super::traffic::Traffic;
@@ -235,17 +236,20 @@
     let counts = ExchangeCounts::default();
     let stream = Arc::new(stream);
     let head_limit = limits().head.0 as usize;
-    let socket = CallerSocket::new(stream.clone(), counts.clone(), limits, traffic)?;
+    let socket = CallerSocket::new(stream.clone(), counts.clone(), limits, traffic.clone())?;
     let started_counts = counts.clone();
     let service = service_fn(move |request| {
         let active_request = started_counts.start();
         let response_future = (access == Access::Served).then(|| handler(request));
-        let shutdown = shutdown.clone();
+        let (shutdown, started_counts) = (shutdown.clone(), started_counts.clone());
         async move {
             let mut response = match response_future {
                 Some(response_future) => response_future.await,
                 None => too_many_connections(),
             };
+            if response.extensions().get::<LeaveUnread>().is_some() {
+                started_counts.leave_unread();
+            }
             if shutdown.is_closed() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -271,7 +275,9 @@
         }
     };
     log_unanswered(&counts, cause, result.as_ref().err());
-    discard_rest(&stream).await;
+    if !counts.leaves_unread() {
+        discard_rest(&stream, &traffic).await;
+    }
     result.map_err(io::Error::other)
 }
 
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -342,7 +342,7 @@
 /// Shuts a connection down, and reads and drops what the caller still sends until it closes the
 /// connection as well. Closing a connection with unread bytes resets it, and the caller may
 /// then lose the response.
-pub(crate) async fn discard_rest(stream: &Async<TcpStream>) {
+pub(crate) async fn discard_rest(stream: &Async<TcpStream>, traffic: &Traffic) {
     if let Err(error) = stream.get_ref().shutdown(Shutdown::Write) {
         log::trace!(error:% = error; "caller connection was closed already");
         return;
@@ -353,7 +353,10 @@
         while left > 0 {
             match stream.read_with(|mut stream| stream.read(&mut bytes)).await {
                 Ok(0) => return,
-                Ok(count) => left = left.saturating_sub(count),
+                Ok(count) => {
+                    traffic.record_received(count as u64);
+                    left = left.saturating_sub(count);
+                }
                 Err(error) => {
                     log::trace!(error:% = error; "caller connection closed while it was read out");
                     return;
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -31,6 +31,7 @@
 pub use forward::EventSplitter;
 pub use forward::IdleLimit;
 pub use forward::IdleSchedule;
+pub use forward::LeaveUnread;
 pub use forward::ListenerState;
 pub use forward::PooledConnection;
 pub use forward::ResponseBody;
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -1,6 +1,7 @@
 //! Receives, authorizes and prepares a caller's request for admission.
 
 use async_io::Timer;
+use berylwheel_http::LeaveUnread;
 use berylwheel_http::ResponseBody;
 use berylwheel_http::local_timeout;
 use berylwheel_route::RouteQuery;
@@ -99,7 +100,11 @@
                     request = id.as_str(), code = refusal.code.number(),
                     ran = refusal.ran.name(), ms; "refused: {}", refusal.detail
                 );
-                refusal_response(self.platform.as_ref(), &refusal, id.as_str())
+                let mut response = refusal_response(self.platform.as_ref(), &refusal, id.as_str());
+                if refusal.code == Code::LinkFull {
+                    response.extensions_mut().insert(LeaveUnread);
+                }
+                response
             }
         };
         if self.link.is_full(self.clock.now()) {
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -42,5 +42,6 @@
 pub use signal::response_signal;
 pub use silence::Awaited;
 pub use silence::silence_limit;
+pub use silence::wait_time;
 pub use usage::SocketTraffic;
 pub(crate) use usage::report_usage;
--- a/crates/berylwheel-router/src/forward/silence.rs
+++ b/crates/berylwheel-router/src/forward/silence.rs
@@ -31,6 +31,11 @@
 /// Minimum time that a server has for a whole response.
 const MIN_RESPONSE_TIME: Millis = Millis(250);
 
+/// Part of a caller's time that is kept for a refusal to reach it before its deadline.
+const ANSWER_SHARE: u64 = 10;
+/// Maximum time kept for a refusal to reach the caller.
+const MAX_ANSWER_TIME: Millis = Millis(60);
+
 /// What is awaited from a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Awaited {
@@ -62,6 +67,19 @@
     }
 }
 
+/// Returns how long to wait for a server if the caller waits for `left`. The rest is kept for a
+/// refusal to reach the caller before its deadline.
+///
+/// ```
+/// use berylwheel_router::wait_time;
+/// use berylwheel_types::Millis;
+/// assert_eq!(wait_time(Millis(300)), Millis(270));
+/// assert_eq!(wait_time(Millis(4_000)), Millis(3_940));
+/// ```
+pub fn wait_time(left: Millis) -> Millis {
+    Millis(left.0 - (left.0 / ANSWER_SHARE).min(MAX_ANSWER_TIME.0))
+}
+
 /// Returns whether a request of this kind may be moved to another server when it has been sent to
 /// `sent` servers, including the present one.
 pub(crate) fn may_move(kind: &KindSettings, sent: u32) -> bool {
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -32,6 +32,7 @@
 use super::resumed::is_comment;
 use super::silence::AttemptResult;
 use super::silence::Awaited;
+use super::silence::wait_time;
 use super::whole::buffered_response;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
@@ -71,8 +72,8 @@
         let stream = loop {
             // Nothing is billed before the first event is relayed. A caller that received nothing
             // sends the request again and would be billed twice.
-            let time_left = call.time_left(self.clock.now());
-            let opening = self.open_with_timeout(&call, &placement, None, time_left);
+            let timeout = wait_time(call.time_left(self.clock.now()));
+            let opening = self.open_with_timeout(&call, &placement, None, timeout);
             let opened = self
                 .await_attempt(&call, &guard, &mut retry_state, Awaited::FirstEvent, opening)
                 .await;
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -21,6 +21,7 @@
 use super::response_body::buffer_body;
 use super::silence::AttemptResult;
 use super::silence::Awaited;
+use super::silence::wait_time;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
@@ -87,7 +88,7 @@
         placement: &Placement,
     ) -> Result<(Parts, Bytes, ResponseClass), AttemptFailure> {
         let started = self.clock.now();
-        let timeout = call.time_left(started);
+        let timeout = wait_time(call.time_left(started));
         let mut response = self.send_attempt(call, placement, None, timeout).await?;
         let remaining = Millis(timeout.0.saturating_sub(self.clock.now().since(started).0));
         let buffered = buffer_body(&mut response.body, &self.response_memory);
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -38,6 +38,7 @@
 pub use forward::may_retry;
 pub use forward::response_signal;
 pub use forward::silence_limit;
+pub use forward::wait_time;
 pub use operate::change::ChangeRequest;
 pub use operate::change::ConfigStore;
 pub use operate::change::EditRequest;
