--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -226,6 +226,8 @@
     let router = fleet.router(0);
     let stream = thread::spawn(move || try_send(router, chat_request(100, true, None)));
     wait_request_count(&fleet, 0, 1);
+    // The stream runs for two seconds. A request that waits for its tokens would be refused.
+    thread::sleep(Duration::from_millis(700));
     for _ in 0..3 {
         fleet.routers[0].signal("TERM");
         thread::sleep(Duration::from_millis(100));
