Bring each accepted configuration into force, whatever values it holds

A router that started anew was never ready.

Cause: the adapter turned the configuration into settings text and parsed it as strictly as a file that a person writes. One error, here the rule that no deadline is above request_limit, and nothing of the version took effect, the removal of keys included. Nobody can say no to a version any more that the platform has accepted.

Ruled out: a version that is read and lost on its way; the only trace is the line with the rule's text, and the table of the new test fails for each kind of value, not for timeouts only.

Change: Settings::adopt takes what can be served and repairs the rest one value at a time; files and changes through the product's own interface are checked as before. request_limit no longer binds the deadlines of forwarded kinds, which it never limited when they were served. The adapter reads each field by itself and escapes names. A line for each value that is not served as written, gauges of the version in force and the newest one read, counters, and the state in the dump.

Three tests had asked for the fault, that one odd value rejects the whole version: odd_configurations_are_rejected and invalid_configuration_is_rejected (decode.rs) and odd_configuration_leaves_the_one_in_force (odd_entries.rs). They are replaced by tests of the same values that check that nothing but their own entry changes, that the version comes into force, and that what is no configuration at all still leaves the one before. A server entry whose service has a blank in its name is no longer odd, since a configuration may name it so.

--- a/crates/berylwheel-config/src/paths.rs
+++ b/crates/berylwheel-config/src/paths.rs
@@ -16,6 +16,7 @@
 /// assert_eq!(table.find("h.example", "/a/b/c").unwrap().as_str(), "b");
 /// assert_eq!(table.find("H.example:80", "/a/c").unwrap().as_str(), "a");
 /// assert_eq!(table.find("h.example", "/b"), None);
+/// assert_eq!(table.find("[::1]", "/b"), None);
 /// ```
 #[derive(Debug, Default)]
 pub struct PathTable {
@@ -29,7 +30,7 @@
         let mut hosts: FastMap<String, Vec<(String, KindId)>> = FastMap::default();
         for kind in settings.kinds() {
             if let (Some(host), Some(path)) = (&kind.host, &kind.path) {
-                let paths = hosts.entry(host.to_ascii_lowercase()).or_default();
+                let paths = hosts.entry(without_port(host).to_ascii_lowercase()).or_default();
                 paths.push((path.clone(), kind.id.clone()));
             }
         }
@@ -42,7 +43,7 @@
     /// Returns the kind with the longest configured path that is a prefix of `path`. The host is
     /// compared without its port and without regard to case.
     pub fn find(&self, host: &str, path: &str) -> Option<&KindId> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = without_port(host);
         let paths = match self.hosts.get(host) {
             Some(paths) => paths,
             None => self.hosts.get(&host.to_ascii_lowercase())?,
@@ -50,3 +51,11 @@
         paths.iter().find(|(prefix, _)| path.starts_with(prefix.as_str())).map(|(_, kind)| kind)
     }
 }
+
+/// Returns the host without its port. The colons of an IPv6 address are within brackets.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -6,7 +6,6 @@
 use berylwheel_budget::HolderPolicy;
 use berylwheel_config::AccessTable;
 use berylwheel_config::PathTable;
-use berylwheel_config::Root;
 use berylwheel_route::ListChange;
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::Server;
@@ -28,7 +27,6 @@
 use crate::control::core::Control;
 use crate::control::snapshot::Serving;
 use crate::control::snapshot::Snapshot;
-use crate::forward::OperatorConfig;
 
 /// Default time for which a holding of tokens remains valid without the store.
 const DEFAULT_HOLDING_TIME: Millis = Millis(10_000);
@@ -75,6 +73,7 @@
         }
         self.holder.set_totals(now, version, configured_totals(&settings));
         log::info!(version = version.0; "configuration in force");
+        self.effects.metrics.record_version(version);
         self.version = version;
         self.settings = Some(settings);
         self.publish_snapshot();
@@ -105,16 +104,6 @@
         self.scheduler.set_policy(policy);
     }
 
-    /// Applies a configuration that the operator keeps in the platform's store.
-    pub(super) fn apply_external_config(&mut self, now: Timestamp, config: OperatorConfig) {
-        let OperatorConfig { version, settings } = config;
-        match Root::from_external(version, &settings) {
-            Ok((root, parts)) => self.fleet.config.apply_external(now, root, parts, settings),
-            Err(error) => log::error!(version = version.0; "configuration rejected: {error}"),
-        }
-        self.drive_config(now);
-    }
-
     pub(super) fn apply_server_event(&mut self, now: Timestamp, event: ServerListEvent) {
         if matches!(event, ServerListEvent::All(_)) {
             self.balancer.clear_notices();
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -38,6 +38,7 @@
 use crate::control::event::Event;
 use crate::control::event::Vm;
 use crate::control::event::VmState;
+use crate::control::external::ExternalConfig;
 use crate::control::requests::RequestState;
 use crate::control::requests::Stage;
 use crate::control::snapshot::RECONNECT_DELAY;
@@ -75,6 +76,7 @@
     pub(super) router_settings: RouterSettings,
     pub(super) schedule_policy: SchedulePolicy,
     pub(super) settings: Option<Settings>,
+    pub(super) external_config: ExternalConfig,
     pub(super) version: Version,
     /// Start of this run. Any earlier run with the same addresses had ended by then, since they
     /// could be bound again.
@@ -114,6 +116,7 @@
             router_settings,
             schedule_policy: SchedulePolicy::default(),
             settings: None,
+            external_config: ExternalConfig::default(),
             version: Version::default(),
             started_at: clock.now(),
             pruned_at: clock.now(),
@@ -194,6 +197,9 @@
             Event::RegistryRead(routers) => self.apply_registry(now, routers),
             Event::RouterRegistered => self.schedule_registry_read(now),
             Event::ExternalConfigRead(config) => self.apply_external_config(now, *config),
+            Event::ExternalConfigUnreadable(revision) => {
+                self.handle_unreadable_config(now, revision);
+            }
             Event::ServerListEvent(event) => self.apply_server_event(now, event),
             Event::IdentityIssued(identity) => self.fleet.open_link(identity, &self.effects),
             Event::RunEnded(run) => self.record_ended_run(now, run),
@@ -230,6 +236,7 @@
     /// Runs the work that is triggered by time alone, which keeps it out of the handling of events.
     fn tick(&mut self, now: Timestamp) {
         self.expire_claims(now);
+        self.report_external_config(now);
         if now.since(self.pruned_at) >= PRUNE_INTERVAL {
             self.pruned_at = now;
             self.claims.prune(now);
@@ -333,6 +340,7 @@
         json!({
             "router": self.incarnation,
             "version": self.version,
+            "external_config": self.external_config,
             "draining": self.draining,
             "requests": self.requests.len(),
             "claims": self.claims.len(),
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -31,6 +31,7 @@
 use serde_json::Value;
 
 use crate::control::event::Event;
+use crate::metrics::Metrics;
 
 /// Timeout of reads of load reports, cache events and the VM list.
 const REPORT_TIMEOUT: Millis = Millis(1_000);
@@ -54,6 +55,7 @@
     pub events: Sender<Event>,
     /// Clock that timestamps load reports.
     pub clock: Clock,
+    pub metrics: Metrics,
     /// Traffic of the link to the other routers.
     pub peer_traffic: Traffic,
 }
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -98,6 +98,8 @@
     RouterRegistered,
     /// The operator's configuration was read from the platform's store.
     ExternalConfigRead(Box<OperatorConfig>),
+    /// The operator's configuration cannot be decoded. Contains the revision of its store entry.
+    ExternalConfigUnreadable(u64),
     /// The platform's list of backend servers was read or has changed.
     ServerListEvent(ServerListEvent),
     /// The certificates for the link to the other routers are available.
--- a/crates/berylwheel-router/src/control/mod.rs
+++ b/crates/berylwheel-router/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod core;
 pub(crate) mod effects;
 pub(crate) mod event;
+mod external;
 mod holder;
 pub(crate) mod quarantine;
 pub(crate) mod requests;
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -229,7 +229,7 @@
     let Authorized { kind, rank, workspace, budget } = authorized;
     let pool = choose_pool(&kind, &id);
     let pool =
-        pool.ok_or_else(|| Refusal::not_run(Code::NoBackend, "the kind of work has no pool"))?;
+        pool.ok_or_else(|| Refusal::not_run(Code::NoBackend, "no pool serves the kind of work"))?;
     let event_tokens = settings.pool(&pool).map_or(1, |pool| u64::from(pool.event_tokens));
     let timeout = decoded.timeout.map_or(kind.deadline, |timeout| timeout.min(kind.deadline));
     let deadline = arrived_at + timeout;
@@ -309,17 +309,17 @@
 }
 
 /// Chooses a pool of the kind by weight. The choice is a hash of the request id, so that every
-/// attempt with the same id goes to the same pool.
+/// attempt with the same id goes to the same pool. Returns `None` if no pool has a weight above 0.
 fn choose_pool(kind: &KindSettings, id: &RequestId) -> Option<KindId> {
     let total: u64 = kind.pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
-    let mut draw = stable_hash(&["pool", id.as_str()]) % total.max(1);
+    let mut draw = stable_hash(&["pool", id.as_str()]).checked_rem(total)?;
     for (pool, weight) in &kind.pools {
         if draw < u64::from(*weight) {
             return Some(pool.clone());
         }
         draw -= u64::from(*weight);
     }
-    kind.pools.first().map(|(pool, _)| pool.clone())
+    None
 }
 
 /// Returns the prompt parts that other requests can share, each once and in ascending order.
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -101,6 +101,8 @@
     pub version: Version,
     /// Settings in the configuration.
     pub settings: Settings,
+    /// What the configuration says that the settings do not, one text each.
+    pub repairs: Vec<String>,
 }
 
 /// The platform that the router runs on. Implementations only decode and encode; all decisions are
@@ -112,10 +114,11 @@
     /// Returns the store key of the operator's configuration.
     fn configuration_key(&self) -> &str;
 
-    /// Decodes the operator's configuration.
+    /// Decodes the operator's configuration. The platform has accepted it, so what can be served of
+    /// it is in the result, whatever else it says.
     ///
     /// # Errors
-    /// Fails with a description if the configuration is invalid.
+    /// Fails with a description if the value is no configuration at all.
     fn decode_configuration(&self, value: &[u8]) -> Result<OperatorConfig, String>;
 
     /// Returns the prefix of the store keys under which backend servers register.
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -141,7 +141,8 @@
         }
         Err(error) => {
             let error = shorten(&error);
-            log::error!(revision = entry.revision; "invalid configuration ignored: {error}")
+            log::error!(revision = entry.revision; "configuration not in force: {error}");
+            effects.send(Event::ExternalConfigUnreadable(entry.revision)).await;
         }
     }
 }
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -8,8 +8,10 @@
 use berylwheel_types::Code;
 use berylwheel_types::KindId;
 use berylwheel_types::Millis;
+use berylwheel_types::Version;
 use cadence::Counted;
 use cadence::CountedExt;
+use cadence::Gauged;
 use cadence::NopMetricSink;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
@@ -79,6 +81,26 @@
         let _ = self.client.incr_with_tags("broken_attempts").with_tag("answer", answer).try_send();
     }
 
+    /// Records the version of the configuration in force.
+    pub fn record_version(&self, version: Version) {
+        let _ = self.client.gauge_with_tags("configuration_in_force", version.0).try_send();
+    }
+
+    /// Records the newest version of the configuration that was read from the platform's store.
+    pub fn record_newest_version(&self, version: Version) {
+        let _ = self.client.gauge_with_tags("configuration_newest", version.0).try_send();
+    }
+
+    /// Counts values of an accepted configuration that are not served as they are written.
+    pub fn count_repairs(&self, repairs: usize) {
+        let _ = self.client.count_with_tags("configuration_repairs", repairs as i64).try_send();
+    }
+
+    /// Counts versions of the configuration that cannot be decoded.
+    pub fn count_unreadable_configuration(&self) {
+        let _ = self.client.incr_with_tags("configuration_unreadable").try_send();
+    }
+
     pub fn count_retry(&self, kind: &KindId) {
         let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
     }
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -194,6 +194,7 @@
         client: client.clone(),
         events: events.clone(),
         clock: clock.clone(),
+        metrics: metrics.clone(),
         peer_traffic: socket_traffic.peers.clone(),
     };
     let (identity, platform) = match mode {
--- a/crates/berylwheel-settings/src/consistency.rs
+++ b/crates/berylwheel-settings/src/consistency.rs
@@ -240,8 +240,8 @@
     }
 }
 
-/// Checks the time limits: a request that may start must be able to finish before a planned stop
-/// ends it.
+/// Checks the time limits of the router's own interface: a request that may start must be able to
+/// finish before a planned stop ends it.
 fn check_time_limits(document: &Document, errors: &mut Vec<SettingError>) {
     let fleet = SectionChain::new(document, vec![SectionName::Fleet]);
     let limit = |key| -> Option<Millis> { fleet.lookup(key)?.0.parse().ok() };
@@ -265,6 +265,10 @@
         errors.push(document.error(&SectionName::Fleet, "request_limit", found, expected));
     }
     for (name, section) in &document.sections {
+        // The deadline of a kind that is forwarded by host and path is its only limit.
+        if document.get(name, "host").is_some() {
+            continue;
+        }
         let deadline = section.entries.get("deadline");
         let deadline = deadline.and_then(|entry| entry.value.parse::<Millis>().ok());
         if let Some(deadline) = deadline.filter(|deadline| *deadline > request) {
--- a/crates/berylwheel-settings/src/lib.rs
+++ b/crates/berylwheel-settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! Parsing, schema, inheritance and validation of the settings.
 
+mod adopt;
 mod check;
 mod consistency;
 mod edit;
@@ -12,6 +13,7 @@
 mod types;
 mod value;
 
+pub use adopt::Adopted;
 pub use edit::Edit;
 pub use error::SettingError;
 pub use error::SettingErrors;
--- a/crates/berylwheel-settings/src/settings.rs
+++ b/crates/berylwheel-settings/src/settings.rs
@@ -9,6 +9,7 @@
 use berylwheel_types::Rank;
 use berylwheel_types::WorkspaceId;
 
+use crate::Adopted;
 use crate::Edit;
 use crate::Effective;
 use crate::FleetSettings;
@@ -24,6 +25,7 @@
 use crate::SettingError;
 use crate::SettingErrors;
 use crate::WorkspaceSettings;
+use crate::adopt;
 use crate::check;
 use crate::consistency;
 use crate::edit;
@@ -79,7 +81,30 @@
         Self::build(document, errors)
     }
 
-    fn build(document: Document, mut errors: Vec<SettingError>) -> Result<Self, SettingErrors> {
+    /// Reads the settings that an accepted configuration stands for. Whatever cannot be used as it
+    /// is written is repaired by itself, so that the rest takes effect: a number out of its bounds
+    /// is set to the nearest one, another invalid value is left out, and so is a section without a
+    /// value that it needs. A caller key that several workspaces have belongs to none of them.
+    ///
+    /// ```
+    /// use berylwheel_settings::Settings;
+    /// let adopted = Settings::adopt("accepted", "[fleet]\nqueue = 99999999\n").unwrap();
+    /// assert_eq!(adopted.settings.to_ini(), "[fleet]\nqueue = 1000000\n");
+    /// assert_eq!(adopted.repairs.len(), 1);
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors that are left if a repair changes nothing.
+    pub fn adopt(file: &str, text: &str) -> Result<Adopted, SettingErrors> {
+        let (document, errors) = raw::parse(file, text);
+        adopt::adopt(document, errors)
+    }
+
+    pub(crate) fn build(
+        document: Document,
+        mut errors: Vec<SettingError>,
+    ) -> Result<Self, SettingErrors> {
         errors.extend(check::check(&document));
         errors.extend(consistency::check(&document));
         if !errors.is_empty() {
--- a/crates/berylwheel-settings/src/value.rs
+++ b/crates/berylwheel-settings/src/value.rs
@@ -1,6 +1,7 @@
 //! Value types and validation of single values.
 
 use std::fmt;
+use std::net::Ipv6Addr;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -135,6 +136,48 @@
     }
 }
 
+impl ValueType {
+    /// Returns the valid value that is closest to `text`, if `text` is a number that may be out of
+    /// bounds. It may be negative, or have any number of digits.
+    ///
+    /// ```
+    /// use berylwheel_settings::ValueType;
+    /// assert_eq!(ValueType::Count(1, 64).nearest("65"), Some("64".to_owned()));
+    /// assert_eq!(ValueType::Duration(1, 5_000).nearest("-2.5ms"), Some("1ms".to_owned()));
+    /// assert_eq!(ValueType::Name.nearest("a b"), None);
+    /// ```
+    pub fn nearest(self, text: &str) -> Option<String> {
+        match self {
+            Self::Count(low, high) => clamp(text, u64::from(low), u64::from(high)),
+            Self::Tokens(low, high) => clamp(text, Tokens(low), Tokens(high)),
+            Self::Duration(low, high) => clamp(text, Millis(low), Millis(high)),
+            Self::Size(low, high) => clamp(text, ByteSize(low), ByteSize(high)),
+            _ => None,
+        }
+    }
+}
+
+/// Number of digits from which a number counts as larger than any bound.
+const LONG_NUMBER_DIGITS: usize = 17;
+
+fn clamp<T: FromStr + PartialOrd + fmt::Display>(text: &str, low: T, high: T) -> Option<String> {
+    let (is_negative, number) = match text.strip_prefix('-') {
+        Some(number) => (true, number),
+        None => (false, text),
+    };
+    let digits = number.bytes().take_while(u8::is_ascii_digit).count();
+    if digits == 0 {
+        return None;
+    }
+    match text.parse::<T>() {
+        _ if is_negative => Some(low.to_string()),
+        Ok(value) if value < low => Some(low.to_string()),
+        Ok(value) if value > high => Some(high.to_string()),
+        Ok(_) => Some(text.to_owned()),
+        Err(_) => (digits >= LONG_NUMBER_DIGITS).then(|| high.to_string()),
+    }
+}
+
 impl fmt::Display for ValueType {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match *self {
@@ -231,8 +274,14 @@
     }
 }
 
+/// Returns whether `text` is the host of a URL without a port: a name, or an IP address, which has
+/// brackets in version 6.
 fn is_host(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.'))
+    if let Some(address) = text.strip_prefix('[').and_then(|text| text.strip_suffix(']')) {
+        return address.parse::<Ipv6Addr>().is_ok();
+    }
+    let is_name_byte = |b: u8| b.is_ascii_alphanumeric() || b"-._~%!$&'()*+,;=".contains(&b);
+    !text.is_empty() && text.bytes().all(is_name_byte)
 }
 
 fn is_url_path(text: &str) -> bool {
