Name how each request ended, and bill whole answers

Cause: the usage of a request began at zero, which is also what a request costs that did not run. Streams set it while their events are relayed; serve_whole never did, and the reservation was released as unused.

Change: how a request ended is a closed set: not run, no result, a known number of tokens, or a result of unknown size. A request that a server may have run and whose path names no end is billed its whole reservation. A whole answer is billed its reservation.

--- a/crates/berylwheel-router/src/calls/at_most_once.rs
+++ b/crates/berylwheel-router/src/calls/at_most_once.rs
@@ -35,6 +35,7 @@
 use crate::calls::service::http_response;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 use crate::control::effects::fetch_json;
 
 /// Longest time that the response is held back until it is recorded. Recording continues in the
@@ -70,7 +71,8 @@
         {
             return Ok(response);
         }
-        let (guard, placement) = self.admit(admit, caller).await?;
+        let (mut guard, placement) = self.admit(admit, caller).await?;
+        guard.set_usage(Usage::NotRun);
         let record = IdempotencyRecord {
             attempt: call.id.clone(),
             owner: self.incarnation.clone(),
@@ -127,7 +129,7 @@
         loop {
             let error = match self.send_call(&recorded.call, &placement, false).await {
                 Ok(response) => {
-                    guard.set_used(price);
+                    guard.set_usage(Usage::Known(price));
                     guard.finish(Outcome::Ok, true);
                     self.record_response(&recorded, response.clone()).await;
                     return Ok(http_response(response));
@@ -140,7 +142,7 @@
             );
             if error.sent {
                 // The service may have executed the call, so it is charged and its record is kept.
-                guard.set_used(price);
+                guard.set_usage(Usage::Known(price));
                 guard.finish(failure_outcome(&error), false);
                 let handler = self.clone();
                 self.executor.spawn(async move { handler.poll_outcome(recorded).await }).detach();
--- a/crates/berylwheel-router/src/calls/engine.rs
+++ b/crates/berylwheel-router/src/calls/engine.rs
@@ -33,6 +33,7 @@
 use crate::calls::request_handler::kind_of_model;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 use crate::control::event::Event;
 
 /// Maximum size of a response that is not streamed, in bytes.
@@ -112,7 +113,8 @@
         };
         let (start_deadline, end_deadline) =
             (admit.deadline, arrived + settings.fleet().request_limit);
-        let (guard, placement) = self.admit(admit, caller).await?;
+        let (mut guard, placement) = self.admit(admit, caller).await?;
+        guard.set_usage(Usage::NoResult);
         let job = ChatJob {
             call,
             chat,
@@ -298,10 +300,10 @@
             };
             match result {
                 Ok((bytes, usage)) => {
-                    guard.set_used(usage);
+                    guard.set_usage(Usage::Known(usage));
                     self.metrics
                         .record_first_token(&job.kind.id, self.clock.now().since(job.call.arrived));
-                    self.metrics.count_billed(&job.kind.id, guard.used().0);
+                    self.metrics.count_billed(&job.kind.id, guard.billed().0);
                     guard.finish(Outcome::Ok, true);
                     let mut response = Response::new(200);
                     response.set_body(bytes);
--- a/crates/berylwheel-router/src/calls/relay.rs
+++ b/crates/berylwheel-router/src/calls/relay.rs
@@ -22,6 +22,7 @@
 use crate::calls::request_guard::RequestGuard;
 use crate::calls::request_handler::RequestHandler;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 
 /// Timeout for sending one event to a caller. A caller that exceeds it counts as disconnected.
 const SEND_TIMEOUT: Millis = Millis(30_000);
@@ -67,7 +68,7 @@
                     break "the stream ended without a usage report".to_owned();
                 }
                 let delivered = send(&sender, encode_event(&data)).await;
-                self.metrics.count_billed(&job.kind.id, guard.used().0);
+                self.metrics.count_billed(&job.kind.id, guard.billed().0);
                 guard.finish(Outcome::Ok, delivered);
                 return;
             }
@@ -80,10 +81,10 @@
                 EventAction::Fail(detail) => break detail.to_owned(),
             }
             let estimate = Tokens(job.chat.prompt_tokens.0 / BYTES_PER_TOKEN + progress.tokens);
-            guard.set_used(progress.usage.unwrap_or(estimate));
+            guard.set_usage(Usage::Known(progress.usage.unwrap_or(estimate)));
             if !send(&sender, encode_event(&data)).await {
                 if let Some(usage) = self.cancel(&placement, &id).await {
-                    guard.set_used(usage);
+                    guard.set_usage(Usage::Known(usage));
                 }
                 log::info!(
                     request = job.call.id.as_str(), tokens = progress.tokens;
--- a/crates/berylwheel-router/src/calls/request_guard.rs
+++ b/crates/berylwheel-router/src/calls/request_guard.rs
@@ -15,18 +15,20 @@
 use crate::control::command::Finish;
 use crate::control::command::Placement;
 use crate::control::command::PlacementResult;
+use crate::control::command::Usage;
 use crate::control::event::Event;
 
 /// An admitted request. Dropping the guard ends the request with its recorded outcome and usage.
 /// The outcome is `Cancelled` unless it was set, so that a disconnected caller or a failed task
-/// releases its reservation and its server capacity.
+/// releases its server capacity. The usage is unknown unless it was set, so that a path that forgets
+/// to do so bills the whole reservation and not nothing.
 #[derive(Debug)]
 pub struct RequestGuard {
     events: Sender<Event>,
     request: RequestId,
     admission: AdmissionNumber,
     reserved: Tokens,
-    used: Tokens,
+    usage: Usage,
     outcome: Outcome,
     delivered: bool,
     answered: bool,
@@ -42,12 +44,12 @@
         admit: AdmitRequest,
     ) -> Result<(Self, Placement), Refusal> {
         let admission = AdmissionNumber::next();
-        let guard = Self {
+        let mut guard = Self {
             events: events.clone(),
             request: admit.request.clone(),
             admission,
             reserved: admit.amount,
-            used: Tokens::ZERO,
+            usage: Usage::NotRun,
             outcome: Outcome::Cancelled,
             delivered: false,
             answered: false,
@@ -55,6 +57,7 @@
         let placement = guard
             .request_placement(|reply| Command::Admit(Box::new(admit), admission, reply))
             .await?;
+        guard.usage = Usage::Unknown;
         Ok((guard, placement))
     }
 
@@ -100,14 +103,14 @@
         let _ = self.events.try_send(Event::Command(Command::FirstToken(self.request.clone())));
     }
 
-    /// Sets the tokens used so far, capped at the reservation.
-    pub fn set_used(&mut self, used: Tokens) {
-        self.used = used.min(self.reserved);
+    /// Sets what is billed if the request ends now.
+    pub fn set_usage(&mut self, usage: Usage) {
+        self.usage = usage;
     }
 
-    /// Returns the tokens used so far.
-    pub fn used(&self) -> Tokens {
-        self.used
+    /// Returns the tokens that are billed if the request ends now.
+    pub fn billed(&self) -> Tokens {
+        self.usage.billed(self.reserved)
     }
 
     /// Sets the outcome of a failed request, which is reported when the guard is dropped.
@@ -142,7 +145,7 @@
         let finish = Finish {
             request: self.request.clone(),
             admission: self.admission,
-            used: self.used,
+            usage: self.usage,
             outcome: self.outcome,
             delivered: self.delivered,
             answered: self.answered,
--- a/crates/berylwheel-router/src/calls/service.rs
+++ b/crates/berylwheel-router/src/calls/service.rs
@@ -22,6 +22,7 @@
 use crate::calls::request_handler::RequestHandler;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 
 /// Maximum size of a response of a plain service, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 1 << 20;
@@ -107,11 +108,12 @@
         let price = admit.amount;
         let repeatable = call.kind.repeat != Repeat::Once;
         let (mut guard, mut placement) = self.admit(admit, caller).await?;
+        guard.set_usage(Usage::NoResult);
         let mut sent = false;
         loop {
             match self.send_call(&call, &placement, repeatable).await {
                 Ok(response) => {
-                    guard.set_used(price);
+                    guard.set_usage(Usage::Known(price));
                     guard.finish(Outcome::Ok, true);
                     return Ok(http_response(response));
                 }
--- a/crates/berylwheel-router/src/control/command.rs
+++ b/crates/berylwheel-router/src/control/command.rs
@@ -79,6 +79,33 @@
 /// The reply to [`Command::Admit`], [`Command::Retry`] and [`Command::Requeue`].
 pub type PlacementResult = Result<Placement, Refusal>;
 
+/// How a request ended, as far as its bill is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Usage {
+    /// No server ran the request.
+    NotRun,
+    /// A server may have run the request, but its caller got no result: an error, an answer that
+    /// was lost before any of it was delivered, or nothing, because it had left. The caller pays for
+    /// a result only, so that it can send the request again.
+    NoResult,
+    /// The caller got a result, or part of one, that used this much.
+    Known(Tokens),
+    /// The caller got a result, and nothing tells how much it used.
+    Unknown,
+}
+
+impl Usage {
+    /// Returns the tokens to bill for a request that has reserved `reserved`, which is the most
+    /// that it may use.
+    pub fn billed(self, reserved: Tokens) -> Tokens {
+        match self {
+            Self::NotRun | Self::NoResult => Tokens::ZERO,
+            Self::Known(used) => used.min(reserved),
+            Self::Unknown => reserved,
+        }
+    }
+}
+
 /// The result of a request that has ended.
 #[derive(Debug, Clone)]
 pub struct Finish {
@@ -86,8 +113,8 @@
     pub request: RequestId,
     /// The admission that ends. Another request with the same id is not affected.
     pub admission: AdmissionNumber,
-    /// Tokens to bill, at most the reservation.
-    pub used: Tokens,
+    /// What is billed.
+    pub usage: Usage,
     /// How the request ended at the backend server. Ignored if the request was not started.
     pub outcome: Outcome,
     /// Whether the whole response was sent to the caller.
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -18,6 +18,7 @@
 use crate::control::command::Finish;
 use crate::control::command::Placement;
 use crate::control::command::PlacementResult;
+use crate::control::command::Usage;
 use crate::control::core::Control;
 use crate::control::quarantine::hold_refusal;
 use crate::control::snapshot::RECONNECT_DELAY;
@@ -342,7 +343,7 @@
         if let Some(reply) = state.reply.take() {
             let _ = reply.try_send(Err(refusal));
         }
-        self.clean_up(now, request, &state, Tokens::ZERO, false);
+        self.clean_up(now, request, &state, Usage::NotRun, false);
     }
 
     fn finish(&mut self, now: Timestamp, finish: &Finish) {
@@ -356,13 +357,14 @@
         }
         log::debug!(
             request = finish.request.as_str(), budget:% = state.admit.budget,
-            kind = state.admit.kind.as_str(), amount = state.admit.amount.0, used = finish.used.0,
+            kind = state.admit.kind.as_str(), amount = state.admit.amount.0,
+            used = finish.usage.billed(state.admit.amount).0, usage:? = finish.usage,
             outcome:? = finish.outcome, delivered = finish.delivered; "request ended"
         );
         if finish.answered {
             self.quarantine.record_answer(now, &state.admit.parts);
         }
-        self.clean_up(now, &finish.request, &state, finish.used, finish.delivered);
+        self.clean_up(now, &finish.request, &state, finish.usage, finish.delivered);
     }
 
     fn clean_up(
@@ -370,9 +372,13 @@
         now: Timestamp,
         request: &RequestId,
         state: &RequestState,
-        used: Tokens,
+        usage: Usage,
         delivered: bool,
     ) {
+        let used = match state.stage {
+            Stage::Running => usage.billed(state.admit.amount),
+            Stage::Claiming(_) | Stage::Reserving | Stage::Queued => Tokens::ZERO,
+        };
         match state.stage {
             Stage::Queued => self.scheduler.cancel(request),
             Stage::Running => self.scheduler.finish(now, request, used),
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -234,7 +234,7 @@
     let timeout = decoded.timeout.map_or(kind.deadline, |timeout| timeout.min(kind.deadline));
     let deadline = arrived_at + timeout;
     let amount = match budget {
-        Some(_) => decoded.prompt_tokens + decoded.max_tokens,
+        Some(_) => decoded.prompt_tokens.saturating_add(decoded.max_tokens),
         None => Tokens::ZERO,
     };
     let payer = workspace.clone().map_or_else(|| OPEN_WORKSPACE.parse(), Ok);
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -31,6 +31,7 @@
 use super::trace::PartList;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 
 /// A response stream that is being relayed. Dropping it closes the connection, so that the server
 /// stops working on the request, and bills the events that were relayed.
@@ -159,7 +160,8 @@
             }
         }
         let tokens = self.event_count * self.call.event_tokens;
-        self.guard.set_used(self.call.prompt_tokens + Tokens(tokens.max(1)));
+        let used = self.call.prompt_tokens.saturating_add(Tokens(tokens.max(1)));
+        self.guard.set_usage(Usage::Known(used));
         Ok(if bytes.is_empty() { first.unwrap_or_default() } else { Bytes::from(bytes) })
     }
 
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -37,6 +37,7 @@
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 
 /// A response stream whose first event has arrived, or its end if it has no further events.
 pub(crate) struct OpenStream {
@@ -67,11 +68,11 @@
         call: Call,
         admit: AdmitRequest,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let (guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
+        let (mut guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
+        // Nothing is billed before the first event is relayed.
+        guard.set_usage(Usage::NoResult);
         let mut retry_state = RetryState::default();
         let stream = loop {
-            // Nothing is billed before the first event is relayed. A caller that received nothing
-            // sends the request again and would be billed twice.
             let timeout = wait_time(call.time_left(self.clock.now()));
             let opening = self.open_with_timeout(&call, &placement, None, timeout);
             let opened = self
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -26,6 +26,7 @@
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
+use crate::control::command::Usage;
 
 impl Forwarder {
     /// Serves a request whose response is buffered as a whole.
@@ -35,6 +36,7 @@
         admit: AdmitRequest,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let (mut guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
+        guard.set_usage(Usage::NoResult);
         let mut retry_state = RetryState::default();
         loop {
             let exchange = self.exchange(&call, &placement);
@@ -71,8 +73,12 @@
                             continue;
                         }
                     }
-                    if class == ResponseClass::Success && has_framing(&head.headers) {
-                        guard.set_answered();
+                    if class == ResponseClass::Success {
+                        // A whole body does not tell how many tokens it took.
+                        guard.set_usage(Usage::Unknown);
+                        if has_framing(&head.headers) {
+                            guard.set_answered();
+                        }
                     }
                     guard.finish(outcome, true);
                     return Ok(buffered_response(head, body));
--- a/crates/berylwheel-types/src/quantity.rs
+++ b/crates/berylwheel-types/src/quantity.rs
@@ -71,6 +71,11 @@
     pub fn saturating_sub(self, other: Self) -> Self {
         Self(self.0.saturating_sub(other.0))
     }
+
+    /// Returns the sum, or the largest number if the sum is larger.
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
 }
 
 impl FromStr for Tokens {
