Refuse a request whose token counts no budget covers

What callers would see: a request that states prompt tokens and 2 more was admitted for the sum, which wraps to 1 in a build without overflow checks; in one with them it ended the control thread, and every later request of the router failed.

Cause: the counts of a caller went into sums without a bound, in the adapter's caller (build_call) and in the sizing of a holding (write.rs:93).

Ruled out: that the sum alone is at fault. With it saturated, the control thread still panicked in write.rs:93 (attempt to multiply with overflow).

Change: a holder refuses a reservation above 10^12 tokens at once with 1201 and keeps nothing of it, so that all sums stay small.

Conclusion: amounts are bounded where they are reserved, so that loans, rates and rows behind it need no checks of their own.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -34,6 +34,9 @@
 use crate::UsageTag;
 use crate::page_of;
 
+/// Largest number of tokens that one request may reserve. It is above any real request, and the sum
+/// of as many as can wait at a router is far below the largest number.
+const MAX_RESERVATION: Tokens = Tokens(1_000_000_000_000);
 /// Maximum number of times that the backoff after write conflicts doubles.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
@@ -204,6 +207,12 @@
             self.pending_actions.push(HolderAction::Refused(reserve.request, refusal));
             return;
         }
+        if reserve.amount > MAX_RESERVATION {
+            let detail = format!("no budget covers a request of {} tokens", reserve.amount);
+            let refusal = Refusal::not_run(Code::BudgetSpent, detail);
+            self.pending_actions.push(HolderAction::Refused(reserve.request, refusal));
+            return;
+        }
         if self.requests.contains_key(&reserve.request)
             || self.borrowed.contains_key(&reserve.request)
         {
--- a/crates/berylwheel-budget/tests/holder.rs
+++ b/crates/berylwheel-budget/tests/holder.rs
@@ -55,6 +55,20 @@
     assert_eq!(refused, [(2_200, Code::BudgetUnreachable)]);
 }
 
+/// Guards against a request of any size that overflows the sums of a holder, which ends the router or
+/// admits more than there is.
+#[test]
+fn refuses_a_request_of_any_size_without_effect_on_others() {
+    let (mut ledger, mut holder) = (Ledger::new(100_000), holder("r1@1", 2));
+    for (n, amount) in [u64::MAX, u64::MAX / 2, 1_000_000_000_001].into_iter().enumerate() {
+        let name = format!("large{n}");
+        holder.reserve(at(0), reserve_request(&name, amount, None));
+        assert_eq!(ledger.execute(at(0), &mut holder), [(name, Some(Code::BudgetSpent))]);
+    }
+    holder.reserve(at(1), reserve_request("q1", 10, None));
+    assert_eq!(ledger.execute(at(1), &mut holder), [("q1".into(), None)]);
+}
+
 /// A request must not be refused while other holders have unreserved tokens.
 #[test]
 fn recalls_tokens_before_refusing() {
