Bound the head of a response at the router's own interface

What callers would see (report of other operators): a faulty engine or service sends a head without end; the router keeps all of it until the request's limit, up to five minutes, and runs out of memory with the requests of all its callers.

Cause: async-h1 checks the size of a head after each line only and keeps a line of any length.

Change: at most 64 KB are read until a head is complete. A connection whose response states neither a length nor chunks is not used again.

Conclusion: the report applies to the router's own interface and is mended.

--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -30,10 +30,14 @@
 use crate::workarounds::catch_poll_panic;
 use crate::workarounds::decode_error;
 use crate::write_buffer::ClientConnection;
+use crate::write_buffer::HeadLimit;
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
+/// Maximum number of bytes that are read for the head of a response. The body may begin in them.
+const MAX_HEAD_BYTES: u64 = 64 << 10;
+
 /// A request to send.
 #[derive(Debug, Clone)]
 pub struct OutgoingRequest {
@@ -246,7 +250,9 @@
         };
         let request =
             build_request(address, outgoing).map_err(|detail| client_error(false, detail))?;
-        let client_connection = ClientConnection::new(connection.clone(), outgoing.expiry.clone());
+        let head_limit = HeadLimit::new(MAX_HEAD_BYTES);
+        let client_connection =
+            ClientConnection::new(connection.clone(), outgoing.expiry.clone(), head_limit.clone());
         // `http-types` panics on a header that is not ASCII.
         // The future is boxed because it is large enough to overflow the stack in debug builds.
         let response_future =
@@ -262,14 +268,18 @@
             Some(Err(error)) => return Err(client_error(false, error.to_string())),
             Some(Ok(response)) => response,
         };
-        let close =
+        head_limit.lift();
+        let closes =
             response.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
+        // Otherwise nothing tells where the body ends and the next response begins.
+        let is_framed = response.header("content-length").is_some()
+            || response.header("transfer-encoding").is_some();
         let body = response.take_body();
         let stream = ResponseStream {
             unread: body.len(),
             body,
             connection: connection.clone(),
-            reuse: (!close).then(|| (self.clone(), address, connection.clone())),
+            reuse: (is_framed && !closes).then(|| (self.clone(), address, connection.clone())),
         };
         Ok((response, stream))
     }
--- a/crates/berylwheel-http/src/write_buffer.rs
+++ b/crates/berylwheel-http/src/write_buffer.rs
@@ -3,6 +3,9 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -80,12 +83,47 @@
     buffer: WriteBuffer,
     /// Time from which no first byte may be written; cleared once that byte was written.
     expiry: Option<Expiry>,
+    head_limit: HeadLimit,
+}
+
+/// Limits the bytes that may be read before the head of a response is complete. The decoder keeps
+/// a line of any length.
+#[derive(Debug, Clone)]
+pub(crate) struct HeadLimit(Arc<AtomicU64>);
+
+impl HeadLimit {
+    /// Returns a limit of `bytes`.
+    pub(crate) fn new(bytes: u64) -> Self {
+        Self(Arc::new(AtomicU64::new(bytes)))
+    }
+
+    /// Ends the limit: the head is complete.
+    pub(crate) fn lift(&self) {
+        self.0.store(u64::MAX, Ordering::Relaxed);
+    }
+
+    fn count(&self, size: usize) -> io::Result<usize> {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == u64::MAX {
+            return Ok(size);
+        }
+        let Some(left) = left.checked_sub(size as u64) else {
+            let detail = "the head of the response is too large";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, detail));
+        };
+        self.0.store(left, Ordering::Relaxed);
+        Ok(size)
+    }
 }
 
 impl ClientConnection {
     /// Wraps `connection` with an empty buffer.
-    pub(crate) fn new(connection: Connection, expiry: Option<Expiry>) -> Self {
-        Self { connection, buffer: WriteBuffer::default(), expiry }
+    pub(crate) fn new(
+        connection: Connection,
+        expiry: Option<Expiry>,
+        head_limit: HeadLimit,
+    ) -> Self {
+        Self { connection, buffer: WriteBuffer::default(), expiry, head_limit }
     }
 
     /// Sends all buffered bytes, unless none was sent before the expiry.
@@ -112,7 +150,8 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.as_mut().poll_flush(cx))?;
-        Pin::new(&mut self.connection).poll_read(cx, buf)
+        let size = ready!(Pin::new(&mut self.connection).poll_read(cx, buf))?;
+        Poll::Ready(self.head_limit.count(size))
     }
 }
 
