Send whole requests and streams through one attempt loop

Cause: whole.rs and stream.rs stood side by side with an attempt loop each; what one learnt, the other did not.

Change: Pipeline (forward/pipeline.rs) holds an admitted request, its server and its attempts, moves it, and ends it without a result. whole.rs and stream.rs only say what an attempt is and what is done with its answer. No behaviour changes.

Ruled out: a loop that takes the attempt as an async closure; its future cannot be shown to be Send for the executor without boxing each attempt.

Conclusion: how a request ends without a result is named in one place.

--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a response stream to the caller, starting with its first event.
 
 use std::io;
+use std::sync::Arc;
 
 use berylwheel_http::IdleLimit;
 use berylwheel_http::ServerEvent;
@@ -39,7 +40,7 @@
     forwarder: Forwarder,
     call: Call,
     guard: RequestGuard,
-    placement: Placement,
+    placement: Arc<Placement>,
     retry_state: RetryState,
     /// The server's stream; `None` while it is being resumed at another server.
     stream: Option<OpenStream>,
@@ -69,7 +70,7 @@
         forwarder: Forwarder,
         call: Call,
         guard: RequestGuard,
-        placement: Placement,
+        placement: Arc<Placement>,
         retry_state: RetryState,
         stream: OpenStream,
     ) -> Self {
@@ -246,7 +247,7 @@
     /// Resumes the stream at the server of `placement`, or at another one if that fails.
     async fn continue_at(&mut self, placement: Placement) -> io::Result<()> {
         self.stream = None;
-        self.placement = placement;
+        self.placement = Arc::new(placement);
         self.retry_state.sent += 1;
         match self.forwarder.resume(&self.call, &self.placement, &self.relayed).await {
             Ok(stream) => {
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -15,7 +15,6 @@
 use http_body_util::StreamBody;
 use hyper::Response;
 
-use super::attempt::RetryState;
 use super::attempt::ServerResponse;
 use super::attempt::response_outcome;
 use super::call::Call;
@@ -23,6 +22,7 @@
 use super::classify::AttemptFailure;
 use super::classify::ResponseClass;
 use super::listen::Forwarder;
+use super::pipeline::Pipeline;
 use super::relay::Relay;
 use super::response_body::buffer_body;
 use super::resumed::RelayedStream;
@@ -30,14 +30,11 @@
 use super::resumed::StreamFormat;
 use super::resumed::check_resumed;
 use super::resumed::is_comment;
-use super::silence::AttemptResult;
 use super::silence::Awaited;
 use super::silence::wait_time;
 use super::whole::buffered_response;
-use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
-use crate::control::command::Usage;
 
 /// A response stream whose first event has arrived, or its end if it has no further events.
 pub(crate) struct OpenStream {
@@ -68,49 +65,25 @@
         call: Call,
         admit: AdmitRequest,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let (mut guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
-        // Nothing is billed before the first event is relayed.
-        guard.set_usage(Usage::NoResult);
-        let mut retry_state = RetryState::default();
-        let stream = loop {
+        let mut pipeline = Pipeline::admit(self, &call, admit).await?;
+        let opened = loop {
             let timeout = wait_time(call.time_left(self.clock.now()));
+            let placement = pipeline.placement.clone();
             let opening = self.open_with_timeout(&call, &placement, None, timeout);
-            let opened = self
-                .await_attempt(
-                    &call,
-                    &guard,
-                    &placement,
-                    &mut retry_state,
-                    Awaited::FirstEvent,
-                    opening,
-                )
-                .await;
-            let failure = match opened {
-                AttemptResult::Moved(next) => {
-                    placement = next;
-                    continue;
-                }
-                AttemptResult::Ended(Ok(OpenResult::Stream(stream))) => break stream,
-                AttemptResult::Ended(Ok(OpenResult::Whole(response, body))) => {
-                    let head = response.head.clone();
-                    let outcome = response_outcome(response.class, head.status.as_u16());
-                    response.release();
-                    guard.finish(outcome, true);
-                    return Ok(buffered_response(head, body));
-                }
-                AttemptResult::Ended(Err(failure)) => failure,
-            };
-            let outcome = failure.outcome();
-            placement = match self
-                .next_server(&call, &guard, &placement, &mut retry_state, failure)
-                .await
-            {
-                Ok(next) => next,
-                Err(refusal) => {
-                    guard.finish(outcome, false);
-                    return Err(refusal);
-                }
-            };
+            if let Some(opened) = pipeline.await_attempt(Awaited::FirstEvent, opening).await? {
+                break opened;
+            }
+        };
+        let Pipeline { guard, placement, mut retry_state, .. } = pipeline;
+        let stream = match opened {
+            OpenResult::Stream(stream) => stream,
+            OpenResult::Whole(response, body) => {
+                let head = response.head.clone();
+                let outcome = response_outcome(response.class, head.status.as_u16());
+                response.release();
+                guard.finish(outcome, true);
+                return Ok(buffered_response(head, body));
+            }
         };
         guard.first_token();
         retry_state.sent += 1;
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -9,21 +9,18 @@
 use http::response::Parts;
 use hyper::Response;
 
-use super::attempt::RetryState;
 use super::attempt::ServerResponse;
 use super::attempt::response_outcome;
 use super::call::Call;
 use super::call::remove_connection_headers;
 use super::classify::AttemptFailure;
 use super::classify::ResponseClass;
-use super::classify::is_repeatable;
 use super::listen::Forwarder;
+use super::pipeline::Pipeline;
 use super::response_body::buffer_body;
-use super::silence::AttemptResult;
 use super::silence::Awaited;
 use super::silence::wait_time;
 use super::stream::has_framing;
-use crate::calls::request_guard::RequestGuard;
 use crate::control::command::AdmitRequest;
 use crate::control::command::Placement;
 use crate::control::command::Usage;
@@ -35,68 +32,27 @@
         call: Call,
         admit: AdmitRequest,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let (mut guard, mut placement) = RequestGuard::admit(&self.events, admit).await?;
-        guard.set_usage(Usage::NoResult);
-        let mut retry_state = RetryState::default();
-        loop {
+        let mut pipeline = Pipeline::admit(self, &call, admit).await?;
+        let (head, body, class) = loop {
+            let placement = pipeline.placement.clone();
             let exchange = self.exchange(&call, &placement);
-            let exchanged = self
-                .await_attempt(
-                    &call,
-                    &guard,
-                    &placement,
-                    &mut retry_state,
-                    Awaited::Response,
-                    exchange,
-                )
-                .await;
-            let failure = match exchanged {
-                AttemptResult::Moved(next) => {
-                    placement = next;
-                    continue;
-                }
-                AttemptResult::Ended(Ok((head, body, class))) => {
-                    let outcome = response_outcome(class, head.status.as_u16());
-                    let should_retry = class == ResponseClass::Failure
-                        && head.status.is_server_error()
-                        && is_repeatable(&call.kind)
-                        && retry_state.sent + 1 < call.kind.attempts;
-                    if should_retry {
-                        retry_state.sent += 1;
-                        retry_state.maybe_ran = true;
-                        if let Ok(next) = guard.retry(outcome, true).await {
-                            log::info!(
-                                request = call.id.as_str(), server = placement.server.id.as_str(),
-                                status = head.status.as_u16(); "retrying after a server error"
-                            );
-                            placement = next;
-                            continue;
-                        }
-                    }
-                    if class == ResponseClass::Success {
-                        // A whole body does not tell how many tokens it took.
-                        guard.set_usage(Usage::Unknown);
-                        if has_framing(&head.headers) {
-                            guard.set_answered();
-                        }
-                    }
-                    guard.finish(outcome, true);
-                    return Ok(buffered_response(head, body));
-                }
-                AttemptResult::Ended(Err(failure)) => failure,
-            };
-            let outcome = failure.outcome();
-            placement = match self
-                .next_server(&call, &guard, &placement, &mut retry_state, failure)
-                .await
-            {
-                Ok(next) => next,
-                Err(refusal) => {
-                    guard.finish(outcome, false);
-                    return Err(refusal);
-                }
+            let Some(response) = pipeline.await_attempt(Awaited::Response, exchange).await? else {
+                continue;
             };
+            if !pipeline.retry_server_error(response.2, response.0.status).await {
+                break response;
+            }
+        };
+        let mut guard = pipeline.guard;
+        if class == ResponseClass::Success {
+            // A whole body does not tell how many tokens it took.
+            guard.set_usage(Usage::Unknown);
+            if has_framing(&head.headers) {
+                guard.set_answered();
+            }
         }
+        guard.finish(response_outcome(class, head.status.as_u16()), true);
+        Ok(buffered_response(head, body))
     }
 
     async fn exchange(
