--- a/crates/berylwheel-http/src/client.rs
+++ b/crates/berylwheel-http/src/client.rs
@@ -26,11 +26,11 @@
 use http_types::Url;
 
 use crate::Connection;
+use crate::head_limit::HeadLimit;
 use crate::timeout;
 use crate::workarounds::catch_poll_panic;
 use crate::workarounds::decode_error;
 use crate::write_buffer::ClientConnection;
-use crate::write_buffer::HeadLimit;
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
--- a/crates/berylwheel-http/src/lib.rs
+++ b/crates/berylwheel-http/src/lib.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod event;
 mod forward;
+mod head_limit;
 mod problem;
 mod server;
 mod server_connection;
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -152,7 +152,7 @@
     /// inbound and on the way to a backend server, while the caller's next connection goes to
     /// another router.
     fn check_link(&self, body: &mut CallerBody) -> Result<(), Refusal> {
-        let (size, _) = body.size();
+        let size = body.least_size();
         if size < LARGE_BODY || self.link.admit(self.clock.now(), size) {
             return Ok(());
         }
@@ -175,7 +175,7 @@
         settings: &Settings,
     ) -> Result<(Bytes, MemoryReservation), Refusal> {
         let fleet = settings.fleet();
-        let (_, declared_size) = body.size();
+        let declared_size = body.stated_size();
         if declared_size.is_some_and(|size| size > fleet.body_limit.0) {
             let detail = format!("the limit is {}", fleet.body_limit);
             return Err(Refusal::not_run(Code::BodyTooLarge, detail));
--- a/crates/berylwheel-router/src/forward/caller_body.rs
+++ b/crates/berylwheel-router/src/forward/caller_body.rs
@@ -24,11 +24,19 @@
 }
 
 impl CallerBody {
-    /// Returns the size that the body has at least, and the size that it states, in bytes.
-    pub fn size(&self) -> (u64, Option<u64>) {
+    /// Returns the size that an unread body has at least, in bytes.
+    pub fn least_size(&self) -> u64 {
         match self {
-            Self::Unread(body) => (body.size_hint().lower(), body.size_hint().exact()),
-            Self::Complete | Self::Incomplete => (0, None),
+            Self::Unread(body) => body.size_hint().lower(),
+            Self::Complete | Self::Incomplete => 0,
+        }
+    }
+
+    /// Returns the size that an unread body states, in bytes.
+    pub fn stated_size(&self) -> Option<u64> {
+        match self {
+            Self::Unread(body) => body.size_hint().exact(),
+            Self::Complete | Self::Incomplete => None,
         }
     }
 
