--- a/crates/berylwheel-config/src/lib.rs
+++ b/crates/berylwheel-config/src/lib.rs
@@ -52,6 +52,7 @@
 pub use part::join;
 pub use part::split;
 pub use paths::PathTable;
+pub use paths::without_port;
 pub use peer_clocks::PeerClocks;
 pub use root::HISTORY_LIMIT;
 pub use root::HistoryEntry;
--- a/crates/berylwheel-config/src/paths.rs
+++ b/crates/berylwheel-config/src/paths.rs
@@ -52,8 +52,15 @@
     }
 }
 
-/// Returns the host without its port. The colons of an IPv6 address are within brackets.
-fn without_port(host: &str) -> &str {
+/// Returns the host of a `Host` header without its port. The colons of an IPv6 address are within
+/// brackets.
+///
+/// ```
+/// use berylwheel_config::without_port;
+/// assert_eq!(without_port("shop.example:80"), "shop.example");
+/// assert_eq!(without_port("[::1]"), "[::1]");
+/// ```
+pub fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
