Count handshakes, store calls, turns and visited members by cause

Ruled out: perf, which names functions but not what asks for them. Change: the link counts messages and handshakes by kind of message; the guarded store counts calls by operation and key; the control thread counts turns, events and their time; members, configuration, holder and reports count the entries that they examine. All are in the dump under work, in the metrics, and in one log line each 10 s. ControlDriver steps a control thread by hand.

--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -14,6 +14,7 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
+use berylwheel_types::VisitCounter;
 use berylwheel_types::stable_hash;
 
 use super::action::HolderAction;
@@ -108,6 +109,7 @@
     pub(super) outage: RefusalPeriod,
     /// The budget totals in the configuration, and the version of that configuration.
     pub(super) totals: (Version, FastMap<BudgetId, Tokens>),
+    pub(super) visits: VisitCounter,
 }
 
 impl Holder {
@@ -138,9 +140,21 @@
             granted_loans: BTreeSet::new(),
             outage: RefusalPeriod::default(),
             totals: (Version::default(), FastMap::default()),
+            visits: VisitCounter::default(),
         }
     }
 
+    /// Returns the number of other holders examined since the start.
+    ///
+    /// ```
+    /// use berylwheel_budget::{Holder, HolderPolicy};
+    /// let holder = Holder::new("r1@1".parse().unwrap(), HolderPolicy::default());
+    /// assert_eq!(holder.visits(), 0);
+    /// ```
+    pub fn visits(&self) -> u64 {
+        self.visits.total()
+    }
+
     /// Sets the number of routers that share the budgets, this one included.
     pub fn set_routers(&mut self, count: usize) {
         self.router_count = count.max(1);
--- a/crates/berylwheel-budget/src/holder/homes.rs
+++ b/crates/berylwheel-budget/src/holder/homes.rs
@@ -45,6 +45,7 @@
 impl Holder {
     /// Sets the other live holders, which can be asked for loans.
     pub fn set_lenders(&mut self, now: Timestamp, mut lenders: Vec<Incarnation>) {
+        self.visits.add(lenders.len());
         lenders.sort_unstable();
         if self.homes.stable_since.is_none() || lenders != self.lenders {
             self.homes.stable_since = Some(now);
--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -74,6 +74,7 @@
     pub(super) fn home_of(&self, budget: &BudgetId) -> &Incarnation {
         let score =
             |holder: &&Incarnation| stable_hash(&["home", budget.as_str(), holder.router.as_str()]);
+        self.visits.add(self.lenders.len());
         let own = std::iter::once(&self.own_id).filter(|_| !self.departing);
         let all = self.lenders.iter().chain(own);
         all.max_by_key(score).unwrap_or(&self.own_id)
--- a/crates/berylwheel-config/src/config_state.rs
+++ b/crates/berylwheel-config/src/config_state.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
+use berylwheel_types::VisitCounter;
 use berylwheel_types::stable_hash;
 
 use crate::ConfigAction;
@@ -76,6 +77,7 @@
     next_ask: Timestamp,
     push_targets: FastSet<RouterId>,
     actions: Vec<ConfigAction>,
+    visits: VisitCounter,
 }
 
 impl ConfigState {
@@ -98,12 +100,25 @@
             next_ask: Timestamp::from_millis(0),
             push_targets: FastSet::default(),
             actions: Vec::new(),
+            visits: VisitCounter::default(),
         }
     }
 
+    /// Returns the number of peer entries examined since the start.
+    ///
+    /// ```
+    /// use berylwheel_config::{ConfigState, SyncPolicy};
+    /// let (id, domain) = ("r1".parse().unwrap(), "d1".parse().unwrap());
+    /// assert_eq!(ConfigState::new(id, domain, SyncPolicy::default()).visits(), 0);
+    /// ```
+    pub fn visits(&self) -> u64 {
+        self.visits.total()
+    }
+
     /// Sets the other routers, whether they are live or not. Without those that do not answer, this
     /// router would be confirmed by too few answers.
     pub fn set_peers(&mut self, peers: Vec<(RouterId, FailureDomain)>) {
+        self.visits.add(peers.len());
         self.peers = peers;
         self.peers.retain(|(id, _)| *id != self.own_id);
     }
@@ -143,6 +158,7 @@
     pub fn should_watch(&self) -> bool {
         let score = |id: &RouterId| stable_hash(&["watch", id.as_str()]);
         let own = score(&self.own_id);
+        self.visits.add(self.peers.len());
         let before = self.peers.iter().filter(|(id, _)| score(id) < own).count();
         before < self.policy.watchers
     }
@@ -216,6 +232,7 @@
             return;
         }
         let known = self.version().max(self.unreadable_version);
+        self.visits.add(self.peer_versions.len());
         let newer = self.peer_versions.iter().filter(|(_, version)| Some(**version) > known);
         let best =
             newer.max_by_key(|(id, v)| (**v, stable_hash(&[self.own_id.as_str(), id.as_str()])));
@@ -233,6 +250,7 @@
             let ids: Vec<&str> = [self.own_id.as_str(), id.as_str()].into_iter().collect();
             stable_hash(&[&ids, seed].concat())
         };
+        self.visits.add(self.peers.len());
         let mut peers: Vec<(u64, &RouterId)> =
             self.peers.iter().map(|(id, _)| (score(id), id)).collect();
         peers.sort();
@@ -379,6 +397,7 @@
         let Some(version) = self.version().filter(|_| !self.confirmed) else {
             return;
         };
+        self.visits.add(self.peers.len());
         let stored = self.stored_version.is_some_and(|stored| version >= stored);
         let up_to_date =
             self.initial_reports.values().max().is_none_or(|newest| version >= *newest);
--- a/crates/berylwheel-config/src/members.rs
+++ b/crates/berylwheel-config/src/members.rs
@@ -9,6 +9,7 @@
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
+use berylwheel_types::VisitCounter;
 use berylwheel_types::stable_hash;
 
 use crate::Heartbeat;
@@ -65,6 +66,7 @@
     /// When configured routers that were never heard of stop counting as live.
     grace_end: Option<Timestamp>,
     grace_over: bool,
+    visits: VisitCounter,
 }
 
 impl Members {
@@ -88,9 +90,22 @@
             next_heartbeat: Timestamp::from_millis(0),
             grace_end: None,
             grace_over: false,
+            visits: VisitCounter::default(),
         }
     }
 
+    /// Returns the number of member entries examined since the start.
+    ///
+    /// ```
+    /// use berylwheel_config::{MemberPolicy, Members};
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let members = Members::new("r1@1".parse().unwrap(), address, MemberPolicy::default());
+    /// assert_eq!(members.visits(), 0);
+    /// ```
+    pub fn visits(&self) -> u64 {
+        self.visits.total()
+    }
+
     /// Sets the routers that the settings name.
     pub fn set_peers(&mut self, peers: impl IntoIterator<Item = RouterId>) {
         self.configured_peers =
@@ -199,6 +214,7 @@
     /// routers that were not heard of yet are included for a while: a router that knows only few
     /// others would take too large a share of budgets and servers.
     pub fn live(&self) -> Vec<RouterId> {
+        self.visits.add(self.members.len());
         let members = self.members.iter().filter(|(_, m)| m.state == MemberState::Live);
         let own = Some(&self.own.incarnation.router).filter(|_| !self.own.leaving);
         let live = members.map(|(id, _)| id).chain(self.unheard_peers()).chain(own);
@@ -209,17 +225,20 @@
 
     /// Returns the number of routers in [`Members::live`].
     pub fn live_count(&self) -> usize {
+        self.visits.add(self.members.len());
         let live = self.members.values().filter(|member| member.state == MemberState::Live);
         live.count() + self.unheard_peers().count() + usize::from(!self.own.leaving)
     }
 
     fn unheard_peers(&self) -> impl Iterator<Item = &RouterId> {
         let unheard = |id: &&RouterId| !self.grace_over && !self.members.contains_key(*id);
+        self.visits.add(self.configured_peers.len());
         self.configured_peers.iter().filter(unheard)
     }
 
     /// Returns the configuration version that each known router serves.
     pub fn versions(&self) -> Vec<(RouterId, Version)> {
+        self.visits.add(self.members.len());
         let versions = self.members.iter().map(|(id, member)| (id.clone(), member.entry.version));
         let mut versions: Vec<_> = versions.collect();
         versions.sort();
@@ -285,6 +304,7 @@
         let limit = self.policy.suspect_after;
         let expected: FastSet<RouterId> = self.expected_senders().into_iter().collect();
         let relays = self.relay_count();
+        self.visits.add(self.members.len());
         for (id, member) in &mut self.members {
             if !expected.contains(id) {
                 member.expected_since = None;
@@ -320,6 +340,7 @@
         let own = score(&self.own.incarnation.router);
         let is_gone = |id: &RouterId| self.state(id) == Some(MemberState::Gone);
         let known = self.members.keys().chain(&self.configured_peers).collect::<FastSet<_>>();
+        self.visits.add(known.len());
         let mut ring: Vec<(u64, RouterId)> = known
             .into_iter()
             .filter(|id| !is_gone(id))
@@ -343,6 +364,7 @@
         let rest: Vec<&RouterId> = ring.iter().filter(|id| !targets.contains(id)).collect();
         let round = self.own.counter.to_string();
         let own = self.own.incarnation.router.as_str();
+        self.visits.add(rest.len());
         let score = |id: &&&RouterId| stable_hash(&["turn", own, id.as_str(), &round]);
         let mut random: Vec<&&RouterId> = rest.iter().collect();
         random.sort_by_key(score);
@@ -354,7 +376,15 @@
     }
 
     /// Returns the predecessors on the ring, from which this router expects every heartbeat.
-    fn expected_senders(&self) -> Vec<RouterId> {
+    ///
+    /// ```
+    /// use berylwheel_config::{MemberPolicy, Members};
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let mut members = Members::new("r1@1".parse().unwrap(), address, MemberPolicy::default());
+    /// members.set_peers(["r2".parse().unwrap()]);
+    /// assert_eq!(members.expected_senders()[0].as_str(), "r2");
+    /// ```
+    pub fn expected_senders(&self) -> Vec<RouterId> {
         let mut ring = self.ring();
         if ring.len() <= self.policy.fanout {
             return ring;
@@ -371,6 +401,7 @@
 
     fn build_heartbeat(&mut self) -> Heartbeat {
         let round = self.own.counter;
+        self.visits.add(self.members.len());
         let mut members: Vec<&mut Member> = self.members.values_mut().collect();
         // New states first, then the entries that were relayed least recently.
         members.sort_by(|a, b| {
--- a/crates/berylwheel-config/src/peer_clocks.rs
+++ b/crates/berylwheel-config/src/peer_clocks.rs
@@ -4,6 +4,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::VisitCounter;
 
 /// Maximum difference between clocks that agree. A heartbeat takes milliseconds to arrive, or a few
 /// hundred if a router is short of CPU time.
@@ -31,9 +32,19 @@
 pub struct PeerClocks {
     /// When each router last sent its clock, and whether that clock agreed with the local one.
     reports: FastMap<RouterId, (Timestamp, bool)>,
+    visits: VisitCounter,
 }
 
 impl PeerClocks {
+    /// Returns the number of reports examined since the start.
+    ///
+    /// ```
+    /// assert_eq!(berylwheel_config::PeerClocks::default().visits(), 0);
+    /// ```
+    pub fn visits(&self) -> u64 {
+        self.visits.total()
+    }
+
     /// Records the clock reading in a heartbeat from `from`.
     pub fn record(&mut self, now: Timestamp, from: &RouterId, clock: Timestamp) {
         let skew = now.since(clock).max(clock.since(now));
@@ -43,6 +54,7 @@
     /// Returns whether the local clock agrees with the majority of recent readings and with at
     /// least two of them.
     pub fn is_synchronized(&self, now: Timestamp) -> bool {
+        self.visits.add(self.reports.len());
         let recent = self.reports.values().filter(|(at, _)| now.since(*at) <= REPORT_TTL);
         let agreeing = recent.clone().filter(|(_, agreeing)| *agreeing).count();
         agreeing >= MIN_PEERS && agreeing * 2 > recent.count()
--- a/crates/berylwheel-config/src/store_reach.rs
+++ b/crates/berylwheel-config/src/store_reach.rs
@@ -4,6 +4,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::VisitCounter;
 
 /// Time for which a report in a heartbeat is used; three heartbeat intervals.
 const REPORT_TTL: Millis = Millis(3_000);
@@ -39,9 +40,19 @@
 pub struct StoreReach {
     /// When each router last sent a report, and whether it could reach the store.
     reports: FastMap<RouterId, (Timestamp, bool)>,
+    visits: VisitCounter,
 }
 
 impl StoreReach {
+    /// Returns the number of reports examined since the start.
+    ///
+    /// ```
+    /// assert_eq!(berylwheel_config::StoreReach::default().visits(), 0);
+    /// ```
+    pub fn visits(&self) -> u64 {
+        self.visits.total()
+    }
+
     /// Records whether the router `from` can reach the store.
     pub fn record(&mut self, now: Timestamp, from: &RouterId, reaches: bool) {
         self.reports.insert(from.clone(), (now, reaches));
@@ -49,6 +60,7 @@
 
     /// Returns the maximum interval between store probes for one of `live` routers.
     pub fn max_probe_interval(&self, now: Timestamp, live: usize) -> Millis {
+        self.visits.add(self.reports.len());
         let recent = || self.reports.values().filter(|(at, _)| now.since(*at) <= REPORT_TTL);
         if recent().count() < MIN_REPORTS || recent().any(|(_, reaches)| *reaches) {
             return LONE_PROBE_INTERVAL;
--- a/crates/berylwheel-peer/src/lib.rs
+++ b/crates/berylwheel-peer/src/lib.rs
@@ -25,4 +25,5 @@
 pub use message::PeerState;
 pub use message::ServedShare;
 pub use receiver::InboundMessage;
+pub use registry::KindStats;
 pub use registry::PeerStats;
--- a/crates/berylwheel-peer/src/link.rs
+++ b/crates/berylwheel-peer/src/link.rs
@@ -1,5 +1,6 @@
 //! The endpoint through which a router exchanges messages with its peers.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
@@ -21,6 +22,7 @@
 use quinn::VarInt;
 
 use crate::InboundMessage;
+use crate::KindStats;
 use crate::Message;
 use crate::PeerError;
 use crate::PeerIdentity;
@@ -167,6 +169,8 @@
     /// messages are dropped. A message to a new peer is dropped if there are too many peers. All of
     /// these are counted in [`PeerStats::dropped`].
     pub fn send(&self, to: SocketAddr, message: Message) {
+        let kind = message.kind();
+        self.shared.registry.count_kind(kind, |stats| stats.queued += 1);
         let dropped = &self.shared.registry.counters.dropped;
         let frame = match message.encode() {
             Ok(frame) => frame,
@@ -183,7 +187,7 @@
         }
         let outbox = outboxes.entry(to).or_insert_with(|| {
             let outbox = Arc::new(Outbox::new());
-            let task = sender::run_sender(Arc::clone(&self.shared), to, Arc::clone(&outbox));
+            let task = sender::run_sender(Arc::clone(&self.shared), to, Arc::clone(&outbox), kind);
             self.shared.spawn(task);
             outbox
         });
@@ -213,6 +217,25 @@
         self.shared.registry.stats()
     }
 
+    /// Returns the statistics of the link by kind of message.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use async_executor::Executor;
+    /// # use berylwheel_peer::{PeerIdentity, PeerLink};
+    /// # let made = rcgen::generate_simple_self_signed(vec!["r1".to_owned()]).unwrap();
+    /// # let (chain, key) = (made.cert.pem(), made.signing_key.serialize_pem());
+    /// # let identity =
+    /// #     PeerIdentity::from_pem(chain.as_bytes(), key.as_bytes(), chain.as_bytes()).unwrap();
+    /// let executor = Arc::new(Executor::new());
+    /// let (link, _) =
+    ///     PeerLink::bind("127.0.0.1:0".parse().unwrap(), identity, &executor).unwrap();
+    /// assert!(link.kinds().is_empty());
+    /// ```
+    pub fn kinds(&self) -> BTreeMap<&'static str, KindStats> {
+        self.shared.registry.kinds()
+    }
+
     /// Closes all connections and waits until the peers have been notified. Queued messages are
     /// dropped.
     pub async fn close(&self) {
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -286,6 +286,34 @@
 impl std::error::Error for DecodeError {}
 
 impl Message {
+    /// Returns the name of the kind of message, for statistics.
+    ///
+    /// ```
+    /// use berylwheel_peer::Message;
+    /// assert_eq!(Message::StoreRegained.kind(), "store_regained");
+    /// ```
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat { .. } => "heartbeat",
+            Self::ConfigVersion { .. } => "config_version",
+            Self::ConfigPull { .. } => "config_pull",
+            Self::ConfigParts { .. } => "config_parts",
+            Self::Recall { .. } => "recall",
+            Self::Claim { .. } => "claim",
+            Self::ClaimAnswer { .. } => "claim_answer",
+            Self::ClaimEnd { .. } => "claim_end",
+            Self::Leaving { .. } => "leaving",
+            Self::Borrow { .. } => "borrow",
+            Self::Lent { .. } => "lent",
+            Self::Repaid { .. } => "repaid",
+            Self::StoreRegained => "store_regained",
+            Self::ServerEnded { .. } => "server_ended",
+            Self::AnswerQuery { .. } => "answer_query",
+            Self::PartAnswers { .. } => "part_answers",
+            Self::Quarantine { .. } => "quarantine",
+        }
+    }
+
     /// Encodes the message as a frame.
     ///
     /// # Errors
--- a/crates/berylwheel-peer/src/receiver.rs
+++ b/crates/berylwheel-peer/src/receiver.rs
@@ -66,6 +66,7 @@
 ) {
     let address = incoming.remote_address();
     let epoch = shared.registry.epoch();
+    add_count(&shared.registry.counters.handshakes_in, 1);
     let Ok(connecting) = incoming.accept() else { return };
     let connection = match with_timeout(HANDSHAKE_TIMEOUT, connecting).await {
         Some(Ok(connection)) => connection,
@@ -134,6 +135,7 @@
             }
         };
         add_count(&shared.registry.counters.messages_in, 1);
+        shared.registry.count_kind(message.kind(), |stats| stats.received += 1);
         let address = connection.remote_address();
         // Applies backpressure if the consumer is slow: the peer's outbox then fills up and drops
         // its oldest frames.
--- a/crates/berylwheel-peer/src/registry.rs
+++ b/crates/berylwheel-peer/src/registry.rs
@@ -1,5 +1,6 @@
 //! Open connections and statistics of a link.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,6 +12,7 @@
 use berylwheel_types::RouterId;
 use quinn::Connection;
 use quinn::VarInt;
+use serde::Serialize;
 
 /// The maximum number of connections from one peer. There may be two because the old connection of
 /// a restarted peer stays open until it times out.
@@ -39,6 +41,21 @@
     pub refused: u64,
     /// Connections that are currently open, in either direction.
     pub connections: u64,
+    /// Connections that were opened to peers, including failed ones.
+    pub handshakes_out: u64,
+    /// Connections that peers opened, including failed ones.
+    pub handshakes_in: u64,
+}
+
+/// What a link has done for one kind of message since it was bound.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct KindStats {
+    /// Messages queued for a peer.
+    pub queued: u64,
+    /// Messages received.
+    pub received: u64,
+    /// Connections that were opened to send such a message, including failed ones.
+    pub handshakes: u64,
 }
 
 /// Counters updated by the tasks of a link.
@@ -50,6 +67,7 @@
     pub lost: AtomicU64,
     pub malformed: AtomicU64,
     pub refused: AtomicU64,
+    pub handshakes_in: AtomicU64,
 }
 
 /// Adds `count` to a counter.
@@ -61,6 +79,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
     pub counters: Counters,
+    kinds: Mutex<BTreeMap<&'static str, KindStats>>,
     open: Mutex<OpenConnections>,
 }
 
@@ -78,6 +97,17 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Updates the statistics of a kind of message.
+    pub fn count_kind(&self, kind: &'static str, count: impl FnOnce(&mut KindStats)) {
+        let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
+        count(kinds.entry(kind).or_default());
+    }
+
+    /// Returns the statistics of each kind of message.
+    pub fn kinds(&self) -> BTreeMap<&'static str, KindStats> {
+        self.kinds.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Returns the current epoch, which [`Registry::close_all`] increments.
     pub fn epoch(&self) -> u64 {
         self.lock().epoch
@@ -145,6 +175,8 @@
             malformed: load(&self.counters.malformed),
             refused: load(&self.counters.refused),
             connections: open.connections.len() as u64,
+            handshakes_out: self.kinds().values().map(|kind| kind.handshakes).sum(),
+            handshakes_in: load(&self.counters.handshakes_in),
         };
         for connection in open.connections.values() {
             let bytes = connection.stats();
--- a/crates/berylwheel-peer/src/sender.rs
+++ b/crates/berylwheel-peer/src/sender.rs
@@ -39,14 +39,21 @@
 const SERVER_NAME: &str = "router";
 
 /// Sends the frames in `outbox` to `peer`, reconnecting with exponential backoff. Returns when the
-/// connection has ended and the outbox is empty.
-pub(crate) async fn run_sender(shared: Arc<Shared>, peer: SocketAddr, outbox: Arc<Outbox>) {
+/// connection has ended and the outbox is empty. `kind` is the kind of message for which the first
+/// connection is opened.
+pub(crate) async fn run_sender(
+    shared: Arc<Shared>,
+    peer: SocketAddr,
+    outbox: Arc<Outbox>,
+    kind: &'static str,
+) {
     let local_address = shared.endpoint.local_addr().map(|a| a.to_string()).unwrap_or_default();
     let seed = stable_hash(&[shared.name.as_str(), &local_address, &peer.to_string()]);
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut backoff = BACKOFF_BASE;
     loop {
         let epoch = shared.registry.epoch();
+        shared.registry.count_kind(kind, |stats| stats.handshakes += 1);
         match connect(&shared, peer).await {
             Some(connection) => {
                 shared.registry.insert(&connection, None, epoch);
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -43,6 +43,7 @@
 use crate::control::requests::Stage;
 use crate::control::snapshot::RECONNECT_DELAY;
 use crate::control::snapshot::SharedSnapshot;
+use crate::control::work::ControlWork;
 use crate::fleet::claims::Claims;
 use crate::fleet::state::Fleet;
 
@@ -83,6 +84,7 @@
     pub(crate) started_at: Timestamp,
     pub(super) pruned_at: Timestamp,
     pub(super) next_tick: Timestamp,
+    pub(super) work: ControlWork,
 }
 
 impl Control {
@@ -121,6 +123,7 @@
             started_at: clock.now(),
             pruned_at: clock.now(),
             next_tick: clock.now(),
+            work: ControlWork::default(),
             clock,
             incarnation,
             fleet,
@@ -141,7 +144,7 @@
                 None
             };
             let first = event.or(tick).await;
-            let now = self.clock.now();
+            let (now, start) = (self.clock.now(), self.clock.micros());
             if let Some(event) = first {
                 self.handle_event(now, event);
                 while let Ok(event) = events.try_recv() {
@@ -149,6 +152,7 @@
                 }
             }
             self.drive(now);
+            self.work.count_turn(self.clock.micros().saturating_sub(start));
             if self.draining && self.is_drained() {
                 self.end(events).await;
                 let _ = drained.send(()).await;
@@ -167,7 +171,8 @@
         while events.try_recv().is_ok() {}
     }
 
-    fn handle_event(&mut self, now: Timestamp, event: Event) {
+    pub(super) fn handle_event(&mut self, now: Timestamp, event: Event) {
+        self.work.count_event(event.group());
         match event {
             Event::Command(command) => self.handle_command(now, command),
             Event::PageRead(page, revision, content) => {
@@ -220,7 +225,7 @@
         }
     }
 
-    fn drive(&mut self, now: Timestamp) {
+    pub(super) fn drive(&mut self, now: Timestamp) {
         if let Some(change) = self.server_list.poll(now) {
             self.apply_server_change(now, change);
         }
@@ -229,7 +234,9 @@
         self.start_queued(now);
         if now >= self.next_tick {
             self.next_tick = now + TICK_INTERVAL;
+            let start = self.clock.micros();
             self.tick(now);
+            self.work.count_tick(self.clock.micros().saturating_sub(start));
         }
     }
 
@@ -237,6 +244,7 @@
     fn tick(&mut self, now: Timestamp) {
         self.expire_claims(now);
         self.report_external_config(now);
+        self.report_work(now);
         if now.since(self.pruned_at) >= PRUNE_INTERVAL {
             self.pruned_at = now;
             self.claims.prune(now);
@@ -349,6 +357,7 @@
             "routes": self.balancer.dump(),
             "quarantine": self.quarantine.dump(self.clock.now()),
             "fleet": self.fleet.dump(),
+            "work": self.work_dump(),
         })
     }
 }
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -123,3 +123,34 @@
     /// Cancels the requests whose answers have not begun, since the shutdown is almost over.
     EndWaiting,
 }
+
+impl Event {
+    /// Returns the name of the group of events that this one is counted in.
+    pub const fn group(&self) -> &'static str {
+        match self {
+            Self::Command(_) => "command",
+            Self::PageRead(..) | Self::PageReadFailed(_) | Self::PageWritten(..) => "ledger",
+            Self::LoadReported(..)
+            | Self::CacheChanged(..)
+            | Self::ServerDraining(_)
+            | Self::ServerSignal(..)
+            | Self::AttemptBroken(_)
+            | Self::ServerRefused(_) => "server",
+            Self::ServerListEvent(_) | Self::VmListRead(_) => "server_list",
+            Self::PeerMessage(inbound) => inbound.message.kind(),
+            Self::RootRead(_)
+            | Self::PartsRead(..)
+            | Self::ConfigReadFailed
+            | Self::ExternalConfigRead(_)
+            | Self::ExternalConfigUnreadable(_) => "configuration",
+            Self::RegistryRead(_) | Self::RouterRegistered => "registry",
+            Self::RunEnded(_) | Self::ReclaimEnded(..) => "reclaim",
+            Self::HoldsRead(_) | Self::HoldsWritten(_) | Self::PartReleased(..) => "quarantine",
+            Self::DumpRequested(_) => "dump",
+            Self::SettingsReloaded(_) | Self::IdentityIssued(_) | Self::IdentityReloaded(_) => {
+                "reload"
+            }
+            Self::AnnounceShutdown | Self::Drain | Self::EndQueued | Self::EndWaiting => "stop",
+        }
+    }
+}
--- a/crates/berylwheel-router/src/control/mod.rs
+++ b/crates/berylwheel-router/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 pub(crate) mod command;
 pub(crate) mod core;
+pub(crate) mod driver;
 pub(crate) mod effects;
 pub(crate) mod event;
 mod external;
@@ -11,3 +12,4 @@
 pub(crate) mod requests;
 mod signals;
 pub(crate) mod snapshot;
+mod work;
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use berylwheel_config::ConfigState;
 use berylwheel_config::MemberPolicy;
 use berylwheel_config::Members;
@@ -22,6 +23,7 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::VisitCounter;
 use serde_json::Value;
 use serde_json::json;
 
@@ -65,6 +67,9 @@
     /// Whether quarantined prompt parts have changed since they were last written to the store.
     pub(crate) holds_to_store: bool,
     pub(crate) next_holds_write: Timestamp,
+    pub(crate) visits: VisitCounter,
+    /// Receives all messages in place of the link when a router runs without sockets.
+    pub(crate) recorder: Option<Sender<(RouterId, Message)>>,
 }
 
 impl Fleet {
@@ -128,6 +133,8 @@
             pending_claims: FastMap::default(),
             holds_to_store: false,
             next_holds_write: now,
+            visits: VisitCounter::default(),
+            recorder: None,
         };
         fleet.set_peers();
         Ok(fleet)
@@ -138,6 +145,12 @@
         self.address
     }
 
+    /// Returns the number of entries of other routers examined since the start.
+    pub(crate) fn visits(&self) -> u64 {
+        let reports = self.clocks.visits() + self.store_reach.visits();
+        self.members.visits() + self.config.visits() + reports + self.visits.total()
+    }
+
     /// Returns a dump of the state for operators.
     pub fn dump(&self) -> Value {
         json!({
@@ -158,6 +171,9 @@
             "messages_in": stats.messages_in,
             "messages_out": stats.messages_out,
             "dropped": stats.dropped,
+            "connections": stats.connections,
+            "handshakes_out": stats.handshakes_out,
+            "handshakes_in": stats.handshakes_in,
         })
     }
 
@@ -168,6 +184,7 @@
         let configured =
             self.configured_peers.iter().map(|(router, _)| (router.clone(), domain(router)));
         let mut peers: FastMap<RouterId, _> = configured.collect();
+        self.visits.add(self.listed_routers.len() + self.configured_peers.len());
         for router in &self.listed_routers {
             self.addresses.insert(router.incarnation.router.clone(), router.peer);
             peers.insert(router.incarnation.router.clone(), router.domain.clone());
@@ -192,6 +209,11 @@
     }
 
     pub(crate) fn send(&self, to: &RouterId, message: Message) {
+        if let Some(recorder) = &self.recorder {
+            // The receiver outlives this state.
+            let _ = recorder.try_send((to.clone(), message));
+            return;
+        }
         if let (Some(link), Some(address)) = (&self.link, self.addresses.get(to)) {
             link.send(*address, message);
         }
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -101,6 +101,11 @@
         let _ = self.client.incr_with_tags("configuration_unreadable").try_send();
     }
 
+    /// Records a total of the work of the control thread since the start.
+    pub fn record_work(&self, what: &str, total: u64) {
+        let _ = self.client.gauge_with_tags("work", total).with_tag("what", what).try_send();
+    }
+
     pub fn count_retry(&self, kind: &KindId) {
         let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
     }
--- a/crates/berylwheel-store/src/breaker.rs
+++ b/crates/berylwheel-store/src/breaker.rs
@@ -3,6 +3,7 @@
 //! The platform counts every call, including rejected ones, and a router has about twenty pages,
 //! watches and leases that would otherwise each retry independently.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -30,6 +31,8 @@
 /// drop servers that left during the outage, and for 2.3 s of them missing entries are still
 /// treated as present.
 const DEFAULT_MAX_INTERVAL: Millis = Millis(500);
+/// Prefix of the keys that this program writes.
+const OWN_PREFIX: &str = "/berylwheel/";
 /// Lower bound of the jitter factor, in thousandths.
 const MIN_JITTER_PERMILLE: u32 = 500;
 
@@ -140,6 +143,7 @@
     inner: Arc<dyn Store>,
     clock: Clock,
     breaker: Mutex<Breaker>,
+    calls: Mutex<BTreeMap<String, u64>>,
 }
 
 impl GuardedStore {
@@ -155,7 +159,22 @@
     pub fn new(inner: Arc<dyn Store>, clock: Clock) -> Self {
         let jitter = rand::random_range(MIN_JITTER_PERMILLE..=1_000);
         let breaker = Breaker { jitter: Share::from_permille(jitter), ..Breaker::default() };
-        Self { inner, clock, breaker: Mutex::new(breaker) }
+        Self { inner, clock, breaker: Mutex::new(breaker), calls: Mutex::default() }
+    }
+
+    /// Returns the number of calls sent since the start, by operation and by the first segment of
+    /// the key. Calls that the breaker blocks are not counted.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use berylwheel_store::{GuardedStore, MemoryStore, Store};
+    /// # use berylwheel_types::Clock;
+    /// let store = GuardedStore::new(Arc::new(MemoryStore::new(Clock::real())), Clock::real());
+    /// futures_lite::future::block_on(store.range("/berylwheel/ledger/7", false, 0)).unwrap();
+    /// assert_eq!(store.calls()["read ledger"], 1);
+    /// ```
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns whether the store is considered unavailable, that is, whether the breaker is open.
@@ -180,18 +199,25 @@
 
     fn call<'a, T: Send + 'a>(
         &'a self,
+        purpose: String,
         operation: impl FnOnce(&'a dyn Store) -> StoreFuture<'a, T> + Send + 'a,
     ) -> StoreFuture<'a, T> {
         Box::pin(async move {
             if !self.lock().allow_call(self.clock.now()) {
                 return Err(StoreError::Unavailable);
             }
+            self.count_call(purpose);
             let result = operation(self.inner.as_ref()).await;
             self.record_result(result.as_ref().err());
             result
         })
     }
 
+    fn count_call(&self, purpose: String) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        *calls.entry(purpose).or_default() += 1;
+    }
+
     fn record_result(&self, error: Option<&StoreError>) {
         let now = self.clock.now();
         match error {
@@ -209,31 +235,39 @@
     }
 }
 
+/// Returns the name under which a call is counted: its operation, and the first segment of its key
+/// without the prefix that all keys of this program share.
+fn purpose(operation: &str, key: &str) -> String {
+    let key = key.strip_prefix(OWN_PREFIX).unwrap_or(key);
+    format!("{operation} {}", key.split('/').next().unwrap_or_default())
+}
+
 impl Store for GuardedStore {
     fn range(&self, from: &str, prefix: bool, limit: u32) -> StoreFuture<'_, Vec<Entry>> {
         let from = from.to_owned();
-        self.call(move |store| store.range(&from, prefix, limit))
+        self.call(purpose("read", &from), move |store| store.range(&from, prefix, limit))
     }
 
     fn range_with_revision(&self, from: &str, prefix: bool) -> StoreFuture<'_, (Vec<Entry>, u64)> {
         let from = from.to_owned();
-        self.call(move |store| store.range_with_revision(&from, prefix))
+        self.call(purpose("read", &from), move |store| store.range_with_revision(&from, prefix))
     }
 
     fn swap(&self, compares: Vec<Compare>, puts: Vec<Put>) -> StoreFuture<'_, SwapResult> {
-        self.call(move |store| store.swap(compares, puts))
+        let key = puts.first().map(|put| put.key.as_str()).unwrap_or_default();
+        self.call(purpose("write", key), move |store| store.swap(compares, puts))
     }
 
     fn grant_lease(&self, ttl: Millis) -> StoreFuture<'_, LeaseId> {
-        self.call(move |store| store.grant_lease(ttl))
+        self.call("grant lease".to_owned(), move |store| store.grant_lease(ttl))
     }
 
     fn keep_alive(&self, lease: LeaseId) -> StoreFuture<'_, bool> {
-        self.call(move |store| store.keep_alive(lease))
+        self.call("renew lease".to_owned(), move |store| store.keep_alive(lease))
     }
 
     fn watch(&self, prefix: &str, from_revision: u64) -> StoreFuture<'_, Vec<Entry>> {
         let prefix = prefix.to_owned();
-        self.call(move |store| store.watch(&prefix, from_revision))
+        self.call(purpose("watch", &prefix), move |store| store.watch(&prefix, from_revision))
     }
 }
--- a/crates/berylwheel-types/src/clock.rs
+++ b/crates/berylwheel-types/src/clock.rs
@@ -126,4 +126,20 @@
             Self::Manual(clock) => clock.now(),
         }
     }
+
+    /// Returns the time for which this clock has run, in microseconds. Differences between two
+    /// readings are durations.
+    ///
+    /// ```
+    /// use berylwheel_types::Clock;
+    /// let clock = Clock::real();
+    /// let start = clock.micros();
+    /// assert!(start <= clock.micros());
+    /// ```
+    pub fn micros(&self) -> u64 {
+        match self {
+            Self::Real { origin, .. } => origin.elapsed().as_micros() as u64,
+            Self::Manual(clock) => clock.now().as_millis().saturating_mul(1_000),
+        }
+    }
 }
--- a/crates/berylwheel-types/src/lib.rs
+++ b/crates/berylwheel-types/src/lib.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod rank;
 mod refusal;
+mod visits;
 
 pub use clock::Clock;
 pub use clock::ManualClock;
@@ -49,3 +50,4 @@
 pub use quarantine::SuspectRequest;
 pub use rank::Rank;
 pub use refusal::Refusal;
+pub use visits::VisitCounter;
