Look at all servers only when one of them may expire or pause

Cause: each turn of the control thread went through all listed servers for an expired entry, and each tick through all servers for probes that the platform does not use and through all standings for a pause. Ruled out: a cheaper loop; it would still grow with the servers. Change: the list keeps the earliest expiry, the balancer the latest end of a pause, and without a probe rate no server is looked at.

--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -70,6 +70,8 @@
     /// What is known of servers besides their configuration and load. Outlasts the removal of a
     /// server, since an outdated list may bring it back.
     pub(crate) standings: FastMap<BackendId, Standing>,
+    /// The end of the pause that ends last, or later.
+    pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
     probe_credit: f64,
     last_probe: Timestamp,
@@ -89,6 +91,7 @@
             states: FastMap::default(),
             subsets: FastMap::default(),
             standings: FastMap::default(),
+            last_pause_end: Timestamp::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
             last_time: Timestamp::default(),
@@ -307,8 +310,11 @@
 
     /// Returns the servers to probe for their load now, those that are longest overdue first.
     pub fn due_probes(&mut self, now: Timestamp) -> Vec<BackendId> {
-        let rate = f64::from(self.policy.probe_rate);
         self.last_time = now;
+        if self.policy.probe_rate == 0 {
+            return Vec::new();
+        }
+        let rate = f64::from(self.policy.probe_rate);
         let earned = now.since(self.last_probe).0 as f64 * rate / 1_000.0;
         self.probe_credit = (self.probe_credit + earned).min(rate);
         self.last_probe = now;
--- a/crates/berylwheel-route/src/server_list.rs
+++ b/crates/berylwheel-route/src/server_list.rs
@@ -123,6 +123,8 @@
     failing_since: Option<Timestamp>,
     /// When the store recovered from its last outage.
     recovered_at: Option<Timestamp>,
+    /// The earliest time at which an entry expires, or an earlier time.
+    next_expiry: Option<Timestamp>,
     pending: Option<ListChange>,
 }
 
@@ -134,6 +136,7 @@
             entries: FastMap::default(),
             failing_since: None,
             recovered_at: None,
+            next_expiry: None,
             pending: None,
         }
     }
@@ -165,12 +168,8 @@
 
     /// Removes expired entries and returns the changes since the last call, if any.
     pub fn poll(&mut self, now: Timestamp) -> Option<ListChange> {
-        let is_expired =
-            |entry: &Entry| matches!(entry.presence, Presence::Expiring(until) if until <= now);
-        let expired: Vec<BackendId> =
-            self.entries.iter().filter(|(_, e)| is_expired(e)).map(|(id, _)| id.clone()).collect();
-        for id in expired {
-            self.remove(now, id);
+        if self.next_expiry.is_some_and(|at| at <= now) {
+            self.remove_expired(now);
         }
         let mut change = self.pending.take()?;
         let is_usable = |e: &&Entry| !e.is_removed() && e.listed.status == ServerStatus::Ready;
@@ -180,6 +179,18 @@
         Some(change)
     }
 
+    fn remove_expired(&mut self, now: Timestamp) {
+        let expiries = self.entries.iter().filter_map(|(id, entry)| match entry.presence {
+            Presence::Expiring(until) => Some((until, id.clone())),
+            Presence::Listed | Presence::Removed(_) => None,
+        });
+        let (expired, waiting): (Vec<_>, Vec<_>) = expiries.partition(|(until, _)| *until <= now);
+        self.next_expiry = waiting.into_iter().map(|(until, _)| until).min();
+        for (_, id) in expired {
+            self.remove(now, id);
+        }
+    }
+
     fn pending_change(&mut self) -> &mut ListChange {
         self.pending.get_or_insert_default()
     }
@@ -233,7 +244,9 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         match (grace_end, entry.presence) {
             (Some(until), Presence::Listed) => {
-                entry.presence = Presence::Expiring(until.min(now + limit));
+                let until = until.min(now + limit);
+                entry.presence = Presence::Expiring(until);
+                self.next_expiry = Some(self.next_expiry.map_or(until, |at| at.min(until)));
             }
             (Some(_), Presence::Expiring(_)) | (_, Presence::Removed(_)) => {}
             (None, _) => self.remove(now, id.clone()),
--- a/crates/berylwheel-route/src/standing.rs
+++ b/crates/berylwheel-route/src/standing.rs
@@ -260,7 +260,10 @@
             Some(process) if process.address == signal.address => process,
             _ => ProcessSignals::new(signal.address),
         };
-        let effect = known.insert(process).apply(now, &signal, limit);
+        let process = known.insert(process);
+        let effect = process.apply(now, &signal, limit);
+        let pause_end = process.pause.map_or(self.last_pause_end, |pause| pause.until);
+        self.last_pause_end = self.last_pause_end.max(pause_end);
         if effect.left {
             self.limit_ejections(now);
         }
@@ -364,7 +367,7 @@
 
     /// Returns whether any server has asked for a pause that has not ended.
     pub fn has_pauses(&self, now: Timestamp) -> bool {
-        self.standings.values().any(|standing| standing.is_paused(now))
+        now < self.last_pause_end && self.standings.values().any(|standing| standing.is_paused(now))
     }
 
     /// Ends a series of pauses after a successful response.
