Keep connections for a minute, answer on them, and end those of replaced processes

Cause: an answer to a peer needed a connection of its own, with a second handshake, and a connection was closed after 10 s without a packet. The home of a busy budget opened 211 connections in 20 s to send its answers; a loan that needs a handshake at both ends on a VM of 0.12 cores competes with its time limit of 120 ms. Ruled out: resuming TLS sessions, which skips the check of certificates; connections kept open by pings to all homes, which grow with members x members. Change: messages go over the newest open connection with the peer, whoever opened it; connections stay open for 60 s; a router that learns of a new run of a peer closes its connections with the old one, since the old process cannot. Measured: answers_use_the_connection_of_the_question (1 handshake for 20 questions and answers; without the change one each way), a_disconnected_peer_gets_the_next_message_on_a_new_connection.

--- a/crates/berylwheel-peer/src/identity.rs
+++ b/crates/berylwheel-peer/src/identity.rs
@@ -36,8 +36,9 @@
 /// connect to each other.
 const ALPN_PROTOCOL: &[u8] = b"berylwheel-peer/1";
 
-/// The time without any packet after which a connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time without any packet after which a connection is closed. In a large fleet a router asks
+/// the home of a small budget once a minute or so, and the answer is late if that takes a handshake.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The maximum number of concurrent streams of a peer.
 const STREAM_COUNT_LIMIT: u32 = 32;
@@ -141,9 +142,8 @@
         tls.resumption = Resumption::disabled();
         let crypto = QuicClientConfig::try_from(tls).map_err(|e| PeerError::Tls(e.to_string()))?;
         let mut config = quinn::ClientConfig::new(Arc::new(crypto));
-        // Messages are only sent by the router that opened the connection, so the peer may not open
-        // streams on it.
-        config.transport_config(Arc::new(transport_config(0)));
+        // The peer answers on the connection that this router opened.
+        config.transport_config(Arc::new(transport_config(STREAM_COUNT_LIMIT)));
         Ok(config)
     }
 }
--- a/crates/berylwheel-peer/src/link.rs
+++ b/crates/berylwheel-peer/src/link.rs
@@ -11,6 +11,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_channel::WeakSender;
 use async_executor::Executor;
 use berylwheel_types::FastMap;
 use berylwheel_types::RouterId;
@@ -80,6 +81,8 @@
     pub registry: Registry,
     runtime: ExecutorRuntime,
     client_config: Mutex<ClientConfig>,
+    /// For the tasks that read from connections. Weak, so that the channel closes with the link.
+    inbound: WeakSender<InboundMessage>,
     outboxes: Mutex<FastMap<SocketAddr, Arc<Outbox>>>,
     /// Tasks end when [`PeerLink::close`] closes this channel.
     stop_sender: Sender<()>,
@@ -101,6 +104,11 @@
         self.runtime.spawn(Box::pin(future::or(stop, task)));
     }
 
+    /// Returns the channel for received messages, or `None` if the link is closed.
+    pub fn inbound(&self) -> Option<Sender<InboundMessage>> {
+        self.inbound.upgrade()
+    }
+
     /// Returns the client configuration for new connections to peers.
     pub fn client_config(&self) -> ClientConfig {
         lock(&self.client_config).clone()
@@ -139,7 +147,9 @@
         )
         .map_err(PeerError::Bind)?;
         let (stop_sender, stop_receiver) = async_channel::bounded(1);
+        let (sender, receiver) = async_channel::bounded(INBOUND_COUNT_LIMIT);
         let shared = Arc::new(Shared {
+            inbound: sender.downgrade(),
             name: identity.name().clone(),
             endpoint,
             registry: Registry::default(),
@@ -149,7 +159,6 @@
             stop_sender,
             stop_receiver,
         });
-        let (sender, receiver) = async_channel::bounded(INBOUND_COUNT_LIMIT);
         shared.spawn(receiver::accept_connections(Arc::clone(&shared), sender));
         Ok((Self { shared }, receiver))
     }
@@ -212,6 +221,28 @@
         Ok(())
     }
 
+    /// Closes the open connections with `peer`, whose process has been replaced. The old process
+    /// cannot close them, and without this a message would wait until the connection times out. The next
+    /// message opens a new connection.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use async_executor::Executor;
+    /// # use berylwheel_peer::{PeerIdentity, PeerLink};
+    /// # let made = rcgen::generate_simple_self_signed(vec!["r1".to_owned()]).unwrap();
+    /// # let (chain, key) = (made.cert.pem(), made.signing_key.serialize_pem());
+    /// # let identity =
+    /// #     PeerIdentity::from_pem(chain.as_bytes(), key.as_bytes(), chain.as_bytes()).unwrap();
+    /// let executor = Arc::new(Executor::new());
+    /// let (link, _) =
+    ///     PeerLink::bind("127.0.0.1:0".parse().unwrap(), identity, &executor).unwrap();
+    /// link.disconnect("127.0.0.1:7000".parse().unwrap());
+    /// assert_eq!(link.stats().connections, 0);
+    /// ```
+    pub fn disconnect(&self, peer: SocketAddr) {
+        self.shared.registry.close_peer(peer, b"replaced");
+    }
+
     /// Returns the statistics of the link.
     pub fn stats(&self) -> PeerStats {
         self.shared.registry.stats()
--- a/crates/berylwheel-peer/src/receiver.rs
+++ b/crates/berylwheel-peer/src/receiver.rs
@@ -92,6 +92,12 @@
     shared.registry.remove(&connection, Some(&from));
 }
 
+/// Reads the messages that a peer sends on a connection that this router opened, until it ends.
+pub(crate) async fn read_answers(shared: Arc<Shared>, connection: Connection) {
+    let (Some(from), Some(inbound)) = (peer_name(&connection), shared.inbound()) else { return };
+    read_frames(&shared, &connection, &from, &inbound).await;
+}
+
 fn peer_name(connection: &Connection) -> Option<RouterId> {
     let identity = connection.peer_identity()?;
     let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
--- a/crates/berylwheel-peer/src/registry.rs
+++ b/crates/berylwheel-peer/src/registry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -87,6 +88,8 @@
 struct OpenConnections {
     connections: FastMap<usize, Connection>,
     incoming: FastMap<RouterId, VecDeque<usize>>,
+    /// The newest connection with the router at an address, whoever opened it.
+    newest: FastMap<SocketAddr, usize>,
     bytes_in: u64,
     bytes_out: u64,
     epoch: u64,
@@ -124,6 +127,7 @@
             connection.close(VarInt::from_u32(0), b"reload");
         }
         open.connections.insert(connection.stable_id(), connection.clone());
+        open.newest.insert(connection.remote_address(), connection.stable_id());
         let Some(peer) = from else { return };
         let peer_ids = open.incoming.entry(peer.clone()).or_default();
         peer_ids.push_back(connection.stable_id());
@@ -144,6 +148,9 @@
         let stats = connection.stats();
         open.bytes_in += stats.udp_rx.bytes;
         open.bytes_out += stats.udp_tx.bytes;
+        if open.newest.get(&connection.remote_address()) == Some(&id) {
+            open.newest.remove(&connection.remote_address());
+        }
         let Some(peer) = from else { return };
         let Some(peer_ids) = open.incoming.get_mut(peer) else { return };
         peer_ids.retain(|other| *other != id);
@@ -152,6 +159,22 @@
         }
     }
 
+    /// Returns the newest open connection with the router at `peer`.
+    pub fn connection(&self, peer: SocketAddr) -> Option<Connection> {
+        let open = self.lock();
+        let connection = open.newest.get(&peer).and_then(|id| open.connections.get(id));
+        connection.filter(|connection| connection.close_reason().is_none()).cloned()
+    }
+
+    /// Closes all connections with the router at `peer`.
+    pub fn close_peer(&self, peer: SocketAddr, reason: &[u8]) {
+        for connection in self.lock().connections.values() {
+            if connection.remote_address() == peer {
+                connection.close(VarInt::from_u32(0), reason);
+            }
+        }
+    }
+
     /// Closes all connections and starts a new epoch.
     pub fn close_all(&self, reason: &[u8]) {
         let mut open = self.lock();
--- a/crates/berylwheel-peer/src/sender.rs
+++ b/crates/berylwheel-peer/src/sender.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use berylwheel_types::stable_hash;
 use quinn::Connection;
+use quinn::ConnectionError;
 use quinn::SendStream;
 use quinn::VarInt;
 use rand::Rng;
@@ -17,6 +18,7 @@
 
 use crate::link::Shared;
 use crate::outbox::Outbox;
+use crate::receiver::read_answers;
 use crate::registry::add_count;
 use crate::runtime::with_timeout;
 
@@ -34,12 +36,17 @@
 /// peer is assumed to have restarted or to be unreachable, and the connection is replaced.
 const ACK_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The maximum time to open a stream on a connection that the peer opened. If the peer allows no
+/// further stream there, this router opens a connection.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The server name of the TLS handshake. It is required but not used: a certificate is verified for
 /// the name that it contains.
 const SERVER_NAME: &str = "router";
 
-/// Sends the frames in `outbox` to `peer`, reconnecting with exponential backoff. Returns when the
-/// connection has ended and the outbox is empty. `kind` is the kind of message for which the first
+/// Sends the frames in `outbox` to `peer`, reconnecting with exponential backoff. Uses the open
+/// connection with the peer, whoever opened it. Returns when the connection has ended and the
+/// outbox is empty. `kind` is the kind of message for which the first
 /// connection is opened.
 pub(crate) async fn run_sender(
     shared: Arc<Shared>,
@@ -51,14 +58,22 @@
     let seed = stable_hash(&[shared.name.as_str(), &local_address, &peer.to_string()]);
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut backoff = BACKOFF_BASE;
+    if let Some(connection) = shared.registry.connection(peer) {
+        let acknowledged = Arc::new(AtomicBool::new(false));
+        send_frames(&shared, &connection, &outbox, &acknowledged, OPEN_TIMEOUT).await;
+        if shared.remove_if_idle(peer, &outbox) {
+            return;
+        }
+    }
     loop {
         let epoch = shared.registry.epoch();
         shared.registry.count_kind(kind, |stats| stats.handshakes += 1);
         match connect(&shared, peer).await {
             Some(connection) => {
                 shared.registry.insert(&connection, None, epoch);
+                shared.spawn(read_answers(Arc::clone(&shared), connection.clone()));
                 let acknowledged = Arc::new(AtomicBool::new(false));
-                send_frames(&shared, &connection, &outbox, &acknowledged).await;
+                send_frames(&shared, &connection, &outbox, &acknowledged, ACK_TIMEOUT).await;
                 connection.close(VarInt::from_u32(0), b"done");
                 shared.registry.remove(&connection, None);
                 // A peer rejects the client certificate only after the handshake has completed on
@@ -91,12 +106,14 @@
     }
 }
 
-/// Sends frames until the connection ends or a frame cannot be written.
+/// Sends frames until the connection ends or a frame cannot be written. `open_timeout` is the time
+/// to wait until the peer allows another stream.
 async fn send_frames(
     shared: &Arc<Shared>,
     connection: &Connection,
     outbox: &Outbox,
     acknowledged: &Arc<AtomicBool>,
+    open_timeout: Duration,
 ) {
     loop {
         let closed = async {
@@ -105,7 +122,7 @@
         };
         let next_frame = async { Some(outbox.dequeue().await) };
         let Some(frame) = futures_lite::future::or(closed, next_frame).await else { return };
-        match with_timeout(ACK_TIMEOUT, write_frame(connection, &frame)).await {
+        match with_timeout(ACK_TIMEOUT, write_frame(connection, &frame, open_timeout)).await {
             Some(Ok(stream)) => {
                 let (shared, acknowledged) = (Arc::clone(shared), Arc::clone(acknowledged));
                 shared.clone().spawn(await_acknowledgment(
@@ -128,8 +145,10 @@
 async fn write_frame(
     connection: &Connection,
     frame: &[u8],
+    open_timeout: Duration,
 ) -> Result<SendStream, quinn::WriteError> {
-    let mut stream = connection.open_uni().await?;
+    let opened = with_timeout(open_timeout, connection.open_uni()).await;
+    let mut stream = opened.unwrap_or(Err(ConnectionError::TimedOut))?;
     stream.write_all(frame).await?;
     let _ = stream.finish();
     Ok(stream)
--- a/crates/berylwheel-peer/tests/link.rs
+++ b/crates/berylwheel-peer/tests/link.rs
@@ -298,3 +298,47 @@
         assert_eq!(a.send_until_received(&b).await.from.as_str(), "a2");
     });
 }
+
+/// Guards against messages that are lost on the connection to a process that was replaced.
+#[test]
+fn a_disconnected_peer_gets_the_next_message_on_a_new_connection() {
+    let (authority, executor) = (Authority::new(), TestExecutor::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let old_process = TestExecutor::new();
+    let b = Node::new(authority.identity("b"), &old_process);
+    let address = b.address;
+    executor.run(old_process.0.run(a.send_until_received(&b)));
+    drop((b, old_process));
+    executor.run(async {
+        wait_until(|| std::net::UdpSocket::bind(address).is_ok()).await;
+        let b = Node::bind(address, authority.identity("b"), &executor);
+        a.link.disconnect(address);
+        wait_until(|| a.link.stats().connections == 0).await;
+        a.link.send(address, version_message(9));
+        // Messages that waited for the old process may arrive first.
+        while b.inbound.recv().await.unwrap().message != version_message(9) {}
+    });
+}
+
+/// Guards against a second handshake, with all its signatures, for each answer.
+#[test]
+fn answers_use_the_connection_of_the_question() {
+    let (authority, executor) = (Authority::new(), TestExecutor::new());
+    let a = Node::new(authority.identity("a"), &executor);
+    let b = Node::new(authority.identity("b"), &executor);
+    executor.run(async {
+        for number in 1..=20 {
+            a.link.send(b.address, version_message(number));
+            assert_eq!(b.inbound.recv().await.unwrap().message, version_message(number));
+            b.link.send(a.address, version_message(100 + number));
+            let answer = a.inbound.recv().await.unwrap();
+            assert_eq!(
+                (answer.from.as_str(), answer.message),
+                ("b", version_message(100 + number))
+            );
+        }
+    });
+    let handshakes =
+        |node: &Node| (node.link.stats().handshakes_out, node.link.stats().handshakes_in);
+    assert_eq!((handshakes(&a), handshakes(&b)), ((1, 0), (0, 1)));
+}
