Do work for the fleet when its members change, and keep heartbeats on the same peers

Cause: (1) 50 times a second a router listed, cloned and sorted all live routers to pass them on unchanged, compared its clock with all reports, and looked through all versions of peers; each heartbeat sorted all members. (2) Half of the recipients of heartbeats, and all of notices, pushes and the announcement of a stop, were drawn from all routers, so that each message cost a handshake with certificates. (3) Runs of others were known from heartbeats only, eight at a time, for minutes after a start: routers disagreed about the homes of budgets, took grants of their own, and their writes conflicted. Ruled out: a slower tick, which delays time-outs and leaves the growth; fewer heartbeats, which delay the detection of failures. Change: members keep ring, counts and relay order up to date as they change; what depends on live routers follows a change counter. The list of routers tells the runs of all, and is read again soon while it grows. Announcing a stop, the return of the store, and a leaving server no longer reach all routers directly.

--- a/benches/control/main.rs
+++ b/benches/control/main.rs
@@ -2,6 +2,8 @@
 //! control plane.
 //!
 //! Routers and the store are simulated in memory with a manual clock; messages take 1 ms one way.
+//! With the argument `idle` only the cost without requests and changes is measured.
+//!
 //! Prints one JSON object per line. The baseline is a fleet in which every router reads the root
 //! from the store each second. CPU time is measured; all other figures are deterministic for a
 //! seed.
@@ -9,6 +11,7 @@
 #[path = "../../crates/berylwheel-config/tests/common/mod.rs"]
 mod common;
 mod figure;
+mod idle;
 mod workload;
 
 use berylwheel_config::MemberState;
@@ -42,6 +45,10 @@
     if !std::env::args().any(|arg| arg == "--bench") {
         return;
     }
+    idle::print_idle_costs();
+    if std::env::args().any(|arg| arg == "idle") {
+        return;
+    }
     let target_cost = measure_target_cost();
     print_figure("apply_s.target", target_cost.apply_seconds, "s", None, None);
     print_figure("part_bytes.target", target_cost.part_bytes, "B", None, Some(20_000.0));
--- a/crates/berylwheel-config/src/config_state.rs
+++ b/crates/berylwheel-config/src/config_state.rs
@@ -67,6 +67,8 @@
     fetch: Option<Fetch>,
     /// The version that each peer reported last.
     peer_versions: FastMap<RouterId, Version>,
+    /// An upper bound of `peer_versions`.
+    newest_reported: Version,
     /// The highest version that each peer reported before this router was confirmed.
     initial_reports: FastMap<RouterId, Version>,
     /// The highest version read from the store.
@@ -76,6 +78,8 @@
     next_read: Timestamp,
     next_ask: Timestamp,
     push_targets: FastSet<RouterId>,
+    /// Peers to which a new version is pushed.
+    links: Vec<RouterId>,
     actions: Vec<ConfigAction>,
     visits: VisitCounter,
 }
@@ -92,6 +96,7 @@
             pending_parts: FastMap::default(),
             fetch: None,
             peer_versions: FastMap::default(),
+            newest_reported: Version::default(),
             initial_reports: FastMap::default(),
             stored_version: None,
             unreadable_version: None,
@@ -99,6 +104,7 @@
             next_read: Timestamp::from_millis(0),
             next_ask: Timestamp::from_millis(0),
             push_targets: FastSet::default(),
+            links: Vec::new(),
             actions: Vec::new(),
             visits: VisitCounter::default(),
         }
@@ -123,6 +129,12 @@
         self.peers.retain(|(id, _)| *id != self.own_id);
     }
 
+    /// Sets the peers with open connections, to some of which a new version is pushed. Without any,
+    /// they are chosen among all peers.
+    pub fn set_links(&mut self, links: Vec<RouterId>) {
+        self.links = links;
+    }
+
     /// Returns the failure domain of this router.
     pub fn domain(&self) -> &FailureDomain {
         &self.domain
@@ -232,11 +244,15 @@
             return;
         }
         let known = self.version().max(self.unreadable_version);
+        if Some(self.newest_reported) <= known {
+            return;
+        }
         self.visits.add(self.peer_versions.len());
         let newer = self.peer_versions.iter().filter(|(_, version)| Some(**version) > known);
         let best =
             newer.max_by_key(|(id, v)| (**v, stable_hash(&[self.own_id.as_str(), id.as_str()])));
         let Some((from, version)) = best.map(|(id, version)| (id.clone(), *version)) else {
+            self.newest_reported = known.unwrap_or_default();
             return;
         };
         let parts = self.root().map(|root| root.parts.clone()).unwrap_or_default();
@@ -246,13 +262,21 @@
 
     /// Returns `count` peers, selected pseudo-randomly by `seed`.
     fn select_peers(&self, seed: &[&str], count: usize) -> Vec<RouterId> {
+        self.select(self.peers.iter().map(|(id, _)| id), seed, count)
+    }
+
+    fn select<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a RouterId>,
+        seed: &[&str],
+        count: usize,
+    ) -> Vec<RouterId> {
         let score = |id: &RouterId| {
             let ids: Vec<&str> = [self.own_id.as_str(), id.as_str()].into_iter().collect();
             stable_hash(&[&ids, seed].concat())
         };
-        self.visits.add(self.peers.len());
-        let mut peers: Vec<(u64, &RouterId)> =
-            self.peers.iter().map(|(id, _)| (score(id), id)).collect();
+        let mut peers: Vec<(u64, &RouterId)> = peers.map(|id| (score(id), id)).collect();
+        self.visits.add(peers.len());
         peers.sort();
         peers.into_iter().take(count).map(|(_, id)| id.clone()).collect()
     }
@@ -290,6 +314,7 @@
     /// Handles the version that the peer `from` reported in a push or a heartbeat.
     pub fn handle_peer_version(&mut self, _now: Timestamp, from: &RouterId, version: Version) {
         self.peer_versions.insert(from.clone(), version);
+        self.newest_reported = self.newest_reported.max(version);
         if !self.confirmed && version > Version(0) {
             let answer = self.initial_reports.entry(from.clone()).or_default();
             *answer = (*answer).max(version);
@@ -366,8 +391,11 @@
         self.pending_parts.clear();
         self.try_confirm();
         if self.confirmed {
-            let targets =
-                self.select_peers(&["push", &version.to_string()], self.policy.push_fanout);
+            let seed = ["push", &version.to_string()];
+            let targets = match self.links.is_empty() {
+                true => self.select_peers(&seed, self.policy.push_fanout),
+                false => self.select(self.links.iter(), &seed, self.policy.push_fanout),
+            };
             self.push_targets.extend(targets);
         }
     }
--- a/crates/berylwheel-config/src/peer_clocks.rs
+++ b/crates/berylwheel-config/src/peer_clocks.rs
@@ -11,6 +11,8 @@
 const MAX_SKEW: Millis = Millis(400);
 /// Time for which a clock reading from a heartbeat is used.
 const REPORT_TTL: Millis = Millis(5_000);
+/// Number of reports from which on expired ones are removed.
+const PRUNE_LENGTH: usize = 64;
 /// Minimum number of other routers whose clocks have to agree.
 const MIN_PEERS: usize = 2;
 
@@ -48,6 +50,10 @@
     /// Records the clock reading in a heartbeat from `from`.
     pub fn record(&mut self, now: Timestamp, from: &RouterId, clock: Timestamp) {
         let skew = now.since(clock).max(clock.since(now));
+        if self.reports.len() >= PRUNE_LENGTH {
+            self.visits.add(self.reports.len());
+            self.reports.retain(|_, (at, _)| now.since(*at) <= REPORT_TTL);
+        }
         self.reports.insert(from.clone(), (now, skew <= MAX_SKEW));
     }
 
--- a/crates/berylwheel-config/src/store_reach.rs
+++ b/crates/berylwheel-config/src/store_reach.rs
@@ -16,6 +16,8 @@
 const PROBE_INTERVAL_SHARE: Millis = Millis(150);
 /// Upper bound of the maximum probe interval.
 const PROBE_INTERVAL_LIMIT: Millis = Millis(4_000);
+/// Number of reports from which on expired ones are removed.
+const PRUNE_LENGTH: usize = 64;
 /// Minimum number of other routers that have to report a lost store.
 const MIN_REPORTS: usize = 2;
 
@@ -55,6 +57,10 @@
 
     /// Records whether the router `from` can reach the store.
     pub fn record(&mut self, now: Timestamp, from: &RouterId, reaches: bool) {
+        if self.reports.len() >= PRUNE_LENGTH {
+            self.visits.add(self.reports.len());
+            self.reports.retain(|_, (at, _)| now.since(*at) <= REPORT_TTL);
+        }
         self.reports.insert(from.clone(), (now, reaches));
     }
 
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -215,6 +215,7 @@
             Event::SettingsReloaded(settings) => {
                 self.router_settings.retry_share = settings.retry_share;
                 self.router_settings.retry_extra = settings.retry_extra;
+                self.update_retry_limits();
                 self.quarantine.set_exempt(now, settings.exempt_parts);
             }
             Event::IdentityReloaded(identity) => self.fleet.reload_certificates(identity),
--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -155,6 +155,12 @@
         self.control.fleet.members.expected_senders()
     }
 
+    /// Returns the number of other routers whose current runs are known, so that they count when
+    /// the home of a budget is chosen.
+    pub fn known_runs(&self) -> usize {
+        self.control.fleet.live_runs().len()
+    }
+
     /// Returns the number of entries of other routers examined since the start.
     pub fn visits(&self) -> u64 {
         self.control.visits()
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -39,6 +39,7 @@
         self.fleet.members.set_version(self.fleet.config.advertised_version());
         let heartbeats = self.fleet.members.poll(now);
         if !heartbeats.is_empty() {
+            self.check_clock(now);
             let served = self.scheduler.served_totals();
             for (to, heartbeat) in heartbeats {
                 let domain = &self.fleet.own_entry.domain;
@@ -52,14 +53,8 @@
                 self.effects.peer_traffic.set_totals(stats.bytes_in, stats.bytes_out);
             }
         }
-        let live = self.fleet.members.live_count().max(1);
-        self.coordinate_store_probes(now, live);
-        self.holder.set_routers(live);
-        self.balancer.set_routers(live);
-        self.update_retry_limits();
-        self.holder.set_lenders(now, self.fleet.live_runs());
-        let address = self.fleet.clocks.is_synchronized(now).then_some(self.fleet.address);
-        self.holder.set_address(now, self.started_at, address);
+        self.apply_live_changes(now);
+        self.coordinate_store_probes(now);
         if now >= self.fleet.next_vms
             && let Some(address) = self.fleet.vms_address
         {
@@ -82,6 +77,31 @@
         self.drive_reclaims(now);
     }
 
+    /// Compares the local clock with those of the peers, which the holder relies on.
+    pub(crate) fn check_clock(&mut self, now: Timestamp) {
+        self.fleet.clock_agrees = self.fleet.clocks.is_synchronized(now);
+        let address = self.fleet.clock_agrees.then_some(self.fleet.address);
+        self.holder.set_address(now, self.started_at, address);
+    }
+
+    /// Updates everything that depends on the live routers if these have changed.
+    fn apply_live_changes(&mut self, now: Timestamp) {
+        let changes = Some(self.fleet.members.live_changes());
+        if self.fleet.applied_changes == changes {
+            return;
+        }
+        self.fleet.applied_changes = changes;
+        let live = self.fleet.members.live_count().max(1);
+        self.holder.set_routers(live);
+        self.balancer.set_routers(live);
+        self.update_retry_limits();
+        let runs = self.fleet.live_runs();
+        self.fleet.disconnect_replaced(&runs);
+        self.holder.set_lenders(now, runs);
+        self.fleet.config.set_links(self.fleet.members.links());
+        self.check_clock(now);
+    }
+
     pub(crate) fn drive_config(&mut self, now: Timestamp) {
         for action in self.fleet.config.poll(now) {
             self.run_config_action(now, action);
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -30,7 +30,7 @@
 /// Maximum number of peers that one router tells about a leaving backend server.
 const LEAVING_PEERS_LIMIT: usize = 4;
 
-/// Minimum interval between notices that the store is back. All routers notice it within a second.
+/// Minimum interval between notices that the store is back. A notice reaches all routers within it.
 const REGAIN_NOTICE_INTERVAL: Millis = Millis(1_000);
 
 impl Control {
@@ -52,6 +52,9 @@
                 ..
             } => {
                 self.fleet.clocks.record(now, &from, clock);
+                if !self.fleet.clock_agrees {
+                    self.check_clock(now);
+                }
                 self.fleet.store_reach.record(now, &from, reaches);
                 let version = version.unwrap_or_default();
                 let own = MemberEntry {
@@ -109,10 +112,7 @@
             // The response is for an earlier run of this router.
             Message::Lent { .. } => {}
             Message::Repaid { id, owner, used } => self.holder.loan_repaid(now, &owner, id, used),
-            Message::StoreRegained => {
-                self.fleet.regain_notice = now;
-                self.effects.guard.probe_now();
-            }
+            Message::StoreRegained => self.handle_regain_notice(now),
             Message::ServerEnded { server, age, suspects } => {
                 self.quarantine.handle_report(now, &from, &server, age, suspects);
             }
@@ -179,18 +179,18 @@
     /// Tells some peers that a backend server is leaving, in case their server list is older than
     /// this router's.
     pub(crate) fn notify_server_leaving(&self, server: &BackendId) {
-        let mut live = self.fleet.members.live();
-        live.retain(|router| *router != self.incarnation.router);
+        let mut links = self.fleet.members.links();
         let own = self.incarnation.router.as_str();
-        live.sort_by_key(|router| stable_hash(&[own, server.as_str(), router.as_str()]));
-        for router in live.iter().take(LEAVING_PEERS_LIMIT) {
+        links.sort_by_cached_key(|router| stable_hash(&[own, server.as_str(), router.as_str()]));
+        for router in links.iter().take(LEAVING_PEERS_LIMIT) {
             self.fleet.send(router, Message::Leaving { server: server.clone() });
         }
     }
 
     /// While the store is unavailable, sets the maximum probe interval, which divides the probes
-    /// among the live routers. Tells them once it is back.
-    pub(crate) fn coordinate_store_probes(&mut self, now: Timestamp, live: usize) {
+    /// among the live routers. Tells the linked peers once it is back.
+    pub(crate) fn coordinate_store_probes(&mut self, now: Timestamp) {
+        let live = self.fleet.members.live_count().max(1);
         let guard = &self.effects.guard;
         let unavailable = guard.is_unavailable();
         let regained =
@@ -201,9 +201,26 @@
         if !regained || now.since(self.fleet.regain_notice) < REGAIN_NOTICE_INTERVAL {
             return;
         }
+        self.send_regain_notice(now);
+    }
+
+    /// Tells the linked peers that the store is back. Each of them passes it on.
+    fn send_regain_notice(&mut self, now: Timestamp) {
         self.fleet.regain_notice = now;
-        for run in self.fleet.live_runs() {
-            self.fleet.send(&run.router, Message::StoreRegained);
+        for router in self.fleet.members.links() {
+            self.fleet.send(&router, Message::StoreRegained);
+        }
+    }
+
+    /// Probes the store at once if a peer has regained it, and passes the notice on if this router
+    /// has lost it too. Where the store serves most routers, the others probe it often by themselves.
+    fn handle_regain_notice(&mut self, now: Timestamp) {
+        self.effects.guard.probe_now();
+        if !self.effects.guard.is_unavailable() {
+            return;
+        }
+        if now.since(self.fleet.regain_notice) >= REGAIN_NOTICE_INTERVAL {
+            self.send_regain_notice(now);
         }
     }
 
@@ -211,7 +228,7 @@
         self.fleet.adapter == Adapter::Platform && !self.server_list.is_failing()
     }
 
-    /// Tells the other routers at once that this one is shutting down.
+    /// Tells the linked peers that this router is shutting down. They relay it at once.
     pub(crate) fn announce_leaving(&mut self, now: Timestamp) {
         self.fleet.members.set_leaving();
         for (to, heartbeat) in self.fleet.members.announce() {
--- a/crates/berylwheel-router/src/fleet/reclaim.rs
+++ b/crates/berylwheel-router/src/fleet/reclaim.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use berylwheel_config::ListedState;
+use berylwheel_settings::Adapter;
+use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
@@ -19,6 +21,8 @@
 
 /// Interval between attempts to reclaim the grants of an ended router process.
 const RECLAIM_INTERVAL: Millis = Millis(5_000);
+/// Interval between reads of the list of routers while routers are added to it.
+const REGISTRY_GROWTH_INTERVAL: Millis = Millis(1_000);
 /// Pauses before each repetition of a successful reclaim. A write that the process sent before it
 /// ended may take effect late, on a page where the first reclaim found nothing.
 const RECLAIM_REPEAT_PAUSES: [Millis; 2] = [Millis(60_000), Millis(600_000)];
@@ -51,8 +55,22 @@
 
     /// Updates the peers and their current runs from the list of routers.
     pub(crate) fn apply_registry(&mut self, now: Timestamp, routers: Vec<RouterEntry>) {
+        if routers == self.fleet.listed_routers {
+            return;
+        }
+        let known: FastSet<&Incarnation> =
+            self.fleet.listed_routers.iter().map(|router| &router.incarnation).collect();
+        if routers.iter().any(|router| !known.contains(&router.incarnation)) {
+            // Others are registering too, so the list may still lack some of them.
+            self.fleet.next_registry = self.fleet.next_registry.min(now + REGISTRY_GROWTH_INTERVAL);
+        }
         self.fleet.listed_routers.clone_from(&routers);
         self.fleet.set_peers();
+        if self.fleet.adapter == Adapter::Platform {
+            let runs = routers.iter().map(|router| (router.incarnation.clone(), router.peer));
+            let runs: Vec<(Incarnation, SocketAddr)> = runs.collect();
+            self.fleet.members.handle_listed_runs(now, &runs);
+        }
         for router in routers {
             self.record_run(now, router.incarnation);
         }
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -45,6 +45,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) own_entry: RouterEntry,
     pub(crate) clocks: PeerClocks,
+    /// Whether the local clock agreed with those of the peers when it was last compared.
+    pub(crate) clock_agrees: bool,
     pub(crate) store_reach: StoreReach,
     /// Whether the store was unavailable at the last check.
     pub(crate) store_unavailable: bool,
@@ -67,6 +69,11 @@
     /// Whether quarantined prompt parts have changed since they were last written to the store.
     pub(crate) holds_to_store: bool,
     pub(crate) next_holds_write: Timestamp,
+    /// The state of [`Members::live_changes`] for which everything that depends on the live routers
+    /// was updated.
+    pub(crate) applied_changes: Option<u64>,
+    /// The number of the run of each router with which connections were last made.
+    pub(crate) linked_runs: FastMap<RouterId, u64>,
     pub(crate) visits: VisitCounter,
     /// Receives all messages in place of the link when a router runs without sockets.
     pub(crate) recorder: Option<Sender<(RouterId, Message)>>,
@@ -115,6 +122,7 @@
             address,
             own_entry,
             clocks: PeerClocks::default(),
+            clock_agrees: false,
             store_reach: StoreReach::default(),
             store_unavailable: false,
             regain_notice: Timestamp::default(),
@@ -133,6 +141,8 @@
             pending_claims: FastMap::default(),
             holds_to_store: false,
             next_holds_write: now,
+            applied_changes: None,
+            linked_runs: FastMap::default(),
             visits: VisitCounter::default(),
             recorder: None,
         };
@@ -195,27 +205,50 @@
     }
 
     pub(crate) fn record_domain(&mut self, router: &RouterId, domain: FailureDomain) {
-        if self.domains.get(router) != Some(&domain) {
-            self.domains.insert(router.clone(), domain);
+        if self.domains.get(router) == Some(&domain) {
+            return;
+        }
+        self.domains.insert(router.clone(), domain);
+        // The list of routers states the domains of all others.
+        if self.configured_peers.iter().any(|(configured, _)| configured == router) {
             self.set_peers();
         }
     }
 
     /// Returns the current runs of the other live routers.
+    ///
+    /// Goes through all members, so it is called only after a change of [`Members::live_changes`].
     pub(crate) fn live_runs(&self) -> Vec<Incarnation> {
         let own = &self.own_entry.incarnation.router;
         let live = self.members.live().into_iter().filter(|router| router != own);
         live.filter_map(|router| self.members.incarnation(&router).cloned()).collect()
     }
 
+    /// Closes the connections to the routers whose processes have been replaced by those in `runs`.
+    pub(crate) fn disconnect_replaced(&mut self, runs: &[Incarnation]) {
+        self.visits.add(runs.len());
+        for run in runs {
+            let known = self.linked_runs.insert(run.router.clone(), run.number);
+            if known.is_none_or(|number| number == run.number) {
+                continue;
+            }
+            if let (Some(link), Some(address)) = (&self.link, self.addresses.get(&run.router)) {
+                link.disconnect(*address);
+            }
+        }
+    }
+
     pub(crate) fn send(&self, to: &RouterId, message: Message) {
         if let Some(recorder) = &self.recorder {
             // The receiver outlives this state.
             let _ = recorder.try_send((to.clone(), message));
             return;
         }
-        if let (Some(link), Some(address)) = (&self.link, self.addresses.get(to)) {
-            link.send(*address, message);
+        let Some(link) = &self.link else { return };
+        // Heartbeats tell of routers that the list does not have yet.
+        let address = self.addresses.get(to).copied().or_else(|| self.members.address(to));
+        if let Some(address) = address {
+            link.send(address, message);
         }
     }
 
