Bound what a large fleet reads of its list, and what a claim looks at

Cause: each router read the whole list of routers every 10 s, so the bytes of all reads grew with the square of the fleet; each request that may not be repeated listed, cloned and hashed all live routers for the home of its key, twice. Ruled out: reading the list by changes, since each router would need a watch. Keys are divided into slots whose homes are kept until the live routers change.

--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -320,14 +320,13 @@
     let budgets: Vec<String> = (0..40).map(|i| format!("w{i}/main")).collect();
     let mut holder = new_holder();
     let mut lenders: Vec<Incarnation> = (0..295).map(|i| run(i, 1)).collect();
-    let changes: [&dyn Fn(&mut Vec<Incarnation>); 4] = [
-        &|_| {},
-        &|lenders| lenders.retain(|lender| lender.router.as_str().len() % 2 == 0),
-        &|lenders| lenders.extend((300..400).map(|i| run(i, 1))),
-        &|lenders| lenders.iter_mut().take(50).for_each(|lender| lender.number = 2),
-    ];
-    for (round, change) in changes.iter().enumerate() {
-        change(&mut lenders);
+    for round in 0..4 {
+        match round {
+            0 => {}
+            1 => lenders.retain(|lender| lender.router.as_str().len() % 2 == 0),
+            2 => lenders.extend((300..400).map(|i| run(i, 1))),
+            _ => lenders.iter_mut().take(50).for_each(|lender| lender.number = 2),
+        }
         holder.set_lenders(now, lenders.clone());
         let mut fresh = new_holder();
         fresh.set_lenders(now, lenders.clone());
--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -1,5 +1,6 @@
 //! A control thread that a test or benchmark steps by hand.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -161,6 +162,11 @@
         self.control.fleet.live_runs().len()
     }
 
+    /// Returns the number of calls to the store since the start, by purpose.
+    pub fn store_calls(&self) -> BTreeMap<String, u64> {
+        self.control.effects.guard.calls()
+    }
+
     /// Returns the number of entries of other routers examined since the start.
     pub fn visits(&self) -> u64 {
         self.control.visits()
--- a/crates/berylwheel-router/src/fleet/claims.rs
+++ b/crates/berylwheel-router/src/fleet/claims.rs
@@ -1,6 +1,7 @@
 //! Claims of idempotency keys at their home router, which keep two attempts from running at the
 //! same time.
 
+use berylwheel_config::Members;
 use berylwheel_types::BillKey;
 use berylwheel_types::Code;
 use berylwheel_types::FastMap;
@@ -20,6 +21,8 @@
 /// Maximum number of attempts per key. A key is billed once however often it runs, so a caller
 /// could otherwise abort its responses on purpose and run more attempts for free.
 const ATTEMPT_LIMIT: u32 = 3;
+/// Number of slots into which keys are divided; all keys of a slot have the same home.
+const SLOT_COUNT: u64 = 4_096;
 /// Delay before a caller retries a key whose request is still running.
 const RUNNING_RETRY_DELAY: Millis = Millis(1_000);
 
@@ -154,7 +157,7 @@
     }
 }
 
-/// Returns the home router of a key among the live routers, by rendezvous hashing.
+/// Returns the home router of a key among the live routers, by rendezvous hashing of its slot.
 ///
 /// ```
 /// use berylwheel_router::home_router;
@@ -164,6 +167,52 @@
 /// assert_eq!(home_router(key, &routers), home_router(key, &routers));
 /// ```
 pub fn home_router(key: BillKey, routers: &[RouterId]) -> Option<&RouterId> {
-    let key = key.to_string();
-    routers.iter().max_by_key(|router| stable_hash(&[&key, router.as_str()]))
+    slot_home(slot_of(key), routers)
+}
+
+fn slot_of(key: BillKey) -> u64 {
+    stable_hash(&["claim", &key.to_string()]) % SLOT_COUNT
+}
+
+fn slot_home(slot: u64, routers: &[RouterId]) -> Option<&RouterId> {
+    let slot = slot.to_string();
+    routers.iter().max_by_key(|router| stable_hash(&["claim", &slot, router.as_str()]))
+}
+
+/// The home routers of the slots that were asked for since the live routers last changed. A claim
+/// then costs a look at all routers only once a slot and change.
+///
+/// ```
+/// use berylwheel_config::{MemberPolicy, Members};
+/// use berylwheel_router::{ClaimHomes, home_router};
+/// use berylwheel_types::BillKey;
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let mut members = Members::new("r1@1".parse().unwrap(), address, MemberPolicy::default());
+/// members.set_peers(["r2".parse().unwrap(), "r3".parse().unwrap()]);
+/// let key = BillKey::new(&"w".parse().unwrap(), "k");
+/// let mut homes = ClaimHomes::default();
+/// assert_eq!(homes.home_of(key, &members).as_ref(), home_router(key, &members.live()));
+/// ```
+#[derive(Debug, Default)]
+pub struct ClaimHomes {
+    /// The state of [`Members::live_changes`] for which `homes` holds.
+    changes: Option<u64>,
+    homes: FastMap<u64, RouterId>,
+}
+
+impl ClaimHomes {
+    /// Returns the home router of a key, or `None` if no router is live.
+    pub fn home_of(&mut self, key: BillKey, members: &Members) -> Option<RouterId> {
+        if self.changes != Some(members.live_changes()) {
+            self.changes = Some(members.live_changes());
+            self.homes.clear();
+        }
+        let slot = slot_of(key);
+        if let Some(home) = self.homes.get(&slot) {
+            return Some(home.clone());
+        }
+        let home = slot_home(slot, &members.live())?.clone();
+        self.homes.insert(slot, home.clone());
+        Some(home)
+    }
 }
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -24,8 +24,12 @@
 /// Interval between reads of the platform's VM list. Bounds the delay until a leaving server is
 /// noticed if the message about it is lost.
 const VM_LIST_INTERVAL: Millis = Millis(1_000);
-/// Interval between reads of the list of routers.
+/// Interval between reads of the list of routers in a fleet of up to [`REGISTRY_READERS`].
 const REGISTRY_INTERVAL: Millis = Millis(10_000);
+/// Maximum number of routers that read the list in one [`REGISTRY_INTERVAL`]. Each read returns all
+/// routers, so without a limit the bytes of all reads would grow with the square of the fleet.
+/// Heartbeats tell of new routers meanwhile.
+const REGISTRY_READERS: u64 = 64;
 /// Interval between reads of the list of routers while no other router is known.
 const REGISTRY_DISCOVERY_INTERVAL: Millis = Millis(500);
 /// Pause after a failed watch.
@@ -62,9 +66,7 @@
             self.effects.read_vms(address);
         }
         if now >= self.fleet.next_registry {
-            let alone = self.fleet.addresses.is_empty();
-            self.fleet.next_registry =
-                now + if alone { REGISTRY_DISCOVERY_INTERVAL } else { REGISTRY_INTERVAL };
+            self.fleet.next_registry = now + self.registry_interval();
             self.read_registry();
         }
         if self.fleet.adapter == Adapter::Platform {
@@ -84,6 +86,14 @@
         self.holder.set_address(now, self.started_at, address);
     }
 
+    fn registry_interval(&self) -> Millis {
+        if self.fleet.addresses.is_empty() {
+            return REGISTRY_DISCOVERY_INTERVAL;
+        }
+        let rounds = (self.fleet.members.live_count() as u64).div_ceil(REGISTRY_READERS);
+        Millis(REGISTRY_INTERVAL.0 * rounds.max(1))
+    }
+
     /// Updates everything that depends on the live routers if these have changed.
     fn apply_live_changes(&mut self, now: Timestamp) {
         let changes = Some(self.fleet.members.live_changes());
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -17,7 +17,6 @@
 
 use crate::control::core::Control;
 use crate::fleet::claims::ClaimResponse;
-use crate::fleet::claims::home_router;
 use crate::fleet::convert::decode_claim_response;
 use crate::fleet::convert::decode_parts;
 use crate::fleet::convert::encode_claim_response;
@@ -129,9 +128,8 @@
 
     /// Claims a key for a request at the home router of the key.
     pub(crate) fn claim(&mut self, now: Timestamp, key: BillKey, request: RequestId, digest: u64) {
-        let live = self.fleet.members.live();
-        let home =
-            home_router(key, &live).cloned().unwrap_or_else(|| self.incarnation.router.clone());
+        let home = self.fleet.claim_homes.home_of(key, &self.fleet.members);
+        let home = home.unwrap_or_else(|| self.incarnation.router.clone());
         if home == self.incarnation.router {
             let owner = self.incarnation.clone();
             let response = self.claim_locally(now, key, &request, &owner, digest);
@@ -166,11 +164,10 @@
         delivered: bool,
     ) {
         self.fleet.pending_claims.retain(|_, request| request != attempt);
-        let live = self.fleet.members.live();
-        match home_router(key, &live) {
-            Some(home) if *home != self.incarnation.router => {
+        match self.fleet.claim_homes.home_of(key, &self.fleet.members) {
+            Some(home) if home != self.incarnation.router => {
                 let attempt = attempt.clone();
-                self.fleet.send(home, Message::ClaimEnd { key, attempt, delivered });
+                self.fleet.send(&home, Message::ClaimEnd { key, attempt, delivered });
             }
             _ => self.claims.end(now, key, attempt, delivered),
         }
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -29,6 +29,7 @@
 
 use crate::control::effects::Effects;
 use crate::control::event::Event;
+use crate::fleet::claims::ClaimHomes;
 use crate::fleet::holds::read_holds;
 use crate::fleet::reclaim::ReclaimState;
 use crate::fleet::registry;
@@ -65,6 +66,7 @@
     pub(crate) next_registry: Timestamp,
     pub(crate) watch_started: bool,
     pub(crate) last_claim: u64,
+    pub(crate) claim_homes: ClaimHomes,
     pub(crate) pending_claims: FastMap<u64, RequestId>,
     /// Whether quarantined prompt parts have changed since they were last written to the store.
     pub(crate) holds_to_store: bool,
@@ -138,6 +140,7 @@
             next_registry: now,
             watch_started: false,
             last_claim: 0,
+            claim_homes: ClaimHomes::default(),
             pending_claims: FastMap::default(),
             holds_to_store: false,
             next_holds_write: now,
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -13,6 +13,7 @@
 pub use calls::memory::BodyMemory;
 pub use calls::memory::MemoryReservation;
 pub use control::driver::ControlDriver;
+pub use fleet::claims::ClaimHomes;
 pub use fleet::claims::ClaimResponse;
 pub use fleet::claims::Claims;
 pub use fleet::claims::home_router;
