Read a page again after refusing its requests in an outage

Cause: a failed read marks a page until the next read; while it is marked, requests without a lender are refused at once, and a refused request no longer asks for a read. A router that was not the home of a budget kept the mark from the outage on, and when the home left, the new home and all others refused. Evidence: a play with debug lines: the loan of a refused request was answered with Unavailable by both other live routers, and none of the three had read or written the page since the outage; each write of it was by the two routers that were leaving. Change: a refusal because of a marked page makes the page be read when its retry is due.

--- a/crates/berylwheel-budget/src/holder/loan.rs
+++ b/crates/berylwheel-budget/src/holder/loan.rs
@@ -316,6 +316,9 @@
             });
         }
         grant.waiters.retain(|waiter| !refused.contains(&waiter.request));
+        // Without a waiting request nothing else would read the page and notice that the store
+        // answers again.
+        page.totals_stale |= !refused.is_empty();
         for request in refused {
             self.refuse_unreachable(now, request);
         }
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -7,8 +7,11 @@
 use berylwheel_budget::Holder;
 use berylwheel_budget::HolderAction;
 use berylwheel_budget::HolderPolicy;
+use berylwheel_budget::LedgerPage;
 use berylwheel_budget::ReserveRequest;
+use berylwheel_budget::WriteResult;
 use berylwheel_types::Code;
+use berylwheel_types::FastMap;
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
@@ -341,3 +344,52 @@
         assert_eq!(holder.visits(), visits, "a known home is looked up again");
     }
 }
+
+/// Guards against a holder that takes the store for unreachable after an outage has ended, because
+/// it refuses all requests that would make it read the page again.
+#[test]
+fn a_holder_that_refused_in_an_outage_uses_the_store_after_it() {
+    let policy = HolderPolicy::without_usage_records(Millis(10_000));
+    let mut holder = Holder::new("own@1".parse().unwrap(), policy);
+    let home: Incarnation = "r1@1".parse().unwrap();
+    let mut now = Timestamp::from_millis(1_000);
+    holder.set_lenders(now, vec![home.clone()]);
+    let budgets = (0..100).map(|i| format!("w{i}/main"));
+    let of_home = |holder: &mut Holder, budget: &String| {
+        let lender = first_lender(holder, now, budget, 1);
+        holder.release(now, &format!("q1:{budget}").parse().unwrap());
+        lender == home
+    };
+    let budget = budgets.into_iter().find(|budget| of_home(&mut holder, budget)).unwrap();
+    let totals = FastMap::from_iter([(budget.parse().unwrap(), Tokens(1_000_000))]);
+    holder.set_totals(now, Version(1), totals);
+    let reserve = |number: usize, now: Timestamp| ReserveRequest {
+        request: format!("q{number}").parse().unwrap(),
+        budget: budget.parse().unwrap(),
+        key: None,
+        amount: Tokens(100),
+        deadline: now + Millis(60_000),
+    };
+    let mut refused = 0;
+    // The store and the home answer nothing for two seconds, then the store answers.
+    holder.reserve(now, reserve(2, now));
+    for step in 0..200 {
+        now += Millis(50);
+        if step == 150 {
+            holder.set_lenders(now, Vec::new());
+            holder.reserve(now, reserve(3, now));
+        }
+        for action in holder.poll(now) {
+            match action {
+                HolderAction::Read(page) if step < 40 => holder.read_failed(now, page),
+                HolderAction::Read(page) => holder.page_read(now, page, 0, LedgerPage::default()),
+                HolderAction::Write { page, expected, .. } => {
+                    holder.page_written(now, page, WriteResult::Written(expected + 1));
+                }
+                HolderAction::Refused(..) => refused += 1,
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(refused, 1, "refused although the store answers");
+}
