Ask a server again whose last report said that it is full

Cause: on a platform servers report their load with their responses only. A router whose last reports of all servers of a pool said that they are full had no room at any, sent nothing, and so got no newer report until the old ones expired after 30 s. Ruled out: the scheduler's estimate (it follows from a queue without starts) and the network (other kinds of work at the same router were served). Change: a server without a request of this router gets one when its last report is report_decay (1 s) old. Measured: the new test fails without the change and passes with it; all tests of berylwheel-route pass.

--- a/crates/berylwheel-route/src/load.rs
+++ b/crates/berylwheel-route/src/load.rs
@@ -101,6 +101,15 @@
         self.report.map(|(at, _)| now.since(at))
     }
 
+    /// Returns whether a request is due to bring a new report: none of this router runs at the
+    /// server, and the last report is at least `age` old.
+    ///
+    /// Servers report their load with their responses. A router without requests at any server
+    /// would otherwise follow reports of full servers until they expire.
+    pub fn needs_new_report(&self, now: Timestamp, age: Millis) -> bool {
+        self.own_count == 0 && self.report_age(now).is_none_or(|last| last >= age)
+    }
+
     /// Discards the last report, for use after a restart of the server.
     pub fn clear_report(&mut self) {
         self.report = None;
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -257,7 +257,9 @@
             // A router may use its own share even if the other routers fill the server. Under
             // either condition its own requests stay within the limit, since the load includes
             // them.
-            let has_room = load < concurrency || f64::from(own) < (concurrency * share).floor();
+            let has_room = load < concurrency
+                || f64::from(own) < (concurrency * share).floor()
+                || state.load.needs_new_report(now, self.policy.report_decay);
             let pause_end = self.pause_end(&state.server.id);
             let capacity = concurrency * state.weight(now, &self.policy, pause_end);
             candidates.push(Candidate { state, load, capacity, has_room });
--- a/crates/berylwheel-route/tests/load.rs
+++ b/crates/berylwheel-route/tests/load.rs
@@ -5,14 +5,18 @@
 use berylwheel_route::LoadBalancer;
 use berylwheel_route::LoadReport;
 use berylwheel_route::Outcome;
+use berylwheel_route::RoutePolicy;
 use berylwheel_route::RouteQuery;
 use berylwheel_types::Millis;
+use support::SEED;
 use support::at;
 use support::balancer_with_engines;
 use support::id;
 use support::load_report;
 use support::picked_names;
 use support::query;
+use support::service;
+use support::service_query;
 
 struct ReportCase {
     name: &'static str,
@@ -163,3 +167,33 @@
     assert!(balancer.can_start(at(10), &query), "the share of this router is free");
     assert_eq!(balancer.capacity(at(10), &query), u32::MAX);
 }
+
+/// Guards against a router that stays without servers: when all of them report that they are full
+/// and none runs a request of this router, no response brings a newer report.
+#[test]
+fn router_without_requests_asks_a_full_server_again() {
+    let mut balancer = LoadBalancer::new("r1".parse().unwrap(), RoutePolicy::default(), SEED);
+    let servers = (0..3).map(|n| service(&format!("s{n}"), "booking", 6)).collect();
+    balancer.set_servers(at(0), servers);
+    balancer.set_routers(72);
+    let booking = service_query("booking");
+    for n in 0..3 {
+        balancer.apply_report(at(0), &id(&format!("s{n}")), load_report(at(0), 9));
+    }
+    assert!(!balancer.can_start(at(0), &booking));
+    assert!(!balancer.can_start(at(999), &booking));
+
+    // Each server gets one request, whose response brings the next report.
+    let mut asked = Vec::new();
+    while let Some(server) = balancer.pick(at(1_000), &booking) {
+        balancer.request_started(at(1_000), &server.id);
+        asked.push(server.id);
+    }
+    asked.sort_unstable();
+    assert_eq!(asked, [id("s0"), id("s1"), id("s2")]);
+
+    balancer.request_ended(at(1_100), &id("s0"), Outcome::Cancelled);
+    balancer.apply_report(at(1_100), &id("s0"), load_report(at(1_100), 9));
+    assert!(!balancer.can_start(at(1_200), &booking));
+    assert!(balancer.can_start(at(2_100), &booking));
+}
