Return tokens of ended runs without an agreeing clock

A router whose clock was not confirmed by two peers wrote its pages without its address, so nobody could return what it held when it was killed: a third of each budget that it was home of. With one or two routers left that holds for every write, and after a start for all writes until heartbeats have confirmed the clock. The next run also read the pages once, and returned nothing if its clock no longer agreed when the answer came, or was never confirmed.

Ruled out: one agreeing peer as evidence (two VMs of one host may share a wrong clock), the lease of the router's entry (it pauses with the store) and silence.

A holder whose clock is not confirmed now opens nothing more until its next write (pace 0): it opens the expected spend of an outage at once instead. What it can have spent then depends on no clock, and its next run at the same address returns the rest with the end of the process as the only evidence. Pages with rows that do need a clock are read again as soon as it agrees.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -62,10 +62,15 @@
     }
 
     /// Returns the maximum that the holder can have spent since its last write, which is `age` old.
-    /// Only the open tokens may be spent within the lock time `lock_time`.
-    pub(crate) fn max_spent(&self, age: Millis, lock_time: Millis) -> Tokens {
+    /// Only the open tokens may be spent within the lock time `lock_time`. The age is `None` if no
+    /// clock can tell it.
+    pub(crate) fn max_spent(&self, age: Option<Millis>, lock_time: Millis) -> Tokens {
         let Some(open) = self.open else { return self.outstanding() };
-        let unlocked = open + unlocked_in(self.pace, Millis(age.0.saturating_sub(lock_time.0)));
+        let unlocked = match age {
+            _ if self.pace == Tokens::ZERO => open,
+            Some(age) => open + unlocked_in(self.pace, Millis(age.0.saturating_sub(lock_time.0))),
+            None => return self.outstanding(),
+        };
         unlocked.min(self.outstanding())
     }
 
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -21,6 +21,7 @@
 use super::action::HolderAction;
 use super::action::ReserveRequest;
 use super::action::WriteResult;
+use super::earlier::EarlierRuns;
 use super::grant::Grant;
 use super::grant::Waiter;
 use super::home_cache::HomeCache;
@@ -87,10 +88,12 @@
     pub(super) departing: bool,
     /// When the process started.
     pub(super) started: Timestamp,
-    /// The router's peer address, `None` while its clock disagrees with those of its peers.
+    /// The router's peer address, `None` until it is known.
     pub(super) address: Option<SocketAddr>,
-    /// Whether all pages must be read to return tokens that an earlier run of this router held.
-    pub(super) check_earlier: bool,
+    /// Whether the router's clock agrees with those of its peers.
+    pub(super) clock_agrees: bool,
+    /// Tokens that earlier runs of this router may still hold.
+    pub(super) earlier: EarlierRuns,
     pub(super) pending_actions: Vec<HolderAction>,
     pub(super) timers: BTreeSet<(Timestamp, PageId)>,
     /// Other holders that can be asked for loans.
@@ -130,7 +133,8 @@
             departing: false,
             started: Timestamp::default(),
             address: None,
-            check_earlier: false,
+            clock_agrees: false,
+            earlier: EarlierRuns::default(),
             pending_actions: Vec::new(),
             timers: BTreeSet::new(),
             lenders: Vec::new(),
@@ -164,31 +168,6 @@
         self.router_count = count.max(1);
     }
 
-    /// Sets the peer address at which the router listens since `started`.
-    ///
-    /// `address` is `None` while the router's clock disagrees with those of most of its peers.
-    /// Times on pages are compared with the router's clock only while an address is set.
-    pub fn set_address(&mut self, now: Timestamp, started: Timestamp, address: Option<SocketAddr>) {
-        self.started = started;
-        self.address = address;
-        if address.is_none() || !self.check_earlier || self.totals.1.is_empty() {
-            return;
-        }
-        // Tokens of earlier runs may be on any page, so every page is read once.
-        self.check_earlier = false;
-        let budgets = self.totals.1.keys().map(|budget| page_of(budget, self.policy.pages));
-        for id in budgets.collect::<Vec<_>>() {
-            let page = self.pages.entry(id).or_insert_with(|| PageState::new(now));
-            page.totals_stale = true;
-            self.reschedule(now, id);
-        }
-    }
-
-    /// Records that an earlier run of this router may still hold tokens, on any page.
-    pub fn note_earlier_run(&mut self) {
-        self.check_earlier = true;
-    }
-
     /// Sets the budget totals of a configuration version. Pages that lack them are updated.
     pub fn set_totals(
         &mut self,
--- a/crates/berylwheel-budget/src/holder/mod.rs
+++ b/crates/berylwheel-budget/src/holder/mod.rs
@@ -3,6 +3,7 @@
 mod action;
 mod core;
 mod dump;
+mod earlier;
 mod grant;
 mod home_cache;
 mod homes;
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -95,12 +95,14 @@
             return Some(Timestamp::default());
         }
         let timer = self.timers.first().map(|(at, _)| *at);
-        timer.into_iter().chain(self.next_expiry()).chain(self.home_check_due()).min()
+        let checks = self.home_check_due().into_iter().chain(self.earlier_check_due());
+        timer.into_iter().chain(self.next_expiry()).chain(checks).min()
     }
 
     /// Handles everything that is due, and returns the resulting actions.
     pub fn poll(&mut self, now: Timestamp) -> Vec<HolderAction> {
         self.check_homes(now);
+        self.check_earlier_runs(now);
         while let Some((at, id)) = self.timers.first().copied() {
             if at > now {
                 break;
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -175,37 +175,6 @@
         applied.fold(false, |any, one| any | one)
     }
 
-    /// Moves tokens that earlier runs of this router cannot have spent back to the balances, and
-    /// returns whether there were any.
-    ///
-    /// An earlier run that listened at the same address had ended when this run started. Until
-    /// then, the spend limit of its last write applied.
-    fn return_earlier_grants(&self, content: &mut LedgerPage) -> bool {
-        let Some(address) = self.address.filter(|_| self.policy.lock_time > Millis(0)) else {
-            return false;
-        };
-        let ended = |(run, writer): (&Incarnation, &Writer)| {
-            let own = run.router == self.own_id.router && *run != self.own_id;
-            let before = writer.at <= self.started && writer.address == Some(address);
-            let age = Millis(self.started.since(writer.at).0 + self.policy.clock_error.0);
-            (own && before).then(|| (run.clone(), age))
-        };
-        let ended: Vec<_> = content.writers.iter().filter_map(ended).collect();
-        let mut any = false;
-        for (run, age) in ended {
-            let returned = content.return_locked(&run, age, self.policy.lock_time);
-            if returned > Tokens::ZERO {
-                let kept: Tokens = content.accounts.values().map(|a| a.held_by(&run)).sum();
-                log::info!(
-                    run:% = run, tokens = returned.0, kept = kept.0, age = age.0;
-                    "tokens of an earlier run returned"
-                );
-                any = true;
-            }
-        }
-        any
-    }
-
     /// Returns, for each budget of a page, whether this holder is its home. The map is empty if
     /// loans are disabled.
     fn home_flags(&self, id: PageId) -> FastMap<BudgetId, bool> {
@@ -218,7 +187,7 @@
     /// and writes the page if anything changes.
     pub(super) fn process_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
         let totals_changed =
-            self.apply_totals(now, id, &mut content) | self.return_earlier_grants(&mut content);
+            self.apply_totals(now, id, &mut content) | self.return_earlier_grants(id, &mut content);
         self.refuse_unknown(now, id, &content);
         if let Some(page) = self.pages.get_mut(&id) {
             for (budget, grant) in &mut page.grants {
@@ -281,8 +250,11 @@
             let recall = |holder| HolderAction::Recall { holder, budget: budget.clone() };
             self.pending_actions.extend(decisions.recall_targets.into_iter().map(recall));
             let unsettled: Vec<_> = grant.unsettled_after(change.bill_count).collect();
-            let tokens = self.policy.open_tokens(now, grant, account);
-            let pace = self.policy.open_pace(now, grant, account);
+            let tokens = self.policy.open_tokens(now, grant, account, self.clock_agrees);
+            let pace = match self.clock_agrees {
+                true => self.policy.open_pace(now, grant, account),
+                false => Tokens::ZERO,
+            };
             if let Some(row) = account.rows.get_mut(&self.own_id) {
                 if self.policy.lock_time > Millis(0) {
                     row.open = Some(tokens.min(row.outstanding()));
@@ -366,11 +338,22 @@
 impl HolderPolicy {
     /// Returns the tokens that a holder may spend during the lock time after a write: those that
     /// its requests need, the expected spend until the next write, and a share of the budget.
-    fn open_tokens(&self, now: Timestamp, grant: &Grant, account: &Account) -> Tokens {
+    ///
+    /// A holder whose clock does not agree with its peers' opens nothing more until its next write,
+    /// so that the tokens that it cannot have spent do not depend on a clock. It opens the expected
+    /// spend of a store outage at once instead.
+    fn open_tokens(
+        &self,
+        now: Timestamp,
+        grant: &Grant,
+        account: &Account,
+        clock_agrees: bool,
+    ) -> Tokens {
+        let span = if clock_agrees { WRITE_INTERVAL } else { self.horizon };
         let waiting: Tokens = grant.waiters.iter().map(|waiter| waiter.amount).sum();
         let unspent = account.balance + account.outstanding();
         let part = Tokens((unspent.0 as f64 * self.open_share.fraction()) as u64);
-        grant.reserved + waiting + grant.rate.spend_in(now, WRITE_INTERVAL) + part
+        grant.reserved + waiting + grant.rate.spend_in(now, span) + part
     }
 
     /// Returns the tokens per second that are unlocked after the lock time: twice the expected
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -124,8 +124,8 @@
     pub sequence: u64,
     /// The time at which its content was created, by the holder's clock.
     pub at: Timestamp,
-    /// The holder's peer address, `None` if its clock disagreed with those of its peers. No other
-    /// process can have listened at this address while the holder ran.
+    /// The holder's peer address, `None` if it was not known yet. No other process can have listened
+    /// at this address while the holder ran.
     pub address: Option<SocketAddr>,
 }
 
@@ -231,11 +231,12 @@
     }
 
     /// Moves the tokens that an ended holder cannot have spent within `age` after its last write
-    /// back to the balances, and returns their amount.
+    /// back to the balances, and returns their amount. The age is `None` if no clock can tell it;
+    /// only rows that open no further tokens as time passes are used then.
     pub(crate) fn return_locked(
         &mut self,
         holder: &Incarnation,
-        age: Millis,
+        age: Option<Millis>,
         lock_time: Millis,
     ) -> Tokens {
         let mut returned = Tokens::ZERO;
@@ -246,4 +247,10 @@
         }
         returned
     }
+
+    /// Returns whether a clock has to tell how much `holder` can have spent of any of its rows.
+    pub(crate) fn needs_clock(&self, holder: &Incarnation) -> bool {
+        let mut rows = self.accounts.values().filter_map(|account| account.rows.get(holder));
+        rows.any(|row| row.pace > Tokens::ZERO)
+    }
 }
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -1,6 +1,8 @@
 //! A simulation of holders that lend to each other, a store that can fail, and messages that can be
 //! lost or delayed.
 
+mod power_loss;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -40,6 +42,8 @@
     DelayMessages(bool),
     LoseMessages,
     Kill(usize),
+    KillAll(u64),
+    ClocksAgree(bool),
     Total(u64),
 }
 
@@ -53,6 +57,8 @@
         1 => any::<bool>().prop_map(Action::DelayMessages),
         1 => Just(Action::LoseMessages),
         1 => (0..3_usize).prop_map(Action::Kill),
+        1 => (0..9_000_u64).prop_map(Action::KillAll),
+        1 => any::<bool>().prop_map(Action::ClocksAgree),
         1 => (1_000..9_000_u64).prop_map(Action::Total),
     ];
     prop::collection::vec(action, 1..60)
@@ -77,11 +83,17 @@
 pub struct Simulation {
     now: u64,
     holders: Vec<(Incarnation, Holder)>,
+    /// When each holder started, by its own clock.
+    started: Vec<Timestamp>,
     page: LedgerPage,
     revision: u64,
     version: u64,
     pub store_up: bool,
     pub delay_messages: bool,
+    /// Whether the clocks of holders agree with those of their peers when they start.
+    pub clocks_agree: bool,
+    /// Whether some runs have a wrong clock, which never agrees with those of its peers.
+    pub wrong_clocks: bool,
     /// Whether messages or holders were lost, so that bills may exceed the usage.
     pub lossy: bool,
     /// The time since which messages are delayed.
@@ -108,11 +120,14 @@
         let mut sim = Self {
             now: 1_000_000,
             holders: Vec::new(),
+            started: Vec::new(),
             page: LedgerPage::default(),
             revision: 1,
             version: 1,
             store_up: true,
             delay_messages: false,
+            clocks_agree: true,
+            wrong_clocks: false,
             lossy: false,
             delayed_since: None,
             messages: Vec::new(),
@@ -127,6 +142,7 @@
         };
         for slot in 0..count {
             let (holder_id, holder) = sim.start(slot, count);
+            sim.started.push(sim.clock_of(&holder_id));
             sim.holders.push((holder_id, holder));
         }
         sim.update_lenders();
@@ -148,7 +164,7 @@
         if self.run_count > count as u64 {
             holder.note_earlier_run();
         }
-        holder.set_address(now, now, Some(address));
+        holder.set_address(now, now, address, self.agrees(&holder_id));
         (holder_id, holder)
     }
 
@@ -167,7 +183,19 @@
     /// Returns the time on a holder's clock. Offsets stay within what holders accept from their
     /// peers.
     fn clock_of(&self, holder_id: &Incarnation) -> Timestamp {
-        Timestamp::from_millis(self.now + [0, 400, 800][holder_id.number as usize % 3])
+        match (self.is_wrong(holder_id), holder_id.number % 8) {
+            (true, 3) => Timestamp::from_millis(self.now + 600_000),
+            (true, _) => Timestamp::from_millis(self.now - 600_000),
+            _ => Timestamp::from_millis(self.now + [0, 400, 800][holder_id.number as usize % 3]),
+        }
+    }
+
+    fn is_wrong(&self, holder_id: &Incarnation) -> bool {
+        self.wrong_clocks && holder_id.number % 4 == 3
+    }
+
+    fn agrees(&self, holder_id: &Incarnation) -> bool {
+        self.clocks_agree && !self.is_wrong(holder_id)
     }
 
     pub fn step(&mut self, action: &Action) {
@@ -186,6 +214,8 @@
                 self.messages.clear();
             }
             Action::Kill(slot) => self.kill(*slot),
+            Action::KillAll(downtime) => self.kill_all_and_restart(*downtime),
+            Action::ClocksAgree(agree) => self.set_clocks_agree(*agree),
             Action::Total(total) => self.set_total(*total),
         }
         self.run_until_idle();
@@ -234,6 +264,7 @@
         self.running.retain(|_, pending| pending.holder != dead);
         let count = self.holders.len();
         self.holders[slot] = self.start(slot, count);
+        self.started[slot] = self.clock_of(&self.holders[slot].0);
         self.update_lenders();
     }
 
@@ -247,12 +278,51 @@
         let count = self.holders.len() + 1;
         let started = self.start(slot, count);
         self.holders.insert(slot, started);
+        self.started[slot] = self.clock_of(&self.holders[slot].0);
         self.update_lenders();
         self.advance(1_500);
         let account = self.page.account(&budget()).expect("account");
         account.held_by(&dead).0
     }
 
+    /// Sets whether the clocks of all holders agree with those of their peers.
+    pub fn set_clocks_agree(&mut self, agree: bool) {
+        self.clocks_agree = agree;
+        for slot in 0..self.holders.len() {
+            let now = self.clock_of(&self.holders[slot].0);
+            let address = SocketAddr::from(([10, 0, 0, slot as u8], 7_000));
+            let agrees = self.agrees(&self.holders[slot].0);
+            self.holders[slot].1.set_address(now, self.started[slot], address, agrees);
+        }
+    }
+
+    /// Kills all holders at once and restarts them `downtime` milliseconds later.
+    pub fn kill_all_and_restart(&mut self, downtime: u64) {
+        self.lossy = true;
+        let count = self.holders.len();
+        self.used += self.running.values().map(|pending| pending.amount).sum::<u64>();
+        self.running.clear();
+        self.waiting.clear();
+        self.messages.clear();
+        self.holders.clear();
+        self.started.clear();
+        self.now += downtime;
+        for slot in 0..count {
+            let started = self.start(slot, count);
+            self.holders.push(started);
+            self.started.push(self.clock_of(&self.holders[slot].0));
+        }
+        self.update_lenders();
+    }
+
+    /// Returns the tokens that processes hold which have ended.
+    pub fn stranded(&self) -> u64 {
+        let Some(account) = self.page.account(&budget()) else { return 0 };
+        let live = |run: &Incarnation| self.holders.iter().any(|(holder_id, _)| holder_id == run);
+        let ended = account.rows.iter().filter(|(run, _)| !live(run));
+        ended.map(|(_, row)| row.outstanding().0).sum()
+    }
+
     /// Announces the departure of a holder, so that the others no longer ask it for loans.
     pub fn depart(&mut self, slot: usize) {
         let leaving = self.holders[slot].0.clone();
--- a/crates/berylwheel-budget/tests/loans.rs
+++ b/crates/berylwheel-budget/tests/loans.rs
@@ -237,6 +237,7 @@
 
 fn check(steps: &[Action]) -> Result<(), TestCaseError> {
     let mut sim = Simulation::new(3, 5_000);
+    sim.wrong_clocks = true;
     for step in steps {
         sim.step(step);
         prop_assert!(sim.spent() <= sim.max_total, "{} of {}", sim.spent(), sim.max_total);
@@ -281,7 +282,7 @@
         if later {
             holder.note_earlier_run();
         }
-        holder.set_address(now, now, Some(SocketAddr::from(([10, 0, 0, 1], 7_000))));
+        holder.set_address(now, now, SocketAddr::from(([10, 0, 0, 1], 7_000)), true);
         let actions = holder.poll(now + Millis(1_000));
         actions.iter().filter(|action| matches!(action, HolderAction::Read(_))).count()
     };
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -72,6 +72,7 @@
             if !self.router_settings.first_start {
                 self.holder.note_earlier_run();
             }
+            self.check_clock(now);
         }
         self.holder.set_totals(now, version, configured_totals(&settings));
         log::info!(version = version.0; "configuration in force");
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -82,8 +82,8 @@
     /// Compares the local clock with those of the peers, which the holder relies on.
     pub(crate) fn check_clock(&mut self, now: Timestamp) {
         self.fleet.clock_agrees = self.fleet.clocks.is_synchronized(now);
-        let address = self.fleet.clock_agrees.then_some(self.fleet.address);
-        self.holder.set_address(now, self.started_at, address);
+        let (address, agrees) = (self.fleet.address, self.fleet.clock_agrees);
+        self.holder.set_address(now, self.started_at, address, agrees);
     }
 
     fn registry_interval(&self) -> Millis {
