Limit the requests to cold servers

Cause: a server that has started, or that becomes cold later, handles only a few requests per second from all routers together and crashes well above that. The routers decoded its remaining time and did not use it.

Change: the adapter decodes the remaining time of list entries and answers, and the rate and the time of a service into `cold_rate` and `cold_time` of its pool. `ColdLimit` in berylwheel-route decides without messages which routers may send to a cold server: the rate, rounded down, is dealt to the routers of the store's list in the order of a rendezvous hash. A router sends nothing until it has read the list, for 3 s after its registration, and later than 11 s after the last renewal of its entry. Cold servers without a turn are no candidates; `availability` has `Cold`, requests wait or are refused with 1321 and the time of the turn. Slow start begins at the end. Servers that are new while the router runs count as cold for `cold_time`, and so do those of a domain given to `mark_domain_cold`. There are log lines, counters and fields of the dump.

Ruled out: one request every n / r seconds. Its seconds hold up to twice the rate, which leaves no room for routers whose lists differ.

--- a/crates/berylwheel-route/src/availability.rs
+++ b/crates/berylwheel-route/src/availability.rs
@@ -14,6 +14,9 @@
     Open,
     /// All servers have asked for a pause or are ejected. The first is in use again at this time.
     Paused(Timestamp),
+    /// Some servers are cold and this router may not send to them yet, and the others pause or are
+    /// ejected. The first is in use again at this time, or earlier.
+    Cold(Timestamp),
     /// There is no server, or all of them are leaving.
     Empty,
 }
@@ -42,7 +45,7 @@
         let Some(subset) = self.subsets.get(&Pool::for_query(query)) else {
             return Availability::Empty;
         };
-        let (mut first_end, mut is_paused) = (None, false);
+        let (mut first_end, mut is_paused, mut is_cold) = (None, false, false);
         for state in subset.members.iter().filter_map(|id| self.states.get(id)) {
             let id = &state.server.id;
             if !state.supports(query) || query.exclude.contains(id) || self.is_leaving(id) {
@@ -50,12 +53,16 @@
             }
             let pause_end = self.pause_end(id).filter(|end| now < *end);
             let ejection_end = state.health.ejection_end().filter(|end| now < *end);
-            let Some(end) = pause_end.max(ejection_end) else { return Availability::Open };
+            let cold_end = self.cold.ready_at(now, id);
+            let end = pause_end.max(ejection_end).max(cold_end);
+            let Some(end) = end else { return Availability::Open };
             is_paused |= pause_end.is_some();
+            is_cold |= cold_end.is_some();
             first_end = Some(first_end.map_or(end, |first: Timestamp| first.min(end)));
         }
         match first_end {
             None => Availability::Empty,
+            Some(end) if is_cold => Availability::Cold(end),
             Some(end) if is_paused => Availability::Paused(end),
             Some(_) => Availability::Open,
         }
@@ -83,7 +90,9 @@
 ) -> WaitDecision {
     match availability {
         Availability::Open | Availability::Empty => WaitDecision::Queue,
-        Availability::Paused(end) if end + service_time < deadline => WaitDecision::Queue,
-        Availability::Paused(end) => WaitDecision::Refuse(end.since(now)),
+        Availability::Paused(end) | Availability::Cold(end) if end + service_time < deadline => {
+            WaitDecision::Queue
+        }
+        Availability::Paused(end) | Availability::Cold(end) => WaitDecision::Refuse(end.since(now)),
     }
 }
--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::Timestamp;
 use serde::Serialize;
 
+use crate::ColdSource;
 use crate::LeavingSource;
 
 /// All servers as seen by one router, sorted by name.
@@ -14,6 +15,11 @@
 pub struct RouteDump {
     /// Number of live routers among which the servers' capacity is divided.
     pub routers: usize,
+    /// Number of routers in the store's list, among which the requests to cold servers are divided;
+    /// `None` until it was read.
+    pub listed_routers: Option<usize>,
+    /// Requests that this router sent to cold servers.
+    pub cold_requests: u64,
     /// One entry per server.
     pub servers: Vec<ServerDump>,
 }
@@ -52,6 +58,10 @@
     pub paused_since: Option<Timestamp>,
     /// The end of the server's last pause, in which it gets no requests.
     pub paused_until: Option<Timestamp>,
+    /// Until when the server is cold, if it is.
+    pub cold_until: Option<Timestamp>,
+    /// Why it counts as cold.
+    pub cold_source: Option<ColdSource>,
     /// Fraction of the server's capacity that the router uses, from 0 to 1. Below 1 during slow
     /// start.
     pub weight: f64,
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -1,5 +1,5 @@
 //! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets,
-//! servers that shut down and servers that ask for a pause.
+//! servers that shut down, servers that ask for a pause and cold servers.
 //!
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
 //! the random number generator is seeded.
@@ -7,6 +7,8 @@
 mod availability;
 mod cache;
 mod choice;
+mod cold;
+mod cold_servers;
 mod dump;
 mod ejection;
 mod health;
@@ -22,6 +24,10 @@
 pub use availability::Availability;
 pub use availability::WaitDecision;
 pub use availability::decide_wait;
+pub use cold::ColdChange;
+pub use cold::ColdLimit;
+pub use cold::ColdPool;
+pub use cold::ColdSource;
 pub use dump::RouteDump;
 pub use dump::ServerDump;
 pub use load_balancer::LoadBalancer;
@@ -31,6 +37,7 @@
 pub use server::Outcome;
 pub use server::RouteQuery;
 pub use server::Server;
+pub use server_list::ColdReport;
 pub use server_list::ListChange;
 pub use server_list::ListedServer;
 pub use server_list::ServerList;
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -5,6 +5,7 @@
 use berylwheel_types::BackendId;
 use berylwheel_types::FastMap;
 use berylwheel_types::FastSet;
+use berylwheel_types::KindId;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
@@ -13,6 +14,9 @@
 use rand::rngs::SmallRng;
 
 use crate::CacheEvent;
+use crate::ColdLimit;
+use crate::ColdPool;
+use crate::ColdSource;
 use crate::LoadReport;
 use crate::Outcome;
 use crate::RouteDump;
@@ -74,6 +78,9 @@
     pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
     probe_credit: f64,
+    /// Servers that are cold, and this router's part of what they can handle.
+    pub(crate) cold: ColdLimit,
+    pub(crate) cold_pools: FastMap<KindId, ColdPool>,
     last_probe: Timestamp,
     /// The most recent time passed to a method, used by the dump.
     pub(crate) last_time: Timestamp,
@@ -83,6 +90,8 @@
     /// Returns an instance without servers. The same seed and calls give the same choices.
     pub fn new(router: RouterId, policy: RoutePolicy, seed: u64) -> Self {
         Self {
+            cold: ColdLimit::new(router.clone()),
+            cold_pools: FastMap::default(),
             router,
             policy,
             rng: SmallRng::seed_from_u64(seed),
@@ -102,7 +111,8 @@
     ///
     /// Requests at a removed server stay counted until they end. A server whose address changes is
     /// treated as new: it goes through slow start and is no longer leaving. The servers of the
-    /// first call skip slow start, since they were running before this router.
+    /// first call skip slow start, since they were running before this router. Any later server
+    /// that is new or has a new address counts as cold for the time in its pool's settings.
     pub fn set_servers(&mut self, now: Timestamp, servers: Vec<Server>) {
         self.last_time = now;
         let start_time = self.configured.then_some(now);
@@ -113,9 +123,10 @@
                 previous.insert(id.clone());
             }
         }
-        let mut moved = Vec::new();
+        let (mut moved, mut added) = (Vec::new(), Vec::new());
         for server in servers {
             let Some(state) = self.states.get_mut(&server.id) else {
+                added.push(server.id.clone());
                 self.states.insert(server.id.clone(), ServerState::new(server, start_time));
                 continue;
             };
@@ -124,6 +135,7 @@
                 moved.push(server.id.clone());
             } else if !previous.contains(&server.id) {
                 state.reset(now);
+                added.push(server.id.clone());
             }
             state.present = true;
             state.server = server;
@@ -132,6 +144,9 @@
         for server in &moved {
             self.clear_notice(server);
         }
+        for server in added.iter().chain(&moved).filter(|_| start_time.is_some()) {
+            self.mark_cold(now, server, ColdSource::New);
+        }
         self.prune_standings(now);
         self.subsets = subsets_by_pool(&self.router, &self.states, self.policy.subset_size);
         for state in self.states.values_mut() {
@@ -152,6 +167,7 @@
         if let Some(state) = self.states.get_mut(server) {
             state.reset(now);
         }
+        self.mark_cold(now, server, ColdSource::New);
     }
 
     /// Returns whether a server is configured.
@@ -219,7 +235,8 @@
         let allowed = |c: &Candidate| {
             let limit = f64::from(c.state.server.concurrency);
             let others = c.load - f64::from(c.state.load.own_count());
-            (limit - others).max((limit * share).floor()) as u32
+            let allowed = (limit - others).max((limit * share).floor()) as u32;
+            if self.cold.is_limited(now, &c.state.server.id) { allowed.min(1) } else { allowed }
         };
         self.candidates(now, query).iter().map(allowed).fold(0, u32::saturating_add)
     }
@@ -241,6 +258,7 @@
                 && self.accepts_requests(now, state)
                 && !state.health.is_ejected(now)
                 && !state.is_misdirected(now, &self.policy)
+                && self.cold.may_send(now, id)
         });
         let eligible: Vec<&ServerState> = eligible.collect();
         let limit = self.policy.report_expiry;
@@ -258,8 +276,7 @@
             // either condition its own requests stay within the limit, since the load includes
             // them.
             let has_room = load < concurrency || f64::from(own) < (concurrency * share).floor();
-            let pause_end = self.pause_end(&state.server.id);
-            let capacity = concurrency * state.weight(now, &self.policy, pause_end);
+            let capacity = concurrency * self.weight(now, state);
             candidates.push(Candidate { state, load, capacity, has_room });
         }
         candidates
@@ -269,6 +286,7 @@
     pub fn request_started(&mut self, now: Timestamp, server: &BackendId) {
         if let Some(state) = self.states.get_mut(server) {
             self.last_time = now;
+            self.cold.take_turn(now, server, state.load.own_count() == 0);
             state.load.request_started(now);
         }
     }
@@ -278,6 +296,7 @@
         let Some(state) = self.states.get_mut(server) else { return };
         self.last_time = now;
         state.load.request_ended(now);
+        self.cold.request_ended(server, outcome != Outcome::Misdirected);
         if outcome == Outcome::Misdirected {
             state.misdirected_at = Some(now);
         }
@@ -361,11 +380,18 @@
                 leaving_since: self.leaving_since(&state.server.id).map(|(_, since)| since),
                 paused_since: self.last_pause(&state.server.id).map(|pause| pause.since),
                 paused_until: self.last_pause(&state.server.id).map(|pause| pause.until),
-                weight: state.weight(now, &self.policy, self.pause_end(&state.server.id)),
+                cold_until: self.cold.cold_until(now, &state.server.id).map(|(until, _)| until),
+                cold_source: self.cold.cold_until(now, &state.server.id).map(|(_, why)| why),
+                weight: self.weight(now, state),
                 prefixes: state.cached.len(),
             })
             .collect();
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        RouteDump { routers: self.routers, servers }
+        RouteDump {
+            routers: self.routers,
+            listed_routers: self.cold.listed_routers(),
+            cold_requests: self.cold.turns(),
+            servers,
+        }
     }
 }
--- a/crates/berylwheel-route/src/server_list.rs
+++ b/crates/berylwheel-route/src/server_list.rs
@@ -35,6 +35,18 @@
     /// Start time of the server process by its own clock, if reported. A later start time under the
     /// same id means a new process without the cache and load of the previous one.
     pub started_at: Option<u64>,
+    /// How long the server stays cold from the write of the entry, zero if it is not cold; `None` if
+    /// the entry does not state it.
+    pub cold_for: Option<Millis>,
+}
+
+/// What the list says newly about how long a server stays cold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdReport {
+    /// The server.
+    pub server: BackendId,
+    /// How long it stays cold, zero if it is not cold.
+    pub remaining: Millis,
 }
 
 /// An event from the watch on the server list.
@@ -63,6 +75,14 @@
     pub removed: Vec<BackendId>,
 }
 
+impl ListedServer {
+    /// Returns whether the entries are equal apart from the time that passes.
+    fn is_same(&self, other: &Self) -> bool {
+        let cold_for = other.cold_for;
+        Self { cold_for, ..self.clone() } == *other
+    }
+}
+
 /// Maximum number of removed entries that are remembered.
 const REMOVED_LIMIT: usize = 512;
 
@@ -107,7 +127,7 @@
 ///     concurrency: 1,
 ///     domain: "d1".parse().unwrap(),
 /// };
-/// let entry = ListedServer { server, status: ServerStatus::Ready, started_at: None };
+/// let entry = ListedServer { server, status: ServerStatus::Ready, started_at: None, cold_for: None };
 /// let mut list = ServerList::new(Millis(2_000));
 /// let at = Timestamp::from_millis;
 /// list.apply(at(0), ServerListEvent::All(vec![entry]));
@@ -126,6 +146,7 @@
     /// The earliest time at which an entry expires, or an earlier time.
     next_expiry: Option<Timestamp>,
     pending: Option<ListChange>,
+    cold_reports: Vec<ColdReport>,
 }
 
 impl ServerList {
@@ -138,6 +159,7 @@
             recovered_at: None,
             next_expiry: None,
             pending: None,
+            cold_reports: Vec::new(),
         }
     }
 
@@ -154,7 +176,10 @@
         }
         match event {
             ServerListEvent::All(listed) => self.replace_all(now, listed),
-            ServerListEvent::Changed(listed) => self.upsert(*listed),
+            ServerListEvent::Changed(listed) => {
+                self.note_cold(&listed, true);
+                self.upsert(*listed);
+            }
             ServerListEvent::Removed(id) => self.mark_missing(now, &id, REMOVAL_GRACE),
             ServerListEvent::Replaced(id) => self.mark_replaced(now, id),
             ServerListEvent::StoreFailed => {}
@@ -179,6 +204,28 @@
         Some(change)
     }
 
+    /// Returns what entries stated since the last call about how long their servers stay cold.
+    ///
+    /// ```
+    /// use berylwheel_route::ServerList;
+    /// use berylwheel_types::Millis;
+    /// assert_eq!(ServerList::new(Millis(2_000)).take_cold_reports(), []);
+    /// ```
+    pub fn take_cold_reports(&mut self) -> Vec<ColdReport> {
+        std::mem::take(&mut self.cold_reports)
+    }
+
+    /// Records how long a server stays cold. An entry that is read again without having been
+    /// written says nothing new.
+    fn note_cold(&mut self, listed: &ListedServer, is_written: bool) {
+        let Some(remaining) = listed.cold_for else { return };
+        let previous = self.entries.get(&listed.server.id).filter(|entry| !entry.is_removed());
+        if is_written || previous.is_none_or(|entry| entry.listed != *listed) {
+            let server = listed.server.id.clone();
+            self.cold_reports.push(ColdReport { server, remaining });
+        }
+    }
+
     fn remove_expired(&mut self, now: Timestamp) {
         let expiries = self.entries.iter().filter_map(|(id, entry)| match entry.presence {
             Presence::Expiring(until) => Some((until, id.clone())),
@@ -200,6 +247,7 @@
         let mut missing: Vec<BackendId> = current.map(|(id, _)| id.clone()).collect();
         missing.retain(|id| listed.iter().all(|entry| entry.server.id != *id));
         for entry in listed {
+            self.note_cold(&entry, false);
             self.upsert(entry);
         }
         for id in missing {
@@ -231,7 +279,7 @@
         if was_ready && listed.status == ServerStatus::Draining {
             self.pending_change().removed.push(id);
         }
-        if was_removed || previous != listed {
+        if was_removed || !previous.is_same(&listed) {
             self.pending_change();
         }
     }
--- a/crates/berylwheel-route/src/standing.rs
+++ b/crates/berylwheel-route/src/standing.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::Timestamp;
 use serde::Serialize;
 
+use crate::ColdSource;
 use crate::load_balancer::LoadBalancer;
 use crate::state::ServerState;
 
@@ -53,6 +54,8 @@
     pub leaving: bool,
     /// The pause that the server asks for.
     pub pause: PauseRequest,
+    /// How long the server stays cold, if it states it.
+    pub cold: Option<Millis>,
 }
 
 /// An unusual pause request and how it was handled.
@@ -233,7 +236,7 @@
     /// let (now, server) = (Timestamp::from_millis(0), "e1".parse().unwrap());
     /// let address = "127.0.0.1:9000".parse().unwrap();
     /// let pause = PauseRequest::None;
-    /// let signal = ServerSignal { address, sent_at: now, leaving: true, pause };
+    /// let signal = ServerSignal { address, sent_at: now, leaving: true, pause, cold: None };
     /// assert!(balancer.apply_signal(now, &server, signal).left);
     /// balancer.clear_notices();
     /// assert!(balancer.is_leaving(&server));
@@ -254,6 +257,9 @@
         {
             return SignalEffect::default();
         }
+        if let Some(remaining) = signal.cold {
+            self.apply_cold_report(now, server, remaining, ColdSource::Answer);
+        }
         let limit = self.policy.pause_limit;
         let known = &mut self.standing_mut(now, server).process;
         let process = match known.take() {
--- a/crates/berylwheel-route/tests/server_list.rs
+++ b/crates/berylwheel-route/tests/server_list.rs
@@ -18,6 +18,7 @@
         server: service(name, "chat", 4),
         status: ServerStatus::Ready,
         started_at: Some(1),
+        cold_for: None,
     }
 }
 
@@ -111,3 +112,27 @@
     list.apply(at(5_100), ServerListEvent::Replaced(id("a")));
     assert_eq!(list.poll(at(5_100)), None);
 }
+
+/// Guards against taking an entry that is read again as news of how long its server stays cold, and
+/// against replacing the list of usable servers with every renewal of an entry.
+#[test]
+fn cold_states_are_reported_when_they_are_written() {
+    let cold = |ms| ListedServer { cold_for: Some(Millis(ms)), ..entry("a") };
+    let mut list = ServerList::new(EXPIRY_GRACE);
+    let mut reports = |event| {
+        list.apply(at(0), event);
+        let reports = list.take_cold_reports();
+        let times: Vec<u64> = reports.iter().map(|report| report.remaining.0).collect();
+        (times, list.poll(at(0)).is_some())
+    };
+    let changed = |entry| ServerListEvent::Changed(Box::new(entry));
+    assert_eq!(reports(ServerListEvent::All(vec![cold(3_000)])), (vec![3_000], true));
+    assert_eq!(reports(ServerListEvent::All(vec![cold(3_000)])), (vec![], true));
+    assert_eq!(reports(changed(cold(1_800))), (vec![1_800], false));
+    assert_eq!(reports(changed(cold(1_800))), (vec![1_800], false));
+    assert_eq!(reports(ServerListEvent::All(vec![cold(600)])), (vec![600], true));
+    assert_eq!(reports(changed(entry("a"))), (vec![], false), "not stated");
+    assert_eq!(reports(changed(cold(0))), (vec![0], false));
+    assert_eq!(reports(ServerListEvent::Removed(id("a"))), (vec![], true));
+    assert_eq!(reports(ServerListEvent::All(vec![cold(0)])), (vec![0], true), "listed again");
+}
--- a/crates/berylwheel-route/tests/standing.rs
+++ b/crates/berylwheel-route/tests/standing.rs
@@ -34,7 +34,7 @@
 const HOUR: Millis = Millis(3_600_000);
 
 fn signal(sent_at: Timestamp, leaving: bool, pause: PauseRequest) -> ServerSignal {
-    ServerSignal { address: "127.0.0.1:9000".parse().unwrap(), sent_at, leaving, pause }
+    ServerSignal { address: "127.0.0.1:9000".parse().unwrap(), sent_at, leaving, pause, cold: None }
 }
 
 fn wait(ms: u64) -> PauseRequest {
@@ -193,7 +193,7 @@
         process.shown_at.get_or_insert(now);
         let mut listed = service(name(server).as_str(), "chat", 64);
         listed.address.set_port(process.port);
-        ListedServer { server: listed, status, started_at: Some(process.born) }
+        ListedServer { server: listed, status, started_at: Some(process.born), cold_for: None }
     }
 
     fn apply(&mut self, step: &Step) {
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -6,6 +6,7 @@
 use berylwheel_budget::HolderPolicy;
 use berylwheel_config::AccessTable;
 use berylwheel_config::PathTable;
+use berylwheel_route::ColdPool;
 use berylwheel_route::ListChange;
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::Server;
@@ -14,10 +15,12 @@
 use berylwheel_schedule::RankPolicy;
 use berylwheel_schedule::SchedulePolicy;
 use berylwheel_settings::Adapter;
+use berylwheel_settings::PoolSettings;
 use berylwheel_settings::Settings;
 use berylwheel_types::BudgetId;
 use berylwheel_types::Decimal;
 use berylwheel_types::FastMap;
+use berylwheel_types::KindId;
 use berylwheel_types::Millis;
 use berylwheel_types::Rank;
 use berylwheel_types::Timestamp;
@@ -60,8 +63,9 @@
             let limit = Some(workspace.in_flight as usize);
             self.scheduler.set_workspace_limit(workspace.id.clone(), limit);
         }
-        if self.router_settings.adapter == Adapter::None {
-            self.balancer.set_servers(now, configured_servers(&settings));
+        match self.router_settings.adapter {
+            Adapter::None => self.balancer.set_servers(now, configured_servers(&settings)),
+            Adapter::Platform => self.balancer.set_cold_pools(now, cold_pools(&settings)),
         }
         if self.settings.is_none() {
             // The number of ledger pages cannot change once budgets exist. Replacing the holder is
@@ -190,6 +194,12 @@
     servers.collect()
 }
 
+/// Returns how the servers of each pool are treated while they are cold.
+fn cold_pools(settings: &Settings) -> FastMap<KindId, ColdPool> {
+    let limits = |pool: &PoolSettings| ColdPool { rate: pool.cold_rate, time: pool.cold_time };
+    settings.pools().iter().map(|pool| (pool.id.clone(), limits(pool))).collect()
+}
+
 /// Returns the totals of the budgets for which the settings give one.
 fn configured_totals(settings: &Settings) -> FastMap<BudgetId, Tokens> {
     let budgets = settings.workspaces().iter();
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -84,6 +84,8 @@
     pub(crate) started_at: Timestamp,
     pub(super) pruned_at: Timestamp,
     pub(super) next_tick: Timestamp,
+    /// The requests to cold servers that the metrics contain.
+    pub(super) cold_requests: u64,
     pub(super) work: ControlWork,
 }
 
@@ -123,6 +125,7 @@
             started_at: clock.now(),
             pruned_at: clock.now(),
             next_tick: clock.now(),
+            cold_requests: 0,
             work: ControlWork::default(),
             clock,
             incarnation,
@@ -200,7 +203,11 @@
             Event::PartsRead(root, parts) => self.handle_parts_read(now, root, parts),
             Event::ConfigReadFailed => self.fleet.config.handle_read_failure(now),
             Event::RegistryRead(routers) => self.apply_registry(now, routers),
-            Event::RouterRegistered => self.schedule_registry_read(now),
+            Event::RouterRegistered => {
+                self.balancer.entry_written(now);
+                self.schedule_registry_read(now);
+            }
+            Event::EntryConfirmed(sent_at) => self.balancer.entry_confirmed(sent_at),
             Event::ExternalConfigRead(config) => self.apply_external_config(now, *config),
             Event::ExternalConfigUnreadable(revision) => {
                 self.handle_unreadable_config(now, revision);
@@ -230,6 +237,7 @@
         if let Some(change) = self.server_list.poll(now) {
             self.apply_server_change(now, change);
         }
+        self.apply_cold_reports(now);
         self.drive_quarantine(now);
         self.drive_holder(now);
         self.start_queued(now);
@@ -252,6 +260,7 @@
         }
         self.drive_fleet(now);
         self.refuse_and_preempt(now);
+        self.report_cold(now);
         self.refuse_paused(now);
         self.drive_holder(now);
         self.start_queued(now);
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -16,6 +16,7 @@
 use berylwheel_types::Incarnation;
 use berylwheel_types::PartHold;
 use berylwheel_types::PromptPartId;
+use berylwheel_types::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -96,6 +97,8 @@
     RegistryRead(Vec<RouterEntry>),
     /// This router was added to the list of routers.
     RouterRegistered,
+    /// A write or renewal of this router's entry, sent at the given time, has succeeded.
+    EntryConfirmed(Timestamp),
     /// The operator's configuration was read from the platform's store.
     ExternalConfigRead(Box<OperatorConfig>),
     /// The operator's configuration cannot be decoded. Contains the revision of its store entry.
@@ -143,7 +146,7 @@
             | Self::ConfigReadFailed
             | Self::ExternalConfigRead(_)
             | Self::ExternalConfigUnreadable(_) => "configuration",
-            Self::RegistryRead(_) | Self::RouterRegistered => "registry",
+            Self::RegistryRead(_) | Self::RouterRegistered | Self::EntryConfirmed(_) => "registry",
             Self::RunEnded(_) | Self::ReclaimEnded(..) => "reclaim",
             Self::HoldsRead(_) | Self::HoldsWritten(_) | Self::PartReleased(..) => "quarantine",
             Self::DumpRequested(_) => "dump",
--- a/crates/berylwheel-router/src/fleet/reclaim.rs
+++ b/crates/berylwheel-router/src/fleet/reclaim.rs
@@ -55,6 +55,8 @@
 
     /// Updates the peers and their current runs from the list of routers.
     pub(crate) fn apply_registry(&mut self, now: Timestamp, routers: Vec<RouterEntry>) {
+        let names = routers.iter().map(|router| router.incarnation.router.clone());
+        self.balancer.set_listed_routers(now, names.collect());
         if routers == self.fleet.listed_routers {
             return;
         }
--- a/crates/berylwheel-router/src/fleet/registry.rs
+++ b/crates/berylwheel-router/src/fleet/registry.rs
@@ -93,6 +93,7 @@
 pub async fn maintain_entry(effects: &Effects, own: &RouterEntry) {
     let store = &effects.store;
     loop {
+        let mut sent_at = effects.clock.now();
         let lease = match write_with_lease(store, own).await {
             Ok(lease) => lease,
             Err(error) => {
@@ -102,10 +103,12 @@
             }
         };
         effects.send(Event::RouterRegistered).await;
+        effects.send(Event::EntryConfirmed(sent_at)).await;
         loop {
             Timer::after(RENEWAL_INTERVAL.duration()).await;
+            sent_at = effects.clock.now();
             match store.keep_alive(lease).await {
-                Ok(true) => {}
+                Ok(true) => effects.send(Event::EntryConfirmed(sent_at)).await,
                 Ok(false) => break,
                 Err(error) => {
                     log::debug!(error:% = error; "failed to renew the entry of this router")
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -238,6 +238,9 @@
             self.metrics.count_signal("leaving");
             self.upstream.close_idle(signal.address);
         }
+        if signal.cold.is_some_and(|remaining| remaining > Millis(0)) {
+            self.metrics.count_signal("cold");
+        }
         self.send_event(Event::ServerSignal(server.clone(), signal));
     }
 
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -92,6 +92,8 @@
     pub leaving: bool,
     /// The delay before the next request that the server asks for.
     pub pause: PauseRequest,
+    /// How long the server stays cold, zero if it is not cold; `None` if it does not state it.
+    pub cold: Option<Millis>,
 }
 
 /// A version of the operator's configuration.
--- a/crates/berylwheel-router/src/forward/signal.rs
+++ b/crates/berylwheel-router/src/forward/signal.rs
@@ -36,6 +36,7 @@
     }
     let pause = if status == UNAVAILABLE { headers.pause } else { PauseRequest::None };
     let leaving = headers.leaving;
-    let is_silent = !leaving && pause == PauseRequest::None;
-    (!is_silent).then_some(ServerSignal { address, sent_at, leaving, pause })
+    let cold = headers.cold;
+    let is_silent = !leaving && pause == PauseRequest::None && cold.is_none();
+    (!is_silent).then_some(ServerSignal { address, sent_at, leaving, pause, cold })
 }
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -76,6 +76,16 @@
         let _ = self.client.incr_with_tags("server_signals").with_tag("cause", cause).try_send();
     }
 
+    /// Counts a server that became cold.
+    pub fn count_cold_server(&self) {
+        let _ = self.client.incr("cold_servers");
+    }
+
+    /// Counts requests that were sent to cold servers.
+    pub fn count_cold_requests(&self, requests: u64) {
+        let _ = self.client.count("cold_requests", requests as i64);
+    }
+
     /// Counts an attempt without a complete response, by how far the response had come.
     pub fn count_broken_attempt(&self, answer: &str) {
         let _ = self.client.incr_with_tags("broken_attempts").with_tag("answer", answer).try_send();
--- a/crates/berylwheel-router/tests/signal.rs
+++ b/crates/berylwheel-router/tests/signal.rs
@@ -27,3 +27,21 @@
         assert_eq!(signal(Some("a"), status, false, PauseRequest::None), None, "{status}");
     }
 }
+
+/// Guards against overlooking how long a server stays cold in an answer that says nothing else of it,
+/// and against taking it from a response to another request.
+#[test]
+fn cold_servers_say_so_in_any_response_to_the_request() {
+    let (address, sent_at) = ("127.0.0.1:9000".parse().unwrap(), Timestamp::from_millis(5));
+    let cold = |id: &str, status, cold| {
+        let headers = ResponseHeaders { id: Some(id.to_owned()), cold, ..Default::default() };
+        response_signal("a", status, &headers, address, sent_at).map(|signal| signal.cold)
+    };
+    for status in [200, 404, 421, 503] {
+        for remaining in [Millis(0), Millis(2_400)] {
+            assert_eq!(cold("a", status, Some(remaining)), Some(Some(remaining)), "{status}");
+            assert_eq!(cold("b", status, Some(remaining)), None, "{status}: another request");
+        }
+        assert_eq!(cold("a", status, None), None, "{status}");
+    }
+}
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -269,6 +269,8 @@
         connections: reader.get("connections")?,
         event_tokens: reader.get("event_tokens")?,
         model_memory: reader.get("model_memory")?,
+        cold_rate: reader.get("cold_rate")?,
+        cold_time: reader.get("cold_time")?,
     })
 }
 
--- a/crates/berylwheel-settings/src/schema.rs
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -118,6 +118,8 @@
     spec("connections", &[Pool], ValueType::Count(1, 100_000), Default("256")),
     spec("event_tokens", &[Pool], ValueType::Count(1, 1_000_000), Default("1")),
     spec("model_memory", &[Pool], ValueType::Tokens(0, 1_000_000_000_000), Default("0")),
+    spec("cold_rate", &[Pool], ValueType::Decimal, Default("0")),
+    spec("cold_time", &[Pool], ValueType::Duration(0, 600_000), Default("0s")),
     spec("price", &[Kind, WorkspaceKind], ValueType::Tokens(0, MAX_TOKENS), Default("0")),
     spec("rank", INHERITED, ValueType::Rank, Default("normal")),
     spec("deadline", INHERITED, ValueType::Duration(1, 24 * HOUR_MS), Default("60s")),
--- a/crates/berylwheel-settings/src/types.rs
+++ b/crates/berylwheel-settings/src/types.rs
@@ -246,6 +246,11 @@
     pub event_tokens: u32,
     /// Memory of one server for requests and cached prefixes; zero for a plain service.
     pub model_memory: Tokens,
+    /// Requests per second that one of its servers can handle while it is cold, from all routers;
+    /// 0 for no limit.
+    pub cold_rate: Decimal,
+    /// How long a server that does not state it is cold after its start.
+    pub cold_time: Millis,
 }
 
 /// One key of a caller: `key.NAME = SHA256HEX [BUDGET]`.
