--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::FeedNews;
 use crate::bounded;
 
 /// The maximum size of an encoded message, in bytes.
@@ -40,6 +41,9 @@
 /// The maximum number of requests, prompt parts or holds accepted in a message about prompt parts.
 const SUSPECT_COUNT_LIMIT: usize = 64;
 
+/// The maximum number of prefixes accepted in news of the store. Routers watch two.
+const FEED_COUNT_LIMIT: usize = 8;
+
 /// A message from one router to another.
 ///
 /// The encoding depends on the order of variants and fields, so new ones must be added at the end.
@@ -202,6 +206,17 @@
         #[serde(deserialize_with = "bounded::deserialize_list::<_, _, SUSPECT_COUNT_LIMIT>")]
         holds: Vec<PartHold>,
     },
+    /// Passes on what a router has read from the platform's store.
+    StoreNews {
+        /// The incarnation of the router that watches the store. The sender may only pass the
+        /// message on.
+        origin: Incarnation,
+        /// The number of the message among those of its origin.
+        sequence: u64,
+        /// The watched prefixes.
+        #[serde(deserialize_with = "bounded::deserialize_list::<_, _, FEED_COUNT_LIMIT>")]
+        feeds: Vec<FeedNews>,
+    },
 }
 
 /// The state of a request at its home router.
@@ -311,6 +326,7 @@
             Self::AnswerQuery { .. } => "answer_query",
             Self::PartAnswers { .. } => "part_answers",
             Self::Quarantine { .. } => "quarantine",
+            Self::StoreNews { .. } => "store_news",
         }
     }
 
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -5,11 +5,14 @@
 use std::alloc::System;
 use std::cell::Cell;
 
+use berylwheel_peer::ChangeBatch;
 use berylwheel_peer::ClaimState;
 use berylwheel_peer::DecodeError;
 use berylwheel_peer::FRAME_LIMIT;
+use berylwheel_peer::FeedNews;
 use berylwheel_peer::Message;
 use berylwheel_peer::PeerState;
+use berylwheel_peer::RelayedChange;
 use berylwheel_peer::ServedShare;
 use berylwheel_types::BillKey;
 use berylwheel_types::LoanResponse;
@@ -123,9 +126,32 @@
             answer: LoanResponse::Wait(Millis(900)),
         },
         Message::Repaid { id: 3, owner: "r1@4".parse().unwrap(), used: Tokens(120) },
+        Message::StoreRegained,
+        Message::ServerEnded { server: "e1".parse().unwrap(), age: Millis(5), suspects: vec![] },
+        Message::AnswerQuery { parts: vec![], since: Millis(5) },
+        Message::PartAnswers { answers: vec![] },
+        Message::Quarantine { holds: vec![] },
+        store_news(),
     ]
 }
 
+fn store_news() -> Message {
+    let change = |revision: u64| RelayedChange {
+        key: format!("servers/e{revision}"),
+        value: vec![7; 300],
+        revision,
+        deleted: revision == 9,
+    };
+    let batch =
+        ChangeBatch { base: 7, through: 9, omitted: false, changes: vec![change(8), change(9)] };
+    let quiet = FeedNews { prefix: "op/".into(), changed: 4, age: None, batch: None };
+    let feeds = vec![
+        quiet.clone(),
+        FeedNews { prefix: "servers/".into(), age: Some(Millis(20)), batch: Some(batch), ..quiet },
+    ];
+    Message::StoreNews { origin: "r1@4".parse().unwrap(), sequence: 900, feeds }
+}
+
 /// Guards against fields that are lost in encoding, and against changes to the order of variants.
 #[test]
 fn messages_round_trip() {
@@ -161,12 +187,16 @@
     while states.len() + state.len() <= FRAME_LIMIT {
         states.extend(&state);
     }
-    let table: [(&str, Vec<u8>); 5] = [
+    // One prefix without a name, whose batch declares a large number of empty changes.
+    let start = [vec![17, 2, b'r', b'1', 4, 1, 1, 0, 0, 0, 1, 0, 9, 0], vec![255, 255, 15]];
+    let changes = [start.concat(), vec![0; 1_000_000]].concat();
+    let table: [(&str, Vec<u8>); 6] = [
         ("empty strings", [vec![2, 9, 255, 255, 63], vec![0; 1_000_000]].concat()),
         ("empty parts", [vec![3, 0, 255, 255, 31], vec![0; 1_000_000]].concat()),
         ("states", states),
         ("length of a root", [vec![3], most.to_vec()].concat()),
         ("length of a list", [vec![2, 9], most.to_vec()].concat()),
+        ("changes", changes),
     ];
     for (name, frame) in table {
         let (result, memory) = decode_measured(&frame);
@@ -195,7 +225,7 @@
     /// Guards against arbitrary frames that cause a panic or excessive memory use.
     #[test]
     fn random_frames_do_not_panic_or_exhaust_memory(
-        variant in 0..12_u8,
+        variant in 0..18_u8,
         mut bytes in prop::collection::vec(any::<u8>(), 0..2_000),
     ) {
         bytes.insert(0, variant);
@@ -209,7 +239,7 @@
     /// Guards against corrupted or truncated frames that cause a panic or excessive memory use.
     #[test]
     fn corrupted_frames_do_not_panic_or_exhaust_memory(
-        index in 0..9_usize,
+        index in 0..18_usize,
         changes in prop::collection::vec((any::<usize>(), any::<u8>()), 1..6),
         cut in any::<usize>(),
     ) {
