Let three routers of a domain watch the store for the others

Cause: each router watched the configuration and the server list by itself. Change: the watch loops call RelayedStore, whose watches are answered from the news of the watchers while these are recent. Entries pass as they were read, so the loops decode them as before. Store::watch_for chooses the wait of a watch, and GuardedStore tells when the store last answered. Role changes are logged; the dump has store_relay, and the gauge work has relayed_changes, relay_messages and relay_fallbacks_CAUSE. Result: cargo test -p berylwheel-router -p berylwheel-store -p berylwheel-platform passes.

--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -358,6 +358,7 @@
             "routes": self.balancer.dump(),
             "quarantine": self.quarantine.dump(self.clock.now()),
             "fleet": self.fleet.dump(),
+            "store_relay": self.relay_dump(),
             "work": self.work_dump(),
         })
     }
--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -32,6 +32,10 @@
 use crate::control::snapshot::Serving;
 use crate::control::snapshot::Snapshot;
 use crate::fleet::registry::RouterEntry;
+use crate::fleet::relay::core::Relay;
+use crate::fleet::relay::policy::RelayPolicy;
+use crate::fleet::relay::store::RelayedStore;
+use crate::fleet::relay::store::SharedRelay;
 use crate::fleet::state::Fleet;
 use crate::forward::OperatorConfig;
 use crate::metrics::Metrics;
@@ -78,9 +82,14 @@
         let manual = Clock::Manual(clock.clone());
         let memory = Arc::new(MemoryStore::new(manual.clone()));
         let guard = Arc::new(GuardedStore::new(memory, manual.clone()));
+        let incarnation = Incarnation { router: settings.name.clone(), number: 1 };
+        let relay = Relay::new(incarnation.clone(), RelayPolicy::default());
+        let relay = Arc::new(SharedRelay::new(relay));
         let effects = Effects {
             executor: executor.clone(),
             store: guard.clone(),
+            watched: Arc::new(RelayedStore::new(guard.clone(), relay.clone(), manual.clone())),
+            relay,
             guard,
             client: Client::default(),
             events: sender,
@@ -88,7 +97,6 @@
             metrics: Metrics::new(settings.metrics)?,
             peer_traffic: Traffic::default(),
         };
-        let incarnation = Incarnation { router: settings.name.clone(), number: 1 };
         let mut fleet = Fleet::start(settings, &incarnation, None, settings.admin, &effects)?;
         fleet.recorder = Some(recorder);
         let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot {
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -31,6 +31,7 @@
 use serde_json::Value;
 
 use crate::control::event::Event;
+use crate::fleet::relay::store::SharedRelay;
 use crate::metrics::Metrics;
 
 /// Timeout of reads of load reports, cache events and the VM list.
@@ -49,6 +50,10 @@
     pub store: Arc<dyn Store>,
     /// The same store behind a circuit breaker.
     pub guard: Arc<GuardedStore>,
+    /// The same store, whose watches are answered by other routers where possible.
+    pub watched: Arc<dyn Store>,
+    /// The state of these watches.
+    pub relay: Arc<SharedRelay>,
     /// HTTP client for backend servers and the VM list.
     pub client: Client,
     /// Channel for the resulting events.
--- a/crates/berylwheel-router/src/control/work.rs
+++ b/crates/berylwheel-router/src/control/work.rs
@@ -91,5 +91,6 @@
         metrics.record_work("store_calls", calls);
         metrics.record_work("handshakes_out", link.handshakes_out);
         metrics.record_work("handshakes_in", link.handshakes_in);
+        self.report_relay();
     }
 }
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -58,6 +58,7 @@
             }
         }
         self.apply_live_changes(now);
+        self.drive_relay(now);
         self.coordinate_store_probes(now);
         if now >= self.fleet.next_vms
             && let Some(address) = self.fleet.vms_address
@@ -109,6 +110,7 @@
         self.fleet.disconnect_replaced(&runs);
         self.holder.set_lenders(now, runs);
         self.fleet.config.set_links(self.fleet.members.links());
+        self.update_relay_members(now);
         self.check_clock(now);
     }
 
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -120,8 +120,9 @@
             }
             Message::PartAnswers { answers } => self.quarantine.handle_answers(now, &answers),
             Message::Quarantine { holds } => self.handle_holds(now, holds),
-            // Not used yet.
-            Message::StoreNews { .. } => {}
+            Message::StoreNews { origin, sequence, feeds } => {
+                self.handle_store_news(now, origin, sequence, feeds);
+            }
             // A server list that the store keeps up to date takes precedence over a peer.
             Message::Leaving { .. } if self.has_current_list() => {}
             Message::Leaving { server } => self.balancer.set_leaving(now, &server),
--- a/crates/berylwheel-router/src/fleet/reclaim.rs
+++ b/crates/berylwheel-router/src/fleet/reclaim.rs
@@ -71,6 +71,7 @@
             let runs: Vec<(Incarnation, SocketAddr)> = runs.collect();
             self.fleet.members.handle_listed_runs(now, &runs);
         }
+        self.update_relay_members(now);
         for router in routers {
             self.record_run(now, router.incarnation);
         }
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -1,5 +1,6 @@
 //! Watches the platform's store for the operator's configuration and the backend servers, and reads
-//! the certificate authority that the routers share.
+//! the certificate authority that the routers share. In large failure domains, other routers answer
+//! most of the watches.
 
 use std::sync::Arc;
 
@@ -50,7 +51,7 @@
     let mut applied = None;
     let mut pace = Pace::Slow;
     loop {
-        let (entries, mut revision) = match effects.store.range_with_revision(&key, false).await {
+        let (entries, mut revision) = match effects.watched.range_with_revision(&key, false).await {
             Ok(read) => read,
             Err(error) => {
                 log::debug!(error:% = error; "cannot read the configuration");
@@ -71,7 +72,7 @@
             }
         }
         loop {
-            match effects.store.watch(&key, revision.saturating_add(1)).await {
+            match effects.watched.watch(&key, revision.saturating_add(1)).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
                     // The watch also returns changes of keys that begin with this one.
@@ -152,7 +153,8 @@
     let prefix = platform.servers_prefix().to_owned();
     let mut invalid = InvalidEntries::default();
     loop {
-        let (entries, mut revision) = match effects.store.range_with_revision(&prefix, true).await {
+        let (entries, mut revision) = match effects.watched.range_with_revision(&prefix, true).await
+        {
             Ok(read) => read,
             Err(error) => {
                 log::debug!(error:% = error; "cannot read the server list");
@@ -175,7 +177,7 @@
         }
         let mut watch_delay = WatchDelay::new(&effects.clock);
         loop {
-            match effects.store.watch(&prefix, revision.saturating_add(1)).await {
+            match effects.watched.watch(&prefix, revision.saturating_add(1)).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
                     for change in &changes {
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -50,6 +50,10 @@
 use crate::control::snapshot::Serving;
 use crate::control::snapshot::SharedSnapshot;
 use crate::control::snapshot::Snapshot;
+use crate::fleet::relay::core::Relay;
+use crate::fleet::relay::policy::RelayPolicy;
+use crate::fleet::relay::store::RelayedStore;
+use crate::fleet::relay::store::SharedRelay;
 use crate::fleet::state::Fleet;
 use crate::forward::Forwarder;
 use crate::forward::Platform;
@@ -187,9 +191,13 @@
         RouterMode::Standalone(_) => raw_store,
         RouterMode::Platform(_) => guard.clone(),
     };
+    let relay = Relay::new(incarnation.clone(), RelayPolicy::default());
+    let relay = Arc::new(SharedRelay::new(relay));
     let effects = Effects {
         executor: executor.clone(),
         store: store.clone(),
+        watched: Arc::new(RelayedStore::new(store.clone(), relay.clone(), clock.clone())),
+        relay,
         guard,
         client: client.clone(),
         events: events.clone(),
--- a/crates/berylwheel-store/src/breaker.rs
+++ b/crates/berylwheel-store/src/breaker.rs
@@ -144,6 +144,8 @@
     clock: Clock,
     breaker: Mutex<Breaker>,
     calls: Mutex<BTreeMap<String, u64>>,
+    /// Time of the last successful call.
+    answered_at: Mutex<Timestamp>,
 }
 
 impl GuardedStore {
@@ -159,7 +161,13 @@
     pub fn new(inner: Arc<dyn Store>, clock: Clock) -> Self {
         let jitter = rand::random_range(MIN_JITTER_PERMILLE..=1_000);
         let breaker = Breaker { jitter: Share::from_permille(jitter), ..Breaker::default() };
-        Self { inner, clock, breaker: Mutex::new(breaker), calls: Mutex::default() }
+        Self {
+            inner,
+            clock,
+            breaker: Mutex::new(breaker),
+            calls: Mutex::default(),
+            answered_at: Mutex::default(),
+        }
     }
 
     /// Returns the number of calls sent since the start, by operation and by the first segment of
@@ -182,6 +190,21 @@
         self.lock().is_open()
     }
 
+    /// Returns when the store last answered a call, whatever the call was.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use berylwheel_store::{GuardedStore, MemoryStore, Store};
+    /// # use berylwheel_types::{Clock, ManualClock, Timestamp};
+    /// let clock = Clock::Manual(ManualClock::new(Timestamp::from_millis(7)));
+    /// let store = GuardedStore::new(Arc::new(MemoryStore::new(clock.clone())), clock);
+    /// futures_lite::future::block_on(store.range("k", false, 0)).unwrap();
+    /// assert_eq!(store.answered_at(), Timestamp::from_millis(7));
+    /// ```
+    pub fn answered_at(&self) -> Timestamp {
+        *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the maximum interval between probes during an outage.
     pub fn set_max_interval(&self, interval: Millis) {
         self.lock().set_max_interval(interval);
@@ -220,6 +243,9 @@
 
     fn record_result(&self, error: Option<&StoreError>) {
         let now = self.clock.now();
+        if error.is_none() {
+            *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+        }
         match error {
             Some(error @ (StoreError::Unavailable | StoreError::Unknown)) => {
                 if self.lock().record_failure(now) {
@@ -270,4 +296,16 @@
         let prefix = prefix.to_owned();
         self.call(purpose("watch", &prefix), move |store| store.watch(&prefix, from_revision))
     }
+
+    fn watch_for(
+        &self,
+        prefix: &str,
+        from_revision: u64,
+        wait: Millis,
+    ) -> StoreFuture<'_, Vec<Entry>> {
+        let prefix = prefix.to_owned();
+        self.call(purpose("watch", &prefix), move |store| {
+            store.watch_for(&prefix, from_revision, wait)
+        })
+    }
 }
--- a/crates/berylwheel-store/src/store.rs
+++ b/crates/berylwheel-store/src/store.rs
@@ -61,6 +61,20 @@
     /// # Errors
     /// [`StoreError::Unavailable`], [`StoreError::Compacted`] or [`StoreError::Protocol`].
     fn watch(&self, prefix: &str, from_revision: u64) -> StoreFuture<'_, Vec<Entry>>;
+
+    /// Watches like [`Store::watch`], and returns after about `wait` if nothing changes. The default
+    /// implementation, for stores whose wait cannot be chosen, ignores it.
+    ///
+    /// # Errors
+    /// The same errors as [`Store::watch`].
+    fn watch_for(
+        &self,
+        prefix: &str,
+        from_revision: u64,
+        _wait: Millis,
+    ) -> StoreFuture<'_, Vec<Entry>> {
+        self.watch(prefix, from_revision)
+    }
 }
 
 /// A key with its value, or the deletion of a key as reported by a watch.
