Relay what a complete read of the store shows

Cause: while versions of the configuration follow each other quickly, the watch loops read everything in place of the changes. A watcher then passed on no changes and claimed nothing for 4 s, so that its whole domain turned to the store. An announced revision that is no change of the prefix made followers watch without end. Change: a watcher passes on how a read differs from what it knew. A watch of the store after an announcement covers it. Other answers of the store cause a message of their own only when the proof advances by 400 ms.

--- a/crates/berylwheel-router/src/fleet/relay/core.rs
+++ b/crates/berylwheel-router/src/fleet/relay/core.rs
@@ -227,6 +227,7 @@
         };
         let was = std::mem::replace(&mut feed.role, role);
         self.counts.role_changes += u64::from(was != role);
+        feed.check = feed.news_changed;
         if role != WatchRole::Follower {
             feed.pending_since = Some(now);
             return NextWatch::Watch(self.rank.map(|rank| slot_wait(now, rank, place)));
@@ -238,7 +239,7 @@
             return NextWatch::Changes(changes);
         }
         let stale_at = feed.news_at + self.stale_after;
-        if feed.news_changed <= known {
+        if feed.news_changed <= known.max(feed.checked) {
             return NextWatch::Wait(stale_at);
         }
         let gap_at = feed.announced_at + self.policy.gap_after;
@@ -249,7 +250,8 @@
         };
         *self.counts.fallbacks.entry(cause).or_default() += 1;
         feed.pending_since = Some(now);
-        NextWatch::Watch(None)
+        // The changes exist already. If not, the announcement was of another kind of revision.
+        NextWatch::Watch(Some(MIN_WAIT))
     }
 
     /// Returns relayed changes after `known` that a waiting watch of the store should have returned
@@ -319,30 +321,34 @@
             }
             return may_follow && self.rank.is_none();
         };
-        let newest = changes.iter().map(|change| change.revision).max().unwrap_or(0);
-        feed.record_answer(now, started, newest);
+        feed.record_watch(now, started, known, changes);
         if self.rank.is_some() {
             feed.queue(&self.policy, known, changes);
         }
         false
     }
 
-    /// Records a complete read of a prefix: the newest revision among its entries, or `None` if it
-    /// failed.
+    /// Records a complete read of a prefix: its entries and the revision of the read, or `None` if it
+    /// failed. A watcher passes on what has changed since its last answer.
     ///
     /// ```
     /// # use berylwheel_router::{Relay, RelayPolicy};
     /// # use berylwheel_types::Timestamp;
     /// let mut relay = Relay::new("r1@1".parse().unwrap(), RelayPolicy::default());
-    /// relay.end_read(Timestamp::from_millis(0), "servers/", Some(7));
+    /// relay.end_read(Timestamp::from_millis(0), "servers/", Some((&[], 7)));
     /// ```
-    pub fn end_read(&mut self, now: Timestamp, prefix: &str, newest: Option<u64>) {
+    pub fn end_read(&mut self, now: Timestamp, prefix: &str, read: Option<(&[Entry], u64)>) {
         self.note_call(now);
         let until = now + self.fallback_hold;
         let feed = self.feeds.entry(prefix.to_owned()).or_insert_with(|| Feed::new(until));
-        feed.own_since = None;
-        if let Some(newest) = newest {
-            feed.record_answer(now, now, newest);
+        let Some((entries, at)) = read else {
+            feed.own_since = None;
+            return;
+        };
+        let base = feed.seen();
+        let changes = feed.record_read(now, entries, at);
+        if self.rank.is_some() {
+            feed.queue(&self.policy, base, &changes);
         }
     }
 
--- a/crates/berylwheel-router/src/fleet/relay/feed.rs
+++ b/crates/berylwheel-router/src/fleet/relay/feed.rs
@@ -7,6 +7,7 @@
 use berylwheel_peer::FeedNews;
 use berylwheel_peer::RelayedChange;
 use berylwheel_store::Entry;
+use berylwheel_types::FastSet;
 use berylwheel_types::Timestamp;
 
 use super::policy::FallbackCause;
@@ -27,8 +28,15 @@
     pub pending_since: Option<Timestamp>,
     /// When this router last had an answer of the store about the prefix.
     covered_at: Timestamp,
-    /// Revision of the newest change that this router has read.
+    /// Revision of the newest change that this router knows.
     changed: u64,
+    /// Revision up to which this router knows all changes, and the keys that exist then.
+    seen: u64,
+    keys: FastSet<String>,
+    /// Announced revision when the current watch of the store began, and the one that an earlier
+    /// watch has covered.
+    pub check: u64,
+    pub checked: u64,
     /// Changes that were read and not sent yet.
     pub unsent: VecDeque<ChangeBatch>,
     /// Time of the newest proof that a watcher knew all changes.
@@ -54,6 +62,10 @@
             pending_since: None,
             covered_at: start,
             changed: 0,
+            seen: 0,
+            keys: FastSet::default(),
+            check: 0,
+            checked: 0,
             unsent: VecDeque::new(),
             news_at: start,
             news_changed: 0,
@@ -64,11 +76,50 @@
         }
     }
 
-    /// Records an answer of the store: the newest revision in it.
-    pub fn record_answer(&mut self, now: Timestamp, started: Timestamp, newest: u64) {
+    /// Records the answer of the store to a watch after `known` that began at `started`.
+    pub fn record_watch(&mut self, now: Timestamp, started: Timestamp, known: u64, new: &[Entry]) {
         self.own_since.get_or_insert(started);
         self.covered_at = now;
-        self.changed = self.changed.max(newest);
+        self.checked = self.checked.max(self.check);
+        self.apply(known, new);
+    }
+
+    /// Records a complete read at the revision `at`. Returns the changes since what was known
+    /// before, of which those of one key are one.
+    pub fn record_read(&mut self, now: Timestamp, entries: &[Entry], at: u64) -> Vec<Entry> {
+        let (base, is_first) = (self.seen, self.seen == 0);
+        let mut new: Vec<Entry> = entries.iter().filter(|e| e.revision > base).cloned().collect();
+        new.sort_by_key(|entry| entry.revision);
+        let listed: FastSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let gone = self.keys.iter().filter(|key| !listed.contains(key.as_str()));
+        new.extend(gone.map(|key| Entry {
+            key: key.clone(),
+            value: Vec::new(),
+            revision: at,
+            deleted: true,
+        }));
+        self.own_since.get_or_insert(now);
+        self.covered_at = now;
+        self.checked = self.checked.max(self.news_changed);
+        self.apply(at, &new);
+        if is_first || at <= base { Vec::new() } else { new }
+    }
+
+    /// Notes that all changes up to `known` and those in `new` are known.
+    fn apply(&mut self, known: u64, new: &[Entry]) {
+        for entry in new {
+            self.changed = self.changed.max(entry.revision);
+            match entry.deleted {
+                true => self.keys.remove(&entry.key),
+                false => self.keys.insert(entry.key.clone()),
+            };
+        }
+        self.seen = self.seen.max(known).max(self.changed);
+    }
+
+    /// Returns the revision up to which all changes are known.
+    pub fn seen(&self) -> u64 {
+        self.seen
     }
 
     /// Queues changes that follow on `base` for the other routers.
@@ -168,9 +219,7 @@
             }));
             through = batch.through;
         }
-        if through > known {
-            self.changed = self.changed.max(through);
-        }
+        self.apply(known, &found);
         found
     }
 }
--- a/crates/berylwheel-router/src/fleet/relay/news.rs
+++ b/crates/berylwheel-router/src/fleet/relay/news.rs
@@ -95,7 +95,7 @@
         let proofs = self.feeds.values().filter_map(|feed| feed.proof(now, policy, answered_at));
         let proof = proofs.max().unwrap_or_default();
         let waited = now.since(self.sent_at);
-        let has_proof = proof > self.sent_proof && waited >= policy.min_interval;
+        let has_proof = proof.since(self.sent_proof) >= policy.proof_step;
         if !has_changes && !has_proof && waited < policy.news_interval {
             return None;
         }
--- a/crates/berylwheel-router/src/fleet/relay/policy.rs
+++ b/crates/berylwheel-router/src/fleet/relay/policy.rs
@@ -43,8 +43,8 @@
     pub pause: Millis,
     /// Maximum interval between the messages of a watcher.
     pub news_interval: Millis,
-    /// Minimum interval between the messages of a watcher without changes.
-    pub min_interval: Millis,
+    /// Minimum advance of the proof for which a watcher sends a message before its interval ends.
+    pub proof_step: Millis,
     /// Maximum length of a relayed value. Larger ones are read from the store, so that a
     /// large configuration crosses the link of a router once.
     pub value_limit: usize,
@@ -67,7 +67,7 @@
             claim_after: Millis(4_000),
             pause: Millis(1_000),
             news_interval: Millis(500),
-            min_interval: Millis(100),
+            proof_step: Millis(400),
             value_limit: 16 << 10,
             batch_limit: 64 << 10,
         }
--- a/crates/berylwheel-router/src/fleet/relay/store.rs
+++ b/crates/berylwheel-router/src/fleet/relay/store.rs
@@ -129,10 +129,8 @@
         let key = from.to_owned();
         Box::pin(async move {
             let result = self.inner.range_with_revision(&key, prefix).await;
-            let entries = result.as_ref().ok().map(|(entries, _)| entries);
-            let newest =
-                entries.map(|e| e.iter().map(|entry| entry.revision).max().unwrap_or_default());
-            self.relay.lock().end_read(self.clock.now(), &key, newest);
+            let read = result.as_ref().ok().map(|(entries, at)| (entries.as_slice(), *at));
+            self.relay.lock().end_read(self.clock.now(), &key, read);
             result
         })
     }
--- a/crates/berylwheel-router/tests/fleet_size.rs
+++ b/crates/berylwheel-router/tests/fleet_size.rs
@@ -8,7 +8,10 @@
 use berylwheel_router::ClaimHomes;
 use berylwheel_router::home_router;
 use berylwheel_types::BillKey;
+use berylwheel_types::Incarnation;
 use common::Fleet;
+use common::peer_address;
+use common::router_id;
 
 /// Entries of other routers that an idle router may examine in a second: those of the eight
 /// heartbeats that it sends and receives, with eight entries each.
@@ -44,6 +47,28 @@
     assert!(recipients.len() <= NOTIFIED_PEERS, "{} routers are told", recipients.len());
 }
 
+/// Guards against a router that passes on what it learns of the store to its whole domain.
+#[test]
+fn news_of_the_store_go_to_few_routers() {
+    let mut fleet = Fleet::new(1_000);
+    fleet.hear_of_all();
+    let mut passed_on = 0;
+    // The routers of this one's domain are each fifth.
+    for number in (5..1_000).step_by(5) {
+        fleet.router.take_sent();
+        let origin = Incarnation { router: router_id(number), number: 1 };
+        let news = Message::StoreNews { origin, sequence: 1, feeds: Vec::new() };
+        fleet.router.receive(&router_id(number), peer_address(number), news.clone());
+        let recipients = fleet.recipients(|message| *message == news);
+        assert!(recipients.len() <= NOTIFIED_PEERS, "{} routers are told", recipients.len());
+        passed_on += usize::from(!recipients.is_empty());
+        // A copy that comes by another way is not passed on again.
+        fleet.router.receive(&router_id(number), peer_address(number), news.clone());
+        assert!(fleet.recipients(|message| *message == news).is_empty());
+    }
+    assert!(passed_on > 0, "nothing is passed on");
+}
+
 /// Guards against routers that disagree about the homes of budgets for minutes after a start: a
 /// heartbeat tells of eight routers.
 #[test]
--- a/crates/berylwheel-router/tests/relay.rs
+++ b/crates/berylwheel-router/tests/relay.rs
@@ -4,9 +4,14 @@
 mod relay_fleet;
 
 use berylwheel_router::FallbackCause;
+use berylwheel_router::Relay;
 use berylwheel_router::RelayPolicy;
 use berylwheel_router::WatchRole;
+use berylwheel_store::Entry;
+use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
+use berylwheel_types::RouterId;
+use berylwheel_types::Timestamp;
 use relay_fleet::Fault;
 use relay_fleet::Fleet;
 use relay_fleet::Generator;
@@ -72,6 +77,9 @@
         // 45 s of three routers: two watches each 3 s. A change ends one early, and the next one waits
         // for the rest of its slot only.
         assert!(calls <= 3 * (30 + 2 * 16 + 2), "{size} routers: {calls} calls");
+        // Guards against connections that grow with the square of the domain.
+        let connections = fleet.connections.len();
+        assert!(connections <= 3 * (size - 1), "{size} routers: {connections} connections");
     }
 }
 
@@ -159,6 +167,54 @@
     assert!(turned.iter().all(|at_once| *at_once <= 12), "{turned:?}");
 }
 
+/// Guards against a burst of versions of the configuration, of which watchers read the newest, that
+/// makes all others turn to the store for lack of proofs.
+#[test]
+fn bursts_of_changes_are_relayed() {
+    let mut fleet = Fleet::new(26, RelayPolicy::default(), 7);
+    (20_000..24_000).step_by(110).for_each(|at| fleet.plan_change(at));
+    fleet.run(19_990);
+    let (before, fallbacks) = (fleet.calls(), fleet.fallbacks());
+    fleet.run(30_000);
+    assert_eq!(fleet.late(0, BOUND), Vec::<String>::new());
+    assert_eq!(fleet.fallbacks().get(&FallbackCause::Stale), None, "{fallbacks:?}");
+    println!("{} calls, {:?}", fleet.calls() - before, fleet.fallbacks());
+}
+
+/// Guards against deletions that nobody passes on because watchers read everything in place of the
+/// changes.
+#[test]
+fn a_watcher_passes_on_what_a_complete_read_shows() {
+    let members: Vec<RouterId> = (0..24).map(|i| format!("r{i}").parse().unwrap()).collect();
+    let now = Timestamp::from_millis(10_000);
+    let start = |router: &RouterId| {
+        let run = Incarnation { router: router.clone(), number: 1 };
+        let mut relay = Relay::new(run, RelayPolicy::default());
+        relay.set_members(now, members.clone());
+        relay
+    };
+    let mut watcher = members.iter().map(start).find(Relay::is_watcher).unwrap();
+    let entry = |key: &str, revision: u64| Entry {
+        key: format!("settings/{key}"),
+        value: vec![1],
+        revision,
+        deleted: false,
+    };
+    watcher.end_read(now, "settings/", Some((&[entry("config", 5), entry("zone/a", 7)], 20)));
+    watcher.begin_watch(now, "settings/", 20);
+    watcher.end_watch(now, "settings/", 20, Some(&[entry("zone/b", 22)]));
+    let first = watcher.poll(now, now).unwrap();
+    assert_eq!(first.feeds[0].batch.as_ref().unwrap().base, 20);
+    let read = [entry("config", 28), entry("zone/b", 22)];
+    watcher.end_read(now, "settings/", Some((&read, 30)));
+    let second = watcher.poll(now, now).unwrap();
+    let batch = second.feeds[0].batch.as_ref().unwrap();
+    let changes: Vec<_> =
+        batch.changes.iter().map(|c| (c.key.as_str(), c.revision, c.deleted)).collect();
+    assert_eq!(changes, [("settings/config", 28, false), ("settings/zone/a", 30, true)]);
+    assert_eq!((batch.base, batch.through), (22, 30));
+}
+
 /// Guards against a large configuration that goes over small links several times.
 #[test]
 fn large_values_are_read_from_the_store() {
--- a/crates/berylwheel-router/tests/relay_fleet/mod.rs
+++ b/crates/berylwheel-router/tests/relay_fleet/mod.rs
@@ -13,6 +13,7 @@
 use berylwheel_router::Relay;
 use berylwheel_router::RelayPolicy;
 use berylwheel_router::WatchRole;
+use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
@@ -45,6 +46,8 @@
     known: u64,
     delay: u64,
     resumed_at: u64,
+    /// The keys that exist according to what was read, with their revisions.
+    state: BTreeMap<String, u64>,
     /// When each revision became known, in all runs.
     learned: Vec<(u64, u64)>,
 }
@@ -74,6 +77,8 @@
     now: u64,
     calls: u64,
     messages: u64,
+    /// Pairs of routers that have exchanged messages.
+    pub connections: FastSet<(usize, usize)>,
     largest: usize,
     loss: u64,
 }
@@ -104,6 +109,7 @@
             now: 0,
             calls: 0,
             messages: 0,
+            connections: FastSet::default(),
             largest: 0,
             loss: 0,
         };
@@ -125,6 +131,7 @@
                 known: 0,
                 delay: BATCH_DELAY,
                 resumed_at: self.now,
+                state: BTreeMap::new(),
                 learned: Vec::new(),
             }),
             answered_at: 0,
@@ -324,6 +331,7 @@
         for recipient in to {
             self.messages += 1;
             let number: usize = recipient.as_str()[1..].parse().unwrap();
+            self.connections.insert((from.min(number), from.max(number)));
             let reaches = |router| self.reaches_peers(router, self.now);
             if !reaches(from) || !reaches(number) || self.random.below(100) < self.loss {
                 continue;
