--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -70,6 +70,7 @@
             }
         }
         self.apply_live_changes(now);
+        self.drive_relay(now);
         self.coordinate_store_probes(now);
         if now >= self.fleet.next_vms
             && let Some(address) = self.fleet.vms_address
@@ -120,6 +121,7 @@
         self.fleet.disconnect_replaced(&runs);
         self.holder.set_lenders(now, runs);
         self.fleet.config.set_links(self.fleet.members.links());
+        self.update_relay_members(now);
         self.check_clock(now);
     }
 
