Evacuate failure domains

Cause: operators need to take all servers of a failure domain out of use at once. Until now each server had to be marked by itself.

Change: On the platform, a key below the operator's prefix evacuates a zone while it exists. One range read and one watch of the whole prefix replace those of the configuration key, so no store call is added. Reading (forward/watch.rs) and applying (forward/operator.rs) are apart. The set goes to the control thread before the configuration of the same read, and a router on a platform serves only after it knows the set. The union of both is in force.

The load balancer leaves servers of evacuated domains out of the subsets, so that placements, retries, moves, resumed streams, capacity, probes and ejection limits all go by it. Requests that only evacuated servers could take are refused with the new code 1326, also if they are queued or wait for a claim or tokens. One that a server had begun before it was queued again is refused as `unknown`.

Ruled out: a check at each choice of a server, which leaves evacuated servers in subsets and ejection limits; waiting in the queue until the deadline.

--- a/crates/berylwheel-command/src/lib.rs
+++ b/crates/berylwheel-command/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod connect;
 mod demo;
+mod domain;
 mod dump;
 mod explain;
 mod key;
--- a/crates/berylwheel-command/src/run.rs
+++ b/crates/berylwheel-command/src/run.rs
@@ -9,6 +9,7 @@
 use crate::check;
 use crate::config;
 use crate::demo;
+use crate::domain;
 use crate::dump;
 use crate::explain;
 use crate::key;
@@ -40,6 +41,7 @@
         Some(("kind", args)) => kind::run(args),
         Some(("rank", args)) => rank::run(args),
         Some(("server", args)) => server::run(args),
+        Some(("domain", args)) => domain::run(args),
         Some(("order", args)) => order::run(args),
         Some(("quarantine", args)) => quarantine::run(args),
         Some(("key", args)) => key::run(args),
@@ -74,6 +76,7 @@
         .subcommand(kind::command())
         .subcommand(rank::command())
         .subcommand(server::command())
+        .subcommand(domain::command())
         .subcommand(order::command())
         .subcommand(quarantine::command())
         .subcommand(key::command())
--- a/crates/berylwheel-route/src/availability.rs
+++ b/crates/berylwheel-route/src/availability.rs
@@ -7,6 +7,10 @@
 use crate::load_balancer::LoadBalancer;
 use crate::subset::Pool;
 
+/// Retry delay while all servers are evacuated. A router learns of the end of an evacuation within
+/// about a second.
+const EVACUATED_DELAY: Millis = Millis(1_000);
+
 /// Whether the servers for a request accept any.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
@@ -16,6 +20,8 @@
     Paused(Timestamp),
     /// There is no server, or all of them are leaving.
     Empty,
+    /// All servers that do not leave are in evacuated failure domains.
+    Evacuated,
 }
 
 /// What to do with a request that no server can take at the moment.
@@ -39,11 +45,9 @@
     /// assert_eq!(balancer.availability(Timestamp::from_millis(0), &query), Availability::Empty);
     /// ```
     pub fn availability(&self, now: Timestamp, query: &RouteQuery) -> Availability {
-        let Some(subset) = self.subsets.get(&Pool::for_query(query)) else {
-            return Availability::Empty;
-        };
+        let members = self.subsets.get(&Pool::for_query(query)).map(|subset| &subset.members);
         let (mut first_end, mut is_paused) = (None, false);
-        for state in subset.members.iter().filter_map(|id| self.states.get(id)) {
+        for state in members.into_iter().flatten().filter_map(|id| self.states.get(id)) {
             let id = &state.server.id;
             if !state.supports(query) || query.exclude.contains(id) || self.is_leaving(id) {
                 continue;
@@ -55,6 +59,7 @@
             first_end = Some(first_end.map_or(end, |first: Timestamp| first.min(end)));
         }
         match first_end {
+            None if self.is_served_by_evacuated(query) => Availability::Evacuated,
             None => Availability::Empty,
             Some(end) if is_paused => Availability::Paused(end),
             Some(_) => Availability::Open,
@@ -65,7 +70,8 @@
 /// Decides whether a request waits for its servers. It is refused if it cannot be served in
 /// `service_time` between the end of their pause and its deadline.
 ///
-/// While a pool has no servers a request waits, since the time of the next server is unknown.
+/// While a pool has no servers a request waits, since the time of the next server is unknown. While
+/// all of them are evacuated it is refused, since an operator ends that and no time is known either.
 ///
 /// ```
 /// use berylwheel_route::{Availability, WaitDecision, decide_wait};
@@ -85,5 +91,6 @@
         Availability::Open | Availability::Empty => WaitDecision::Queue,
         Availability::Paused(end) if end + service_time < deadline => WaitDecision::Queue,
         Availability::Paused(end) => WaitDecision::Refuse(end.since(now)),
+        Availability::Evacuated => WaitDecision::Refuse(EVACUATED_DELAY.min(deadline.since(now))),
     }
 }
--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use berylwheel_types::BackendId;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 use serde::Serialize;
 
+use crate::EvacuatedDomain;
 use crate::LeavingSource;
 
 /// All servers as seen by one router, sorted by name.
@@ -14,6 +16,8 @@
 pub struct RouteDump {
     /// Number of live routers among which the servers' capacity is divided.
     pub routers: usize,
+    /// The evacuated failure domains, sorted by name.
+    pub evacuated: Vec<EvacuatedDomain>,
     /// One entry per server.
     pub servers: Vec<ServerDump>,
 }
@@ -28,6 +32,10 @@
     /// Whether the server is configured. A removed server is listed until this router's requests to
     /// it have ended.
     pub present: bool,
+    /// The failure domain that the server runs in.
+    pub domain: FailureDomain,
+    /// Whether the domain is evacuated, so that the server gets no new requests.
+    pub evacuated: bool,
     /// Whether the server belongs to one of this router's subsets.
     pub used: bool,
     /// Requests in flight from this router.
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -22,11 +22,11 @@
 use crate::ServerDump;
 use crate::choice::Candidate;
 use crate::choice::choose;
+use crate::evacuation::Evacuation;
 use crate::standing::Standing;
 use crate::state::ServerState;
 use crate::subset::Pool;
 use crate::subset::Subset;
-use crate::subset::subsets_by_pool;
 
 /// Selects backend servers for the requests of one router.
 ///
@@ -60,7 +60,7 @@
 /// ```
 #[derive(Debug)]
 pub struct LoadBalancer {
-    router: RouterId,
+    pub(crate) router: RouterId,
     pub(crate) policy: RoutePolicy,
     rng: SmallRng,
     routers: usize,
@@ -70,6 +70,7 @@
     /// What is known of servers besides their configuration and load. Outlasts the removal of a
     /// server, since an outdated list may bring it back.
     pub(crate) standings: FastMap<BackendId, Standing>,
+    pub(crate) evacuation: Evacuation,
     /// The end of the pause that ends last, or later.
     pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
@@ -91,6 +92,7 @@
             states: FastMap::default(),
             subsets: FastMap::default(),
             standings: FastMap::default(),
+            evacuation: Evacuation::default(),
             last_pause_end: Timestamp::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
@@ -133,15 +135,7 @@
             self.clear_notice(server);
         }
         self.prune_standings(now);
-        self.subsets = subsets_by_pool(&self.router, &self.states, self.policy.subset_size);
-        for state in self.states.values_mut() {
-            state.in_subset = false;
-        }
-        for id in self.subsets.values().flat_map(|subset| &subset.members) {
-            if let Some(state) = self.states.get_mut(id) {
-                state.in_subset = true;
-            }
-        }
+        self.update_subsets();
         self.limit_ejections(now);
     }
 
@@ -349,6 +343,8 @@
                 id: state.server.id.clone(),
                 address: state.server.address,
                 present: state.present,
+                domain: state.server.domain.clone(),
+                evacuated: self.is_evacuated(&state.server.domain),
                 used: state.in_subset,
                 in_flight: state.load.own_count(),
                 others: state.load.others(now, self.policy.report_expiry),
@@ -366,6 +362,6 @@
             })
             .collect();
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        RouteDump { routers: self.routers, servers }
+        RouteDump { routers: self.routers, evacuated: self.evacuated_domains(), servers }
     }
 }
--- a/crates/berylwheel-route/src/subset.rs
+++ b/crates/berylwheel-route/src/subset.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::stable_hash;
 
 use crate::RouteQuery;
+use crate::load_balancer::LoadBalancer;
 use crate::state::ServerState;
 
 /// A pool of interchangeable servers: those of one model, or of one plain service.
@@ -35,14 +36,34 @@
     pub pool_size: usize,
 }
 
-/// Returns the subset of `router` in each pool of the configured servers.
-pub(crate) fn subsets_by_pool(
+impl LoadBalancer {
+    /// Sets the subsets from the configured servers whose failure domains are not evacuated.
+    pub(crate) fn update_subsets(&mut self) {
+        let is_usable = |state: &&ServerState| {
+            let domain = &state.server.domain;
+            state.present && !self.is_evacuated(domain)
+        };
+        let usable = self.states.values().filter(is_usable);
+        self.subsets = subsets_by_pool(&self.router, usable, self.policy.subset_size);
+        for state in self.states.values_mut() {
+            state.in_subset = false;
+        }
+        for id in self.subsets.values().flat_map(|subset| &subset.members) {
+            if let Some(state) = self.states.get_mut(id) {
+                state.in_subset = true;
+            }
+        }
+    }
+}
+
+/// Returns the subset of `router` in each pool of the given servers.
+fn subsets_by_pool<'a>(
     router: &RouterId,
-    states: &FastMap<BackendId, ServerState>,
+    usable: impl Iterator<Item = &'a ServerState>,
     limit: usize,
 ) -> FastMap<Pool, Subset> {
     let mut pools: FastMap<Pool, Vec<BackendId>> = FastMap::default();
-    for state in states.values().filter(|state| state.present) {
+    for state in usable {
         let server = &state.server;
         let models = server.models.iter().cloned().map(Pool::Model);
         // A plain service has no models, so its pools are those of its kinds.
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -62,7 +62,9 @@
         }
         if self.router_settings.adapter == Adapter::None {
             self.balancer.set_servers(now, configured_servers(&settings));
+            self.report_unknown_domains();
         }
+        self.evacuate_configured(now, &settings);
         if self.settings.is_none() {
             // The number of ledger pages cannot change once budgets exist. Replacing the holder is
             // safe here because no request is accepted before the first settings.
@@ -120,6 +122,7 @@
             self.notify_server_leaving(server);
         }
         self.balancer.set_servers(now, change.servers);
+        self.report_unknown_domains();
         for server in &change.restarted {
             self.balancer.server_restarted(now, server);
             self.quarantine.record_end(now, server);
@@ -146,7 +149,10 @@
     }
 
     fn may_serve(&self) -> bool {
-        self.settings.is_some() && self.fleet.config.may_serve()
+        // Without the evacuated domains, requests might go to their servers.
+        let knows_domains =
+            self.router_settings.adapter == Adapter::None || self.evacuations.is_read();
+        knows_domains && self.settings.is_some() && self.fleet.config.may_serve()
     }
 
     /// Starts serving once the store or enough peers have confirmed the settings.
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -35,6 +35,7 @@
 use crate::control::apply::route_policy;
 use crate::control::effects::CacheReport;
 use crate::control::effects::Effects;
+use crate::control::evacuation::Evacuations;
 use crate::control::event::Event;
 use crate::control::event::Vm;
 use crate::control::event::VmState;
@@ -78,6 +79,7 @@
     pub(super) schedule_policy: SchedulePolicy,
     pub(super) settings: Option<Settings>,
     pub(super) external_config: ExternalConfig,
+    pub(super) evacuations: Evacuations,
     pub(super) version: Version,
     /// Start of this run. Any earlier run with the same addresses had ended by then, since they
     /// could be bound again.
@@ -119,6 +121,7 @@
             schedule_policy: SchedulePolicy::default(),
             settings: None,
             external_config: ExternalConfig::default(),
+            evacuations: Evacuations::default(),
             version: Version::default(),
             started_at: clock.now(),
             pruned_at: clock.now(),
@@ -201,6 +204,7 @@
             Event::ConfigReadFailed => self.fleet.config.handle_read_failure(now),
             Event::RegistryRead(routers) => self.apply_registry(now, routers),
             Event::RouterRegistered => self.schedule_registry_read(now),
+            Event::DomainsEvacuated(domains) => self.handle_evacuated(now, domains),
             Event::ExternalConfigRead(config) => self.apply_external_config(now, *config),
             Event::ExternalConfigUnreadable(revision) => {
                 self.handle_unreadable_config(now, revision);
--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -116,8 +116,9 @@
         self.handle(Event::RegistryRead(routers.iter().map(entry).collect()));
     }
 
-    /// Applies a version of the operator's configuration.
+    /// Applies a version of the operator's configuration, with no failure domain evacuated.
     pub fn apply_configuration(&mut self, version: Version, settings: Settings) {
+        self.handle(Event::DomainsEvacuated(FastSet::default()));
         let config = OperatorConfig { version, settings, repairs: Vec::new() };
         self.handle(Event::ExternalConfigRead(Box::new(config)));
     }
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -13,6 +13,8 @@
 use berylwheel_route::ServerSignal;
 use berylwheel_settings::RouterSettings;
 use berylwheel_types::BackendId;
+use berylwheel_types::FailureDomain;
+use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
 use berylwheel_types::PartHold;
 use berylwheel_types::PromptPartId;
@@ -96,6 +98,8 @@
     RegistryRead(Vec<RouterEntry>),
     /// This router was added to the list of routers.
     RouterRegistered,
+    /// The set of evacuated failure domains was read from the platform's store.
+    DomainsEvacuated(FastSet<FailureDomain>),
     /// The operator's configuration was read from the platform's store.
     ExternalConfigRead(Box<OperatorConfig>),
     /// The operator's configuration cannot be decoded. Contains the revision of its store entry.
@@ -136,6 +140,7 @@
             | Self::ServerSignal(..)
             | Self::AttemptBroken(_)
             | Self::ServerRefused(_) => "server",
+            Self::DomainsEvacuated(_) => "evacuation",
             Self::ServerListEvent(_) | Self::VmListRead(_) => "server_list",
             Self::PeerMessage(inbound) => inbound.message.kind(),
             Self::RootRead(_)
--- a/crates/berylwheel-router/src/control/mod.rs
+++ b/crates/berylwheel-router/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod core;
 pub(crate) mod driver;
 pub(crate) mod effects;
+mod evacuation;
 pub(crate) mod event;
 mod external;
 mod holder;
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -56,8 +56,10 @@
     pub stage: Stage,
     /// The backend server that runs it.
     pub server: Option<BackendId>,
-    reply: Option<Sender<PlacementResult>>,
-    preempt: Option<Sender<()>>,
+    pub(super) reply: Option<Sender<PlacementResult>>,
+    pub(super) preempt: Option<Sender<()>>,
+    /// Whether a server had begun with the request before it was queued again.
+    pub(super) has_begun: bool,
 }
 
 impl Control {
@@ -111,6 +113,7 @@
             server: None,
             reply: Some(reply),
             preempt: None,
+            has_begun: false,
         };
         let claim_key = state.admit.needs_claim.then_some(state.admit.bill_key).flatten();
         let digest = state.admit.digest;
@@ -321,17 +324,6 @@
         }
     }
 
-    fn requeue(&mut self, now: Timestamp, request: &RequestId, reply: Sender<PlacementResult>) {
-        let Some(state) = self.requests.get_mut(request) else { return };
-        if let Some(server) = state.server.take() {
-            self.balancer.request_ended(now, &server, Outcome::Cancelled);
-        }
-        state.stage = Stage::Queued;
-        state.reply = Some(reply);
-        state.preempt = None;
-        self.scheduler.requeue(now, request);
-    }
-
     /// Refuses a request and removes its state.
     pub fn refuse(&mut self, request: &RequestId, refusal: Refusal) {
         let now = self.clock.now();
--- a/crates/berylwheel-router/src/control/signals.rs
+++ b/crates/berylwheel-router/src/control/signals.rs
@@ -1,6 +1,8 @@
 //! Servers that leave or ask for a pause, and the requests that wait for them.
 
+use async_channel::Sender;
 use berylwheel_route::Availability;
+use berylwheel_route::Outcome;
 use berylwheel_route::ServerSignal;
 use berylwheel_route::WaitDecision;
 use berylwheel_route::decide_wait;
@@ -11,6 +13,7 @@
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
 
+use crate::control::command::PlacementResult;
 use crate::control::core::Control;
 use crate::control::requests::Stage;
 
@@ -33,33 +36,75 @@
     }
 
     /// Returns the refusal of a request that cannot be served before its deadline, because all
-    /// servers for it have asked for a pause.
+    /// servers for it have asked for a pause or are in evacuated failure domains.
     pub(super) fn pause_refusal(&self, now: Timestamp, request: &RequestId) -> Option<Refusal> {
-        let admit = &self.requests.get(request)?.admit;
+        let state = self.requests.get(request)?;
+        let admit = &state.admit;
         let service_time = self.scheduler.service_time(&admit.kind);
         let availability = self.balancer.availability(now, &admit.query);
         match decide_wait(now, admit.deadline, service_time, availability) {
             WaitDecision::Queue => None,
             WaitDecision::Refuse(delay) => {
-                let detail = "all backend servers for the request have asked for a pause";
-                Some(Refusal::not_run(Code::NoBackend, detail).retry_after(delay))
+                let (code, detail) = match availability {
+                    Availability::Evacuated => (
+                        Code::DomainEvacuated,
+                        "all backend servers for the request are in evacuated failure domains",
+                    ),
+                    _ => (
+                        Code::NoBackend,
+                        "all backend servers for the request have asked for a pause",
+                    ),
+                };
+                let refusal = match state.has_begun {
+                    true => Refusal::unknown(code, detail),
+                    false => Refusal::not_run(code, detail),
+                };
+                Some(refusal.retry_after(delay))
             }
         }
     }
 
-    /// Refuses queued requests that became impossible to serve when their last server paused.
+    /// Refuses queued requests that became impossible to serve when their last server paused or was
+    /// evacuated.
     pub(super) fn refuse_paused(&mut self, now: Timestamp) {
-        if !self.balancer.has_pauses(now) {
+        if !self.balancer.has_pauses(now) && !self.balancer.has_evacuations() {
             return;
         }
-        let queued = self.requests.iter().filter(|(_, state)| state.stage == Stage::Queued);
-        let refused: Vec<(RequestId, Refusal)> =
-            queued.filter_map(|(id, _)| Some((id.clone(), self.pause_refusal(now, id)?))).collect();
+        // A pause may end before a request has its tokens. The end of an evacuation is not known.
+        let applies = |stage: Stage, refusal: &Refusal| match stage {
+            Stage::Queued => true,
+            Stage::Claiming(_) | Stage::Reserving => refusal.code == Code::DomainEvacuated,
+            Stage::Running => false,
+        };
+        let waiting = self.requests.iter().filter(|(_, state)| state.stage != Stage::Running);
+        let refusals = waiting.filter_map(|(id, state)| {
+            let refusal = self.pause_refusal(now, id)?;
+            applies(state.stage, &refusal).then(|| (id.clone(), refusal))
+        });
+        let refused: Vec<(RequestId, Refusal)> = refusals.collect();
         for (request, refusal) in refused {
             self.refuse(&request, refusal);
         }
     }
 
+    /// Queues a request again that was preempted.
+    pub(super) fn requeue(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        reply: Sender<PlacementResult>,
+    ) {
+        let Some(state) = self.requests.get_mut(request) else { return };
+        if let Some(server) = state.server.take() {
+            self.balancer.request_ended(now, &server, Outcome::Cancelled);
+        }
+        state.stage = Stage::Queued;
+        state.reply = Some(reply);
+        state.preempt = None;
+        state.has_begun = true;
+        self.scheduler.requeue(now, request);
+    }
+
     /// Returns the time until a server may accept the request, if all of them have asked for a
     /// pause. Counts those that have rejected it.
     pub(super) fn pause_delay(&self, now: Timestamp, request: &RequestId) -> Option<Millis> {
@@ -67,7 +112,7 @@
         query.exclude.clear();
         match self.balancer.availability(now, &query) {
             Availability::Paused(end) => Some(end.since(now)),
-            Availability::Open | Availability::Empty => None,
+            Availability::Open | Availability::Empty | Availability::Evacuated => None,
         }
     }
 }
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod classify;
 mod link;
 mod listen;
+mod operator;
 mod pipeline;
 mod platform;
 mod relay;
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -9,6 +9,7 @@
 use berylwheel_settings::Settings;
 use berylwheel_store::Store;
 use berylwheel_types::BackendId;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::Millis;
 use berylwheel_types::PromptPartId;
 use berylwheel_types::Rank;
@@ -111,6 +112,13 @@
     /// Creates a client for the platform's store that sends its requests through `upstream`.
     fn store(&self, addresses: &[SocketAddr], upstream: UpstreamClient) -> Arc<dyn Store>;
 
+    /// Returns the prefix of all store keys that the operator writes.
+    fn operator_prefix(&self) -> &str;
+
+    /// Returns the failure domain that is evacuated while a store key exists, or `None` if the key
+    /// does not evacuate one.
+    fn evacuated_domain(&self, key: &str) -> Option<FailureDomain>;
+
     /// Returns the store key of the operator's configuration.
     fn configuration_key(&self) -> &str;
 
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -1,4 +1,4 @@
-//! Watches the platform's store for the operator's configuration and the backend servers, and reads
+//! Watches the platform's store for the operator's keys and the backend servers, and reads
 //! the certificate authority that the routers share.
 
 use std::sync::Arc;
@@ -21,6 +21,7 @@
 use crate::control::effects::Effects;
 use crate::control::event::Event;
 use crate::forward::Platform;
+use crate::forward::operator::OperatorKeys;
 
 /// Store key of the certificate authority of the routers.
 const AUTHORITY_KEY: &str = "/berylwheel/authority";
@@ -40,53 +41,46 @@
 /// Polling interval for the configuration until the operator has written the first one.
 const POLL_INTERVAL: Millis = Millis(200);
 
-/// Reads the operator's configuration and watches it for changes.
+/// Reads the operator's keys and watches them for changes: the configuration and the evacuated
+/// failure domains.
 ///
 /// A watch returns each version that was written since in full. While versions follow each other
 /// quickly, the newest one is read instead, since a large configuration would fill a small link.
-pub async fn watch_configuration(effects: Effects, platform: Arc<dyn Platform>) {
-    let key = platform.configuration_key().to_owned();
+pub async fn watch_operator(effects: Effects, platform: Arc<dyn Platform>) {
+    let prefix = platform.operator_prefix().to_owned();
+    let mut keys = OperatorKeys::new(platform);
     let mut delay = WatchDelay::new(&effects.clock);
-    let mut applied = None;
     let mut pace = Pace::Slow;
     loop {
-        let (entries, mut revision) = match effects.store.range_with_revision(&key, false).await {
+        let (entries, mut revision) = match effects.store.range_with_revision(&prefix, true).await {
             Ok(read) => read,
             Err(error) => {
-                log::debug!(error:% = error; "cannot read the configuration");
+                log::debug!(error:% = error; "cannot read the operator's keys");
                 Timer::after(RETRY_DELAY.duration()).await;
                 continue;
             }
         };
-        let Some(entry) = entries.first() else {
+        let is_reconfigured = send_events(&effects, keys.apply_read(&entries)).await;
+        if !keys.has_configuration() {
             Timer::after(POLL_INTERVAL.duration()).await;
             continue;
-        };
-        if applied != Some(entry.revision) {
-            applied = Some(entry.revision);
-            send_configuration(&effects, platform.as_ref(), entry).await;
-            if pace == Pace::Quick {
-                delay.wait_after(&effects.clock, &entries).await;
-                continue;
-            }
+        }
+        if is_reconfigured && pace == Pace::Quick {
+            delay.wait_after(&effects.clock, &entries).await;
+            continue;
         }
         loop {
-            match effects.store.watch(&key, revision.saturating_add(1)).await {
+            match effects.store.watch(&prefix, revision.saturating_add(1)).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
-                    // The watch also returns changes of keys that begin with this one.
-                    let newest = changes.iter().rfind(|c| c.key == key && !c.deleted);
-                    if let Some(newest) = newest {
-                        applied = Some(newest.revision);
-                        send_configuration(&effects, platform.as_ref(), newest).await;
-                    }
+                    let is_reconfigured = send_events(&effects, keys.apply_changes(&changes)).await;
                     pace = delay.wait_after(&effects.clock, &changes).await;
-                    if pace == Pace::Quick {
+                    if is_reconfigured && pace == Pace::Quick {
                         break;
                     }
                 }
                 Err(error) => {
-                    handle_watch_error("configuration", &error).await;
+                    handle_watch_error("operator keys", &error).await;
                     pace = Pace::Slow;
                     break;
                 }
@@ -95,6 +89,16 @@
     }
 }
 
+/// Sends events to the control thread. Returns whether one of them is about a configuration.
+async fn send_events(effects: &Effects, events: Vec<Event>) -> bool {
+    let mut is_reconfigured = false;
+    for event in events {
+        is_reconfigured |= !matches!(event, Event::DomainsEvacuated(_));
+        effects.send(event).await;
+    }
+    is_reconfigured
+}
+
 /// How soon a change followed the one before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Pace {
@@ -134,19 +138,6 @@
     }
 }
 
-async fn send_configuration(effects: &Effects, platform: &dyn Platform, entry: &Entry) {
-    match platform.decode_configuration(&entry.value) {
-        Ok(config) => {
-            effects.send(Event::ExternalConfigRead(Box::new(config))).await;
-        }
-        Err(error) => {
-            let error = shorten(&error);
-            log::error!(revision = entry.revision; "configuration not in force: {error}");
-            effects.send(Event::ExternalConfigUnreadable(entry.revision)).await;
-        }
-    }
-}
-
 /// Reads the list of backend servers and watches it for changes.
 pub async fn watch_servers(effects: Effects, platform: Arc<dyn Platform>) {
     let prefix = platform.servers_prefix().to_owned();
@@ -222,7 +213,7 @@
 }
 
 /// Returns the start of a text that may repeat a value of any length.
-fn shorten(text: &str) -> String {
+pub(crate) fn shorten(text: &str) -> String {
     text.chars().take(MESSAGE_LIMIT).collect()
 }
 
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -76,6 +76,12 @@
         let _ = self.client.incr_with_tags("server_signals").with_tag("cause", cause).try_send();
     }
 
+    /// Counts a failure domain that was evacuated or restored.
+    pub fn count_evacuation(&self, change: &str) {
+        let _ =
+            self.client.incr_with_tags("domains_evacuated").with_tag("change", change).try_send();
+    }
+
     /// Counts an attempt without a complete response, by how far the response had come.
     pub fn count_broken_attempt(&self, answer: &str) {
         let _ = self.client.incr_with_tags("broken_attempts").with_tag("answer", answer).try_send();
--- a/crates/berylwheel-router/src/operate/change.rs
+++ b/crates/berylwheel-router/src/operate/change.rs
@@ -15,6 +15,7 @@
 use berylwheel_config::join;
 use berylwheel_config::propose;
 use berylwheel_settings::Edit;
+use berylwheel_settings::SectionName;
 use berylwheel_settings::Settings;
 use berylwheel_store::Compare;
 use berylwheel_store::Put;
@@ -25,6 +26,7 @@
 use berylwheel_types::Clock;
 use berylwheel_types::Code;
 use berylwheel_types::ExecutionState;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::Version;
@@ -133,9 +135,37 @@
             Ok(Edit { section, key: edit.key, value: edit.value })
         });
         let edits: Vec<Edit> = edits.collect::<Result<_, Refusal>>()?;
+        self.check_domains(&edits).await?;
         self.submit(request.change, request.base, author, ChangeAction::Edit(edits)).await
     }
 
+    /// Checks that the failure domains that `edits` evacuate exist. A misspelled name would be
+    /// accepted and have no effect.
+    async fn check_domains(&self, edits: &[Edit]) -> Result<(), Refusal> {
+        let evacuated = edits.iter().filter(|edit| edit.value.is_some());
+        let evacuated = evacuated.filter_map(|edit| match &edit.section {
+            SectionName::Domain(domain) => Some(domain),
+            _ => None,
+        });
+        let evacuated: Vec<&FailureDomain> = evacuated.collect();
+        if evacuated.is_empty() {
+            return Ok(());
+        }
+        let (_, settings, _) = self.require_current().await?;
+        let servers = settings.servers().iter().map(|server| server.domain.as_str());
+        let mut known: Vec<&str> = servers.collect();
+        known.sort_unstable();
+        known.dedup();
+        match evacuated.into_iter().find(|domain| !known.contains(&domain.as_str())) {
+            None => Ok(()),
+            Some(unknown) => {
+                let known = known.join(", ");
+                let detail = format!("no server in failure domain {unknown}; there are: {known}");
+                Err(Refusal::not_run(Code::InvalidSetting, detail))
+            }
+        }
+    }
+
     /// Restores the settings of an earlier version as a new version.
     ///
     /// # Errors
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -57,7 +57,7 @@
 use crate::forward::SocketTraffic;
 use crate::forward::report_usage;
 use crate::forward::watch::fetch_identity;
-use crate::forward::watch::watch_configuration;
+use crate::forward::watch::watch_operator;
 use crate::forward::watch::watch_servers;
 use crate::metrics::Metrics;
 use crate::operate::admin::AdminHandler;
@@ -320,7 +320,7 @@
 /// that fetches the identity.
 fn spawn_watchers(effects: &Effects, platform: &Arc<dyn Platform>, incarnation: &Incarnation) {
     let executor = &effects.executor;
-    executor.spawn(watch_configuration(effects.clone(), platform.clone())).detach();
+    executor.spawn(watch_operator(effects.clone(), platform.clone())).detach();
     executor.spawn(watch_servers(effects.clone(), platform.clone())).detach();
     executor.spawn(fetch_identity(effects.clone(), incarnation.router.clone())).detach();
 }
--- a/crates/berylwheel-settings/src/check.rs
+++ b/crates/berylwheel-settings/src/check.rs
@@ -77,7 +77,8 @@
 pub(crate) fn suggest_section(text: &str) -> Option<String> {
     let words: Vec<&str> = text.split_whitespace().collect();
     let first = words.first()?;
-    let known = ["router", "fleet", "rank", "kind", "workspace", "pool", "server", "operator"];
+    let known =
+        ["router", "fleet", "rank", "kind", "workspace", "pool", "domain", "server", "operator"];
     let mut words: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
     words[0] = suggest(first, known.into_iter())?;
     if words.len() == 2 && words[0] == "rank" {
--- a/crates/berylwheel-settings/src/consistency.rs
+++ b/crates/berylwheel-settings/src/consistency.rs
@@ -35,6 +35,7 @@
             SectionName::Fleet
             | SectionName::Rank(_)
             | SectionName::Pool(_)
+            | SectionName::Domain(_)
             | SectionName::Operator(_) => {}
         }
     }
--- a/crates/berylwheel-settings/src/read.rs
+++ b/crates/berylwheel-settings/src/read.rs
@@ -272,6 +272,11 @@
     })
 }
 
+/// Returns whether `[domain NAME]` evacuates the failure domain.
+pub(crate) fn is_evacuated(document: &Document, id: &FailureDomain) -> ReadResult<bool> {
+    Reader::new(document, &SectionName::Domain(id.clone())).yes_no("evacuated")
+}
+
 /// Returns the id of a workspace's budget.
 fn budget_id(
     document: &Document,
--- a/crates/berylwheel-settings/src/schema.rs
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -5,6 +5,7 @@
 use crate::Level;
 use crate::ValueType;
 
+use Level::Domain;
 use Level::Fleet;
 use Level::Kind;
 use Level::Operator;
@@ -118,6 +119,7 @@
     spec("connections", &[Pool], ValueType::Count(1, 100_000), Default("256")),
     spec("event_tokens", &[Pool], ValueType::Count(1, 1_000_000), Default("1")),
     spec("model_memory", &[Pool], ValueType::Tokens(0, 1_000_000_000_000), Default("0")),
+    spec("evacuated", &[Domain], ValueType::YesNo, Default("no")),
     spec("price", &[Kind, WorkspaceKind], ValueType::Tokens(0, MAX_TOKENS), Default("0")),
     spec("rank", INHERITED, ValueType::Rank, Default("normal")),
     spec("deadline", INHERITED, ValueType::Duration(1, 24 * HOUR_MS), Default("60s")),
--- a/crates/berylwheel-settings/src/section.rs
+++ b/crates/berylwheel-settings/src/section.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use berylwheel_types::BackendId;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::KindId;
 use berylwheel_types::ParseIdError;
 use berylwheel_types::Rank;
@@ -26,6 +27,8 @@
     WorkspaceKind,
     /// `[pool NAME]`.
     Pool,
+    /// `[domain NAME]`.
+    Domain,
     /// `[server NAME]`.
     Server,
     /// `[operator NAME]`.
@@ -34,7 +37,7 @@
 
 impl Level {
     /// All levels, in the order in which sections are printed.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Router,
         Self::Fleet,
         Self::Rank,
@@ -42,6 +45,7 @@
         Self::Workspace,
         Self::WorkspaceKind,
         Self::Pool,
+        Self::Domain,
         Self::Server,
         Self::Operator,
     ];
@@ -57,6 +61,7 @@
             Self::Workspace => "[workspace NAME]",
             Self::WorkspaceKind => "[workspace NAME kind KIND]",
             Self::Pool => "[pool NAME]",
+            Self::Domain => "[domain NAME]",
             Self::Server => "[server NAME]",
             Self::Operator => "[operator NAME]",
         })
@@ -88,6 +93,8 @@
     WorkspaceKind(WorkspaceId, KindId),
     /// `[pool NAME]`.
     Pool(KindId),
+    /// `[domain NAME]`.
+    Domain(FailureDomain),
     /// `[server NAME]`.
     Server(BackendId),
     /// `[operator NAME]`.
@@ -105,6 +112,7 @@
             Self::Workspace(_) => Level::Workspace,
             Self::WorkspaceKind(..) => Level::WorkspaceKind,
             Self::Pool(_) => Level::Pool,
+            Self::Domain(_) => Level::Domain,
             Self::Server(_) => Level::Server,
             Self::Operator(_) => Level::Operator,
         }
@@ -130,6 +138,7 @@
             Self::Workspace(workspace) => write!(f, "workspace {workspace}"),
             Self::WorkspaceKind(workspace, kind) => write!(f, "workspace {workspace} kind {kind}"),
             Self::Pool(pool) => write!(f, "pool {pool}"),
+            Self::Domain(domain) => write!(f, "domain {domain}"),
             Self::Server(server) => write!(f, "server {server}"),
             Self::Operator(name) => write!(f, "operator {name}"),
         }
@@ -151,12 +160,14 @@
                 Ok(Self::WorkspaceKind(parse_without_slash(name)?, parse_without_slash(kind)?))
             }
             ["pool", name] => Ok(Self::Pool(parse_without_slash(name)?)),
+            ["domain", name] => Ok(Self::Domain(name.parse()?)),
             ["server", name] => Ok(Self::Server(name.parse()?)),
             // Operator names follow the same rules as backend server ids.
             ["operator", name] => name.parse().map(|id: BackendId| Self::Operator(id.to_string())),
             _ => Err(ParseIdError {
                 expected: "router, fleet, rank NAME, kind NAME, workspace NAME, \
-                           workspace NAME kind KIND, pool NAME, server NAME or operator NAME",
+                           workspace NAME kind KIND, pool NAME, domain NAME, server NAME or \
+                           operator NAME",
             }),
         }
     }
--- a/crates/berylwheel-settings/src/settings.rs
+++ b/crates/berylwheel-settings/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use berylwheel_types::FailureDomain;
 use berylwheel_types::FastMap;
 use berylwheel_types::KindId;
 use berylwheel_types::Rank;
@@ -65,6 +66,7 @@
     servers: Vec<ServerSettings>,
     operators: Vec<OperatorSettings>,
     pools: Vec<PoolSettings>,
+    evacuated: Vec<FailureDomain>,
     /// The overridden kinds of each workspace; `None` if the workspace overrides nothing. Filled on
     /// demand, since there may be too many combinations of kinds and workspaces to read all.
     overrides: FastMap<WorkspaceId, Option<KindCache>>,
@@ -213,6 +215,17 @@
         Some(&self.0.pools[index])
     }
 
+    /// Returns the evacuated failure domains, by name.
+    ///
+    /// ```
+    /// use berylwheel_settings::Settings;
+    /// let settings = Settings::parse("fleet.ini", "[domain d1]\nevacuated = yes\n[domain d2]\n").unwrap();
+    /// assert_eq!(settings.evacuated_domains().len(), 1);
+    /// ```
+    pub fn evacuated_domains(&self) -> &[FailureDomain] {
+        &self.0.evacuated
+    }
+
     /// Returns the workspaces, by name.
     pub fn workspaces(&self) -> &[WorkspaceSettings] {
         &self.0.workspaces
@@ -255,11 +268,16 @@
     let mut servers = Vec::new();
     let mut operators = Vec::new();
     let mut pools = Vec::new();
+    let mut evacuated = Vec::new();
     for name in document.sections.keys() {
         match name {
             SectionName::Kind(id) => kinds.push(read::kind(&document, None, id)?),
             SectionName::Workspace(id) => workspaces.push(read::workspace(&document, id)?),
             SectionName::Pool(id) => pools.push(read::pool(&document, id)?),
+            SectionName::Domain(id) if read::is_evacuated(&document, id)? => {
+                evacuated.push(id.clone());
+            }
+            SectionName::Domain(_) => {}
             SectionName::Server(id) => servers.push(read::server(&document, id)?),
             SectionName::Operator(id) => operators.push(read::operator(&document, id)?),
             SectionName::Router | SectionName::Fleet | SectionName::Rank(_) => {}
@@ -292,6 +310,7 @@
         servers,
         operators,
         pools,
+        evacuated,
         overrides,
         document,
     })
--- a/crates/berylwheel-settings/tests/effective.rs
+++ b/crates/berylwheel-settings/tests/effective.rs
@@ -164,3 +164,18 @@
     "#]]
     .assert_eq(&edited.to_ini());
 }
+
+/// Guards against evacuating a domain whose section does not say so, and against printing the section
+/// so that it cannot be read again.
+#[test]
+fn evacuated_domains_are_those_that_say_yes() {
+    let text = "[domain d3]\nevacuated = yes\n[domain d1]\nevacuated = yes\n[domain d2]\n\
+                [domain d4]\nevacuated = no\n";
+    let settings = Settings::parse("fleet.ini", text).unwrap();
+    let names: Vec<&str> = settings.evacuated_domains().iter().map(|d| d.as_str()).collect();
+    assert_eq!(names, ["d1", "d3"]);
+    let again = Settings::parse("fleet.ini", &settings.to_ini()).unwrap();
+    assert_eq!(again.evacuated_domains(), settings.evacuated_domains());
+    let error = Settings::parse("fleet.ini", "[domain d1]\nevacuated = maybe\n").unwrap_err();
+    assert!(error.to_string().contains("[domain d1] evacuated"), "{error}");
+}
--- a/crates/berylwheel-settings/tests/errors.rs
+++ b/crates/berylwheel-settings/tests/errors.rs
@@ -48,7 +48,7 @@
             fleet.ini:9: line `garbage`, expected [SECTION], KEY = VALUE or a comment line, without control characters
             fleet.ini:11: [fleet]: duplicate section, first defined on line 2, expected each section once
             fleet.ini:12: [fleet] quue: unknown key, expected a key of [fleet]; did you mean `queue`?
-            fleet.ini:13: [knid chat]: unknown section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, pool NAME, server NAME or operator NAME; did you mean `kind chat`?
+            fleet.ini:13: [knid chat]: unknown section, expected router, fleet, rank NAME, kind NAME, workspace NAME, workspace NAME kind KIND, pool NAME, domain NAME, server NAME or operator NAME; did you mean `kind chat`?
             fleet.ini:16: [kind chat] service: found `motor`, expected engine or plain
         "#]],
     );
--- a/crates/berylwheel-types/src/code.rs
+++ b/crates/berylwheel-types/src/code.rs
@@ -129,6 +129,8 @@
     AnswerTruncated = 1324, 502, "answer truncated", "Send the request again.";
     /// The prompt has parts that crash backend servers.
     PartQuarantined = 1325, 503, "prompt part quarantined", "Send the request without the parts that the detail names, or ask the operator to release them.";
+    /// All servers for the request are in failure domains that an operator has evacuated.
+    DomainEvacuated = 1326, 503, "failure domain evacuated", "Try again later, or ask the operator when the failure domain is restored.";
     /// This router has not loaded a configuration yet.
     ConfigurationUnknown = 1401, 503, "configuration not known", "Try another router, or wait.";
     /// A configuration change cannot be accepted at the moment.
