--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use berylwheel_types::BackendId;
+use berylwheel_types::FailureDomain;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
 use serde::Serialize;
 
 use crate::ColdSource;
+use crate::EvacuatedDomain;
 use crate::LeavingSource;
 
 /// All servers as seen by one router, sorted by name.
@@ -20,6 +22,8 @@
     pub listed_routers: Option<usize>,
     /// Requests that this router sent to cold servers.
     pub cold_requests: u64,
+    /// The evacuated failure domains, sorted by name.
+    pub evacuated: Vec<EvacuatedDomain>,
     /// One entry per server.
     pub servers: Vec<ServerDump>,
 }
@@ -34,6 +38,10 @@
     /// Whether the server is configured. A removed server is listed until this router's requests to
     /// it have ended.
     pub present: bool,
+    /// The failure domain that the server runs in.
+    pub domain: FailureDomain,
+    /// Whether the domain is evacuated, so that the server gets no new requests.
+    pub evacuated: bool,
     /// Whether the server belongs to one of this router's subsets.
     pub used: bool,
     /// Requests in flight from this router.
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -26,11 +26,11 @@
 use crate::ServerDump;
 use crate::choice::Candidate;
 use crate::choice::choose;
+use crate::evacuation::Evacuation;
 use crate::standing::Standing;
 use crate::state::ServerState;
 use crate::subset::Pool;
 use crate::subset::Subset;
-use crate::subset::subsets_by_pool;
 
 /// Selects backend servers for the requests of one router.
 ///
@@ -64,7 +64,7 @@
 /// ```
 #[derive(Debug)]
 pub struct LoadBalancer {
-    router: RouterId,
+    pub(crate) router: RouterId,
     pub(crate) policy: RoutePolicy,
     rng: SmallRng,
     routers: usize,
@@ -74,6 +74,7 @@
     /// What is known of servers besides their configuration and load. Outlasts the removal of a
     /// server, since an outdated list may bring it back.
     pub(crate) standings: FastMap<BackendId, Standing>,
+    pub(crate) evacuation: Evacuation,
     /// The end of the pause that ends last, or later.
     pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
@@ -100,6 +101,7 @@
             states: FastMap::default(),
             subsets: FastMap::default(),
             standings: FastMap::default(),
+            evacuation: Evacuation::default(),
             last_pause_end: Timestamp::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
@@ -148,15 +150,7 @@
             self.mark_cold(now, server, ColdSource::New);
         }
         self.prune_standings(now);
-        self.subsets = subsets_by_pool(&self.router, &self.states, self.policy.subset_size);
-        for state in self.states.values_mut() {
-            state.in_subset = false;
-        }
-        for id in self.subsets.values().flat_map(|subset| &subset.members) {
-            if let Some(state) = self.states.get_mut(id) {
-                state.in_subset = true;
-            }
-        }
+        self.update_subsets();
         self.limit_ejections(now);
     }
 
@@ -370,6 +364,8 @@
                 id: state.server.id.clone(),
                 address: state.server.address,
                 present: state.present,
+                domain: state.server.domain.clone(),
+                evacuated: self.is_evacuated(&state.server.domain),
                 used: state.in_subset,
                 in_flight: state.load.own_count(),
                 others: state.load.others(now, self.policy.report_expiry),
@@ -393,6 +389,7 @@
             routers: self.routers,
             listed_routers: self.cold.listed_routers(),
             cold_requests: self.cold.turns(),
+            evacuated: self.evacuated_domains(),
             servers,
         }
     }
