Choose servers by measured speed

Cause: servers of one service differ in speed, and fixed weights do not fit.

Change: berylwheel-route gains the module speed: expected times per pool, a factor per server and class of work, corrected by the servers' stated times while these make predictions better, and entries to share with other routers. LoadBalancer divides the capacity of a server by its factor, takes the one of two random candidates with the shorter expected time, and tells the expected time of a request. Prefix affinity avoids homes that are more than 1.5 times as slow as the best one. RouteQuery gains the prompt tokens, RoutePolicy measure_speed, and the dump shows factors and expected times. Nothing sends samples yet, so the choice is as before.

--- a/benches/memory/state.rs
+++ b/benches/memory/state.rs
@@ -144,6 +144,7 @@
         model: Some("m1".parse().expect("a model")),
         prefix: 7,
         exclude: Vec::new(),
+        prompt_tokens: Tokens(1_000),
     };
     let mut now = START_TIME;
     let items: Vec<WorkItem> = (0..DECISIONS)
--- a/benches/overload/routing.rs
+++ b/benches/overload/routing.rs
@@ -21,6 +21,7 @@
 use berylwheel_types::ManualClock;
 use berylwheel_types::Millis;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -235,6 +236,7 @@
                     model: Some("m1".parse().unwrap()),
                     prefix: if policy.uses_prefix() { prefix } else { 0 },
                     exclude: vec![],
+                    prompt_tokens: Tokens(1_000),
                 };
                 let id = router.balancer.pick(self.clock.now(), &query)?.id;
                 self.engine_ids.iter().position(|other| *other == id)
--- a/crates/berylwheel-route/src/availability.rs
+++ b/crates/berylwheel-route/src/availability.rs
@@ -32,10 +32,15 @@
     ///
     /// ```
     /// use berylwheel_route::{Availability, LoadBalancer, RoutePolicy, RouteQuery};
-    /// use berylwheel_types::Timestamp;
+    /// use berylwheel_types::{Timestamp, Tokens};
     /// let balancer = LoadBalancer::new("r1".parse().unwrap(), RoutePolicy::default(), 7);
-    /// let query =
-    ///     RouteQuery { kind: "chat".parse().unwrap(), model: None, prefix: 0, exclude: vec![] };
+    /// let query = RouteQuery {
+    ///     kind: "chat".parse().unwrap(),
+    ///     model: None,
+    ///     prefix: 0,
+    ///     exclude: vec![],
+    ///     prompt_tokens: Tokens::ZERO,
+    /// };
     /// assert_eq!(balancer.availability(Timestamp::from_millis(0), &query), Availability::Empty);
     /// ```
     pub fn availability(&self, now: Timestamp, query: &RouteQuery) -> Availability {
--- a/crates/berylwheel-route/src/choice.rs
+++ b/crates/berylwheel-route/src/choice.rs
@@ -7,14 +7,23 @@
 use crate::RoutePolicy;
 use crate::state::ServerState;
 
+/// Time that an idle server takes for a request, relative to what its load adds to it once the server
+/// is full. A full server takes about twice as long as an idle one.
+const IDLE_TIME: f64 = 1.0;
+/// Maximum factor of a server that prefix affinity chooses, relative to the least factor of the
+/// prefix's homes. Reading a prefix again at a server that is faster than that costs less.
+const AFFINITY_FACTOR: f64 = 1.5;
+
 /// An eligible server with its estimated load.
 #[derive(Debug)]
 pub(crate) struct Candidate<'a> {
     pub state: &'a ServerState,
     /// Estimated number of requests at the server, from all routers.
     pub load: f64,
-    /// Concurrency limit, reduced during slow start.
+    /// Concurrency limit, reduced during slow start, and divided by `factor`.
     pub capacity: f64,
+    /// How much longer than expected the server takes for such requests.
+    pub factor: f64,
     /// Whether the server can take one more request.
     pub has_room: bool,
 }
@@ -24,12 +33,19 @@
     fn relative_load(&self) -> f64 {
         (self.load + 1.0) / self.capacity
     }
+
+    /// Returns the time that the server is expected to take, relative to that of an idle server with
+    /// a factor of 1. Servers with the same factor differ by their load only.
+    fn relative_time(&self) -> f64 {
+        self.factor * IDLE_TIME + self.relative_load()
+    }
 }
 
 /// Selects a candidate that has room.
 ///
 /// Prefers a server that has cached the prefix, then one of the prefix's home servers, as long as
-/// its load is within the affinity bound. Otherwise takes the less loaded of two random candidates;
+/// its load is within the affinity bound. Otherwise takes the one of two random candidates with the
+/// shorter expected time;
 /// `draws` are the random numbers for these.
 pub(crate) fn choose<'a, 'b>(
     candidates: &'b [Candidate<'a>],
@@ -57,7 +73,7 @@
     let first = index_below(draws[0], available.len());
     let second = (first + 1 + index_below(draws[1], available.len() - 1)) % available.len();
     let (first, second) = (available[first], available[second]);
-    Some(if second.relative_load() < first.relative_load() { second } else { first })
+    Some(if second.relative_time() < first.relative_time() { second } else { first })
 }
 
 fn choose_by_prefix<'a, 'b>(
@@ -74,21 +90,25 @@
     };
     let fits = |c: &&Candidate| c.has_room && c.load + 1.0 <= bound(c);
 
+    let text = format!("{prefix:x}");
+    let mut homes: Vec<(u64, &Candidate)> =
+        candidates.iter().map(|c| (stable_hash(&[&text, c.state.server.id.as_str()]), c)).collect();
+    homes.sort_unstable_by_key(|(score, _)| Reverse(*score));
+    homes.truncate(policy.affinity_homes);
+    let least_factor = homes.iter().map(|(_, c)| c.factor).fold(f64::MAX, f64::min);
+    let fits = |c: &&Candidate| fits(c) && c.factor <= least_factor * AFFINITY_FACTOR;
+
     let cached = candidates
         .iter()
         .filter(|c| c.state.cached.contains(prefix))
         .filter(fits)
-        .min_by(|a, b| a.relative_load().total_cmp(&b.relative_load()));
+        .min_by(|a, b| a.relative_time().total_cmp(&b.relative_time()));
     if cached.is_some() {
         return cached;
     }
-    let text = format!("{prefix:x}");
-    let mut homes: Vec<(u64, &Candidate)> =
-        candidates.iter().map(|c| (stable_hash(&[&text, c.state.server.id.as_str()]), c)).collect();
-    homes.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    let mut homes = homes.into_iter().take(policy.affinity_homes).map(|(_, c)| c).filter(fits);
+    let mut homes = homes.into_iter().map(|(_, c)| c).filter(fits);
     if policy.affinity_first {
         return homes.next();
     }
-    homes.min_by(|a, b| a.relative_load().total_cmp(&b.relative_load()))
+    homes.min_by(|a, b| a.relative_time().total_cmp(&b.relative_time()))
 }
--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 
 use crate::LeavingSource;
+use crate::PoolSpeedDump;
+use crate::SpeedDump;
 
 /// All servers as seen by one router, sorted by name.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -16,6 +18,8 @@
     pub routers: usize,
     /// One entry per server.
     pub servers: Vec<ServerDump>,
+    /// The expected times of each pool.
+    pub speeds: Vec<PoolSpeedDump>,
 }
 
 /// One server as seen by one router.
@@ -57,4 +61,6 @@
     pub weight: f64,
     /// Number of prefixes known to be in the server's cache.
     pub prefixes: usize,
+    /// Observed relative to expected times; `None` without samples.
+    pub speed: Option<SpeedDump>,
 }
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -1,4 +1,4 @@
-//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets,
+//! Backend server selection: load estimates, measured speeds, prefix affinity, ejection of failing servers, subsets,
 //! servers that shut down and servers that ask for a pause.
 //!
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
@@ -15,6 +15,7 @@
 mod policy;
 mod server;
 mod server_list;
+mod speed;
 mod standing;
 mod state;
 mod subset;
@@ -36,6 +37,15 @@
 pub use server_list::ServerList;
 pub use server_list::ServerListEvent;
 pub use server_list::ServerStatus;
+pub use speed::ExpectedTime;
+pub use speed::PoolSpeedDump;
+pub use speed::SharedSpeed;
+pub use speed::SpeedChange;
+pub use speed::SpeedDump;
+pub use speed::Speeds;
+pub use speed::Work;
+pub use speed::WorkClass;
+pub use speed::WorkSample;
 pub use standing::LeavingSource;
 pub use standing::PauseNote;
 pub use standing::PauseRequest;
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -22,6 +22,7 @@
 use crate::ServerDump;
 use crate::choice::Candidate;
 use crate::choice::choose;
+use crate::speed::Speeds;
 use crate::standing::Standing;
 use crate::state::ServerState;
 use crate::subset::Pool;
@@ -32,7 +33,7 @@
 ///
 /// ```
 /// use berylwheel_route::{LoadBalancer, Outcome, RoutePolicy, RouteQuery, Server};
-/// use berylwheel_types::Timestamp;
+/// use berylwheel_types::{Timestamp, Tokens};
 ///
 /// let now = Timestamp::from_millis(0);
 /// let mut balancer = LoadBalancer::new("r1".parse().unwrap(), RoutePolicy::default(), 7);
@@ -49,6 +50,7 @@
 ///     model: Some("m1".parse().unwrap()),
 ///     prefix: 0,
 ///     exclude: vec![],
+///     prompt_tokens: Tokens(900),
 /// };
 /// let server = balancer.pick(now, &query).unwrap();
 /// balancer.request_started(now, &server.id);
@@ -70,6 +72,7 @@
     /// What is known of servers besides their configuration and load. Outlasts the removal of a
     /// server, since an outdated list may bring it back.
     pub(crate) standings: FastMap<BackendId, Standing>,
+    pub(crate) speeds: Speeds,
     /// The end of the pause that ends last, or later.
     pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
@@ -91,6 +94,7 @@
             states: FastMap::default(),
             subsets: FastMap::default(),
             standings: FastMap::default(),
+            speeds: Speeds::default(),
             last_pause_end: Timestamp::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
@@ -124,6 +128,7 @@
                 moved.push(server.id.clone());
             } else if !previous.contains(&server.id) {
                 state.reset(now);
+                self.speeds.forget(now, &server.id);
             }
             state.present = true;
             state.server = server;
@@ -131,7 +136,10 @@
         self.states.retain(|_, state| state.present || state.load.own_count() > 0);
         for server in &moved {
             self.clear_notice(server);
+            self.speeds.forget(now, server);
         }
+        let states = &self.states;
+        self.speeds.retain(|id| states.contains_key(id));
         self.prune_standings(now);
         self.subsets = subsets_by_pool(&self.router, &self.states, self.policy.subset_size);
         for state in self.states.values_mut() {
@@ -149,6 +157,7 @@
     pub fn server_restarted(&mut self, now: Timestamp, server: &BackendId) {
         self.last_time = now;
         self.renew_standing(now, server);
+        self.speeds.forget(now, server);
         if let Some(state) = self.states.get_mut(server) {
             state.reset(now);
         }
@@ -183,6 +192,7 @@
             // A server never cancels draining, so this report is from a new process.
             state.draining_at = None;
             state.start_time = Some(now);
+            self.speeds.forget(now, server);
         }
         state.loaded_models = report.loaded;
         self.limit_ejections(now);
@@ -206,6 +216,7 @@
     pub fn pick(&mut self, now: Timestamp, query: &RouteQuery) -> Option<Server> {
         self.last_time = now;
         let draws = [self.rng.random(), self.rng.random()];
+        self.speeds.refresh(now);
         let candidates = self.candidates(now, query);
         let chosen = choose(&candidates, query.prefix, &self.policy, draws);
         chosen.map(|candidate| candidate.state.server.clone())
@@ -259,8 +270,9 @@
             // them.
             let has_room = load < concurrency || f64::from(own) < (concurrency * share).floor();
             let pause_end = self.pause_end(&state.server.id);
-            let capacity = concurrency * state.weight(now, &self.policy, pause_end);
-            candidates.push(Candidate { state, load, capacity, has_room });
+            let factor = self.speeds.request_factor(&state.server.id, query.prompt_tokens);
+            let capacity = concurrency * state.weight(now, &self.policy, pause_end) / factor;
+            candidates.push(Candidate { state, load, capacity, factor, has_room });
         }
         candidates
     }
@@ -363,9 +375,10 @@
                 paused_until: self.last_pause(&state.server.id).map(|pause| pause.until),
                 weight: state.weight(now, &self.policy, self.pause_end(&state.server.id)),
                 prefixes: state.cached.len(),
+                speed: self.speeds.dump(now, &state.server.id),
             })
             .collect();
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        RouteDump { routers: self.routers, servers }
+        RouteDump { routers: self.routers, servers, speeds: self.speeds.dump_pools() }
     }
 }
--- a/crates/berylwheel-route/src/policy.rs
+++ b/crates/berylwheel-route/src/policy.rs
@@ -54,6 +54,8 @@
     /// How long a server gets no requests after another one responded at its address. A server list
     /// drops the entry of a silent server within this time.
     pub misdirected_hold: Millis,
+    /// Whether the choice goes by the measured speeds of servers.
+    pub measure_speed: bool,
 }
 
 impl Default for RoutePolicy {
@@ -75,6 +77,7 @@
             leaving_hold: Millis(60_000),
             pause_limit: Millis(300_000),
             misdirected_hold: Millis(4_000),
+            measure_speed: true,
         }
     }
 }
--- a/crates/berylwheel-route/src/server.rs
+++ b/crates/berylwheel-route/src/server.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::KindId;
 use berylwheel_types::ModelId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 
 /// One backend server as configured.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,4 +79,6 @@
     pub prefix: u64,
     /// Servers that were already tried.
     pub exclude: Vec<BackendId>,
+    /// Length of the prompt; zero for a plain call.
+    pub prompt_tokens: Tokens,
 }
--- a/crates/berylwheel-route/tests/support/mod.rs
+++ b/crates/berylwheel-route/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use berylwheel_route::Server;
 use berylwheel_types::BackendId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
@@ -44,11 +45,18 @@
 
 pub fn query(model: &str, prefix: u64) -> RouteQuery {
     let model = Some(model.parse().unwrap());
-    RouteQuery { kind: "chat".parse().unwrap(), model, prefix, exclude: vec![] }
+    RouteQuery {
+        kind: "chat".parse().unwrap(),
+        model,
+        prefix,
+        exclude: vec![],
+        prompt_tokens: Tokens(1_000),
+    }
 }
 
 pub fn service_query(kind: &str) -> RouteQuery {
-    RouteQuery { kind: kind.parse().unwrap(), model: None, prefix: 0, exclude: vec![] }
+    let kind = kind.parse().unwrap();
+    RouteQuery { kind, model: None, prefix: 0, exclude: vec![], prompt_tokens: Tokens::ZERO }
 }
 
 pub fn load_report(time: Timestamp, in_flight: u32) -> LoadReport {
--- a/crates/berylwheel-router/src/calls/engine.rs
+++ b/crates/berylwheel-router/src/calls/engine.rs
@@ -105,6 +105,7 @@
             model: Some(chat.model.clone()),
             prefix: chat.prefix_hash,
             exclude: Vec::new(),
+            prompt_tokens: chat.prompt_tokens,
         };
         let amount = chat.prompt_tokens + Tokens(max_tokens);
         let admit = AdmitRequest {
--- a/crates/berylwheel-router/src/calls/service.rs
+++ b/crates/berylwheel-router/src/calls/service.rs
@@ -13,6 +13,7 @@
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
 use berylwheel_types::Timestamp;
+use berylwheel_types::Tokens;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
@@ -74,8 +75,13 @@
         if kind.repeat == Repeat::Never && call.key.is_none() {
             return Err(Refusal::not_run(Code::KeyRequired, format!("kind {name}")));
         }
-        let query =
-            RouteQuery { kind: kind.id.clone(), model: None, prefix: 0, exclude: Vec::new() };
+        let query = RouteQuery {
+            kind: kind.id.clone(),
+            model: None,
+            prefix: 0,
+            exclude: Vec::new(),
+            prompt_tokens: Tokens::ZERO,
+        };
         let admit = call.admit(&kind, &body, kind.price, query);
         let service_call = ServiceCall {
             id: call.id.clone(),
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -271,6 +271,7 @@
             model: None,
             prefix: shared_prefix_hash(&decoded.prompt_parts),
             exclude: Vec::new(),
+            prompt_tokens: decoded.prompt_tokens,
         },
         parts: shared_parts(&decoded.prompt_parts),
     };
