Measure how long servers take for requests

Cause: the choice of servers by measured speed had no samples.

Change: the forwarding path reports the time to the first event with the prompt tokens, the time per token of complete answers, and the time of plain calls, each with the work time that the server states in the fourth figure of Server-Load (ReportedLoad::work_time; absurd values are ignored). Resumed and cut answers and those of slow readers don't count. A response that is overdue is reported as a lower bound. The control thread logs a large change of a server's factor and counts it in speed_changes.

--- a/crates/berylwheel-route/src/speed/sample.rs
+++ b/crates/berylwheel-route/src/speed/sample.rs
@@ -20,6 +20,20 @@
     /// All classes, in the order of their index.
     pub const ALL: [Self; 3] = [Self::Prompt, Self::Generation, Self::Plain];
 
+    /// Returns the name that logs use.
+    ///
+    /// ```
+    /// use berylwheel_route::WorkClass;
+    /// assert_eq!(WorkClass::Prompt.name(), "prompt");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Prompt => "prompt",
+            Self::Generation => "generation",
+            Self::Plain => "plain",
+        }
+    }
+
     /// Returns the number of the class, which is also its code in messages.
     ///
     /// ```
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -185,6 +185,9 @@
             Event::ServerDraining(server) => self.balancer.set_draining(now, &server),
             Event::ServerSignal(server, signal) => self.apply_server_signal(now, &server, signal),
             Event::AttemptBroken(broken) => self.handle_broken_attempt(now, &broken),
+            Event::WorkMeasured(server, kind, sample) => {
+                self.record_work(now, &server, &kind, sample);
+            }
             Event::ServerRefused(server) => {
                 self.balancer.server_refused(now, &server);
                 self.quarantine.record_end(now, &server);
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -11,9 +11,11 @@
 use berylwheel_route::LoadReport;
 use berylwheel_route::ServerListEvent;
 use berylwheel_route::ServerSignal;
+use berylwheel_route::WorkSample;
 use berylwheel_settings::RouterSettings;
 use berylwheel_types::BackendId;
 use berylwheel_types::Incarnation;
+use berylwheel_types::KindId;
 use berylwheel_types::PartHold;
 use berylwheel_types::PromptPartId;
 use serde::Deserialize;
@@ -74,6 +76,8 @@
     ServerSignal(BackendId, ServerSignal),
     /// A request's connection to a server ended without an answer or at its very beginning.
     AttemptBroken(BrokenAttempt),
+    /// A request showed how long a backend server takes for work of a pool.
+    WorkMeasured(BackendId, KindId, WorkSample),
     /// A backend server refuses connections, so its process has ended.
     ServerRefused(BackendId),
     /// Quarantined prompt parts were read from the store.
@@ -135,6 +139,7 @@
             | Self::ServerDraining(_)
             | Self::ServerSignal(..)
             | Self::AttemptBroken(_)
+            | Self::WorkMeasured(..)
             | Self::ServerRefused(_) => "server",
             Self::ServerListEvent(_) | Self::VmListRead(_) => "server_list",
             Self::PeerMessage(inbound) => inbound.message.kind(),
--- a/crates/berylwheel-router/src/control/signals.rs
+++ b/crates/berylwheel-router/src/control/signals.rs
@@ -2,10 +2,13 @@
 
 use berylwheel_route::Availability;
 use berylwheel_route::ServerSignal;
+use berylwheel_route::SpeedChange;
 use berylwheel_route::WaitDecision;
+use berylwheel_route::WorkSample;
 use berylwheel_route::decide_wait;
 use berylwheel_types::BackendId;
 use berylwheel_types::Code;
+use berylwheel_types::KindId;
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
@@ -32,6 +35,24 @@
         }
     }
 
+    /// Records how long a server took for work of a pool.
+    pub(super) fn record_work(
+        &mut self,
+        now: Timestamp,
+        server: &BackendId,
+        kind: &KindId,
+        sample: WorkSample,
+    ) {
+        let change = self.balancer.record_work(now, server, kind, None, sample);
+        let Some(SpeedChange { class, from, to }) = change else { return };
+        let trend = if to > from { "slower" } else { "faster" };
+        self.effects.metrics.count_speed_change(trend);
+        log::info!(
+            server = server.as_str(), work = class.name(), from, to;
+            "server has become {trend}: time relative to the other servers of its pool"
+        );
+    }
+
     /// Returns the refusal of a request that cannot be served before its deadline, because all
     /// servers for it have asked for a pause.
     pub(super) fn pause_refusal(&self, now: Timestamp, request: &RequestId) -> Option<Refusal> {
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -129,6 +129,7 @@
         let decoded = self.platform.decode_response(&head.headers);
         if let Some(load) = decoded.load {
             self.report_load(&server.id, load);
+            call.trace.record_stated_time(load.work_time.unwrap_or_default());
         }
         let (status, reused) = (head.status.as_u16(), connection.is_reused());
         let signal = response_signal(call.id.as_str(), status, &decoded, server.address, now);
--- a/crates/berylwheel-router/src/forward/call.rs
+++ b/crates/berylwheel-router/src/forward/call.rs
@@ -60,6 +60,8 @@
     pub rank: Rank,
     pub workspace: Option<WorkspaceId>,
     pub prompt_tokens: Tokens,
+    /// The pool of servers that the request goes to.
+    pub pool: KindId,
     /// Number of tokens in one event of the response stream.
     pub event_tokens: u64,
     /// Id of the last event that the caller received, if it resumes a stream.
@@ -288,6 +290,7 @@
         rank,
         workspace,
         prompt_tokens: decoded.prompt_tokens,
+        pool: admit.query.kind.clone(),
         event_tokens,
         last_event: decoded.last_event,
         arrived_at,
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -68,6 +68,8 @@
     pub running: u32,
     /// Number of queued requests.
     pub queued: u32,
+    /// How long work takes on the server's machine at the moment, in percent of the usual time.
+    pub work_time: Option<u32>,
 }
 
 /// Decoded headers of a server's response.
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -18,6 +18,7 @@
 use super::classify::AttemptFailure;
 use super::classify::may_retry;
 use super::listen::Forwarder;
+use super::measure::GenerationTimer;
 use super::resumed::RelayedStream;
 use super::resumed::ResumedPart;
 use super::resumed::StreamFormat;
@@ -51,6 +52,7 @@
     event_count: u64,
     /// Time limit for the next event.
     event_limit: IdleLimit,
+    timer: GenerationTimer,
     ended: bool,
 }
 
@@ -76,6 +78,7 @@
     ) -> Self {
         let format = StreamFormat::of(&stream.response.head);
         let relayed = RelayedStream { format, last_event: call.last_event };
+        let timer = GenerationTimer::new(forwarder.clock.now(), stream.events.len() as u64);
         let stream = Some(stream);
         let event_limit = IdleLimit::new(forwarder.clock.clone());
         Self {
@@ -89,6 +92,7 @@
             numbered: true,
             event_count: 0,
             event_limit,
+            timer,
             ended: false,
         }
     }
@@ -115,8 +119,12 @@
             }
             let timeout = self.event_timeout();
             let Some(stream) = &mut self.stream else { return None };
+            let since = self.forwarder.clock.now();
             let result = match self.event_limit.run(timeout, stream.read()).await {
-                Some(ReadResult::Events) => continue,
+                Some(ReadResult::Events) => {
+                    self.timer.record_wait(since, self.forwarder.clock.now());
+                    continue;
+                }
                 Some(ReadResult::End) => return self.finish(),
                 Some(ReadResult::Failed(detail)) => {
                     let failure = AttemptFailure::Unknown { timed_out: false, detail };
@@ -247,6 +255,7 @@
     /// Resumes the stream at the server of `placement`, or at another one if that fails.
     async fn continue_at(&mut self, placement: Placement) -> io::Result<()> {
         self.stream = None;
+        self.timer.record_move();
         self.placement = Arc::new(placement);
         self.retry_state.sent += 1;
         match self.forwarder.resume(&self.call, &self.placement, &self.relayed).await {
@@ -259,13 +268,16 @@
     }
 
     fn finish(self) -> NextFrame {
-        let Self { forwarder, call, mut guard, stream, event_count, .. } = self;
+        let Self { forwarder, call, mut guard, placement, stream, event_count, timer, .. } = self;
         // A server that ends may leave a stream that looks complete if nothing states its length.
         let is_framed = stream.as_ref().is_some_and(OpenStream::is_framed);
         let progress = call.trace.progress(forwarder.clock.now());
         if is_framed || matches!(progress, AnswerProgress::Events(age) if age >= ANSWER_START) {
             guard.set_answered();
         }
+        if is_framed {
+            forwarder.report_generation(&call, &placement, &timer, event_count);
+        }
         log::debug!(request = call.id.as_str(), events = event_count; "stream ended");
         if let Some(stream) = stream {
             stream.response.release();
--- a/crates/berylwheel-router/src/forward/silence.rs
+++ b/crates/berylwheel-router/src/forward/silence.rs
@@ -123,17 +123,20 @@
     ) -> AttemptResult<T> {
         let mut attempt = pin!(attempt.or(cancelled(placement)));
         let limit = silence_limit(&call.kind, awaited);
-        while may_move(&call.kind, retry_state.sent + 1) {
+        loop {
             if let Some(result) = local_timeout(limit, attempt.as_mut()).await {
                 return AttemptResult::Ended(result);
             }
+            self.report_overdue(call, placement, awaited);
+            if !may_move(&call.kind, retry_state.sent + 1) {
+                return AttemptResult::Ended(attempt.await);
+            }
             if let Some(next) = self.move_request(call, guard, retry_state.sent + 1, limit).await {
                 retry_state.sent += 1;
                 retry_state.maybe_ran = true;
                 return AttemptResult::Moved(next);
             }
         }
-        AttemptResult::Ended(attempt.await)
     }
 
     /// Asks for another server for a request whose server has been silent for `limit`. Returns
--- a/crates/berylwheel-router/src/forward/stream.rs
+++ b/crates/berylwheel-router/src/forward/stream.rs
@@ -150,6 +150,9 @@
             None => Err(timeout_failure()),
             Some(Ok(())) => {
                 call.trace.record_event(self.clock.now());
+                if relayed.is_none() && stream.has_event {
+                    self.report_arrival(call, placement, Awaited::FirstEvent);
+                }
                 Ok(OpenResult::Stream(Box::new(stream)))
             }
             Some(Err(detail)) => Err(AttemptFailure::Unknown {
--- a/crates/berylwheel-router/src/forward/trace.rs
+++ b/crates/berylwheel-router/src/forward/trace.rs
@@ -1,6 +1,7 @@
 //! How far the response to a request's current attempt has come.
 
 use std::fmt;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -39,6 +40,8 @@
     sent_at: AtomicU64,
     head_at: AtomicU64,
     event_at: AtomicU64,
+    /// Work time that the server has stated, in percent of the usual time.
+    stated_time: AtomicU32,
 }
 
 impl AttemptTrace {
@@ -47,6 +50,17 @@
         self.sent_at.store(now.as_millis(), Ordering::Relaxed);
         self.head_at.store(0, Ordering::Relaxed);
         self.event_at.store(0, Ordering::Relaxed);
+        self.stated_time.store(0, Ordering::Relaxed);
+    }
+
+    /// Records how long work takes at the server according to itself, in percent of the usual time.
+    pub(crate) fn record_stated_time(&self, percent: u32) {
+        self.stated_time.store(percent, Ordering::Relaxed);
+    }
+
+    /// Returns the recorded work time of the server, in percent of the usual time.
+    pub(crate) fn stated_time(&self) -> Option<u32> {
+        Some(self.stated_time.load(Ordering::Relaxed)).filter(|percent| *percent > 0)
     }
 
     /// Records that the response head has arrived.
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -79,6 +79,9 @@
         };
         let ServerResponse { head, class, .. } = &response;
         let (head, class) = (head.clone(), *class);
+        if class == ResponseClass::Success {
+            self.report_arrival(call, placement, Awaited::Response);
+        }
         response.release();
         Ok((head, body, class))
     }
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub use forward::AttemptFailure;
 pub use forward::Awaited;
 pub use forward::ForwardedRequest;
+pub use forward::GenerationTimer;
 pub use forward::LinkLoad;
 pub use forward::LinkUse;
 pub use forward::OperatorConfig;
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -76,6 +76,11 @@
         let _ = self.client.incr_with_tags("server_signals").with_tag("cause", cause).try_send();
     }
 
+    /// Counts a large change of the measured speed of a server.
+    pub fn count_speed_change(&self, trend: &str) {
+        let _ = self.client.incr_with_tags("speed_changes").with_tag("trend", trend).try_send();
+    }
+
     /// Counts an attempt without a complete response, by how far the response had come.
     pub fn count_broken_attempt(&self, answer: &str) {
         let _ = self.client.incr_with_tags("broken_attempts").with_tag("answer", answer).try_send();
