Wait for a slow server as long as it is expected to take

Cause: requests were moved after twice their target without an event, whatever the server's speed and the prompt. Each move reads its prompt again. The tests of the platform also showed that the slowest of several idle servers got no work at all, since the faster of two random candidates always won (server_word: 500 lookups, none at one of four equal servers).

Change: Placement carries the expected time. The silence limit of a first event and of a plain call is at least today's, else three times the expected time, and at most half of the time left. One choice in eight ignores the factors, and times are compared with a slack of 10 ms. Samples of resumed streams don't count for the time per token either.

Measured: cargo test -p berylwheel-route -p berylwheel-router passes. In a run of berylwheel-platform all tests passed but unanswered's silence_of_the_only_server_before_its_response_is_awaited, which then passed in three further runs. It replaces its only server and allows 50 lookups until the router has read the list, so it depends on the load of the machine.

--- a/crates/berylwheel-route/src/choice.rs
+++ b/crates/berylwheel-route/src/choice.rs
@@ -14,6 +14,10 @@
 /// prefix's homes. Reading a prefix again at a server that is faster than that costs less.
 const AFFINITY_FACTOR: f64 = 1.5;
 
+/// One in this many choices ignores the measured factors. Of idle servers the slowest would otherwise
+/// get no work at all, so that nothing would be learned of its recovery until the evidence has aged.
+const UNMEASURED_CHOICES: u64 = 8;
+
 /// An eligible server with its estimated load.
 #[derive(Debug)]
 pub(crate) struct Candidate<'a> {
@@ -39,6 +43,11 @@
     fn relative_time(&self) -> f64 {
         self.factor * IDLE_TIME + self.relative_load()
     }
+
+    /// Returns the load as if the server had a factor of 1.
+    fn unmeasured_load(&self) -> f64 {
+        self.relative_load() / self.factor
+    }
 }
 
 /// Selects a candidate that has room.
@@ -53,18 +62,20 @@
     policy: &RoutePolicy,
     draws: [u64; 2],
 ) -> Option<&'b Candidate<'a>> {
+    let measured = !(draws[0] >> 32).is_multiple_of(UNMEASURED_CHOICES);
     if prefix != 0
-        && let Some(chosen) = choose_by_prefix(candidates, prefix, policy)
+        && let Some(chosen) = choose_by_prefix(candidates, prefix, policy, measured)
     {
         return Some(chosen);
     }
     let available: Vec<&Candidate> = candidates.iter().filter(|c| c.has_room).collect();
-    choose_by_load(&available, draws)
+    choose_by_load(&available, draws, measured)
 }
 
 fn choose_by_load<'a, 'b>(
     available: &[&'b Candidate<'a>],
     draws: [u64; 2],
+    measured: bool,
 ) -> Option<&'b Candidate<'a>> {
     if available.len() < 2 {
         return available.first().copied();
@@ -73,13 +84,15 @@
     let first = index_below(draws[0], available.len());
     let second = (first + 1 + index_below(draws[1], available.len() - 1)) % available.len();
     let (first, second) = (available[first], available[second]);
-    Some(if second.relative_time() < first.relative_time() { second } else { first })
+    let cost = |c: &Candidate| if measured { c.relative_time() } else { c.unmeasured_load() };
+    Some(if cost(second) < cost(first) { second } else { first })
 }
 
 fn choose_by_prefix<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     prefix: u64,
     policy: &RoutePolicy,
+    measured: bool,
 ) -> Option<&'b Candidate<'a>> {
     let load: f64 = candidates.iter().map(|c| c.load).sum();
     let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
@@ -96,7 +109,8 @@
     homes.sort_unstable_by_key(|(score, _)| Reverse(*score));
     homes.truncate(policy.affinity_homes);
     let least_factor = homes.iter().map(|(_, c)| c.factor).fold(f64::MAX, f64::min);
-    let fits = |c: &&Candidate| fits(c) && c.factor <= least_factor * AFFINITY_FACTOR;
+    let limit = if measured { least_factor * AFFINITY_FACTOR } else { f64::MAX };
+    let fits = |c: &&Candidate| fits(c) && c.factor <= limit;
 
     let cached = candidates
         .iter()
--- a/crates/berylwheel-route/src/speed/speeds.rs
+++ b/crates/berylwheel-route/src/speed/speeds.rs
@@ -24,9 +24,9 @@
 const MAX_SHARED_AGE: Millis = Millis(30_000);
 /// Interval at which the factors of all servers follow the age of their evidence.
 const REFRESH_INTERVAL: Millis = Millis(100);
-/// Added to observed and expected times, since times are measured in whole milliseconds and contain
-/// the way to the server.
-const TIME_SLACK_MS: f64 = 2.0;
+/// Added to observed and expected times, since they contain the way to the server, and the set-up of
+/// connections. Short calls would otherwise make idle servers differ several times.
+const TIME_SLACK_MS: f64 = 10.0;
 /// Range of a stated time, in percent, that is not ignored.
 const STATED_RANGE: std::ops::RangeInclusive<u32> = 10..=1_000;
 /// Maximum correction of a sample by a stated time, as a logarithm: 3 times.
@@ -162,13 +162,16 @@
         if self.servers.get(server).is_some_and(|s| now.since(s.since) < sample.took) {
             return None;
         }
+        let class = sample.work.class();
         let model = self.models.entry(pool).or_default();
         let took = sample.took.0 as f64;
         let expected = model.expected(sample.work);
         if !sample.unfinished {
             model.add(now, sample.work, took);
         }
-        let log = ((took + TIME_SLACK_MS) / (expected? + TIME_SLACK_MS)).ln();
+        // The time per token contains neither.
+        let slack = if class == WorkClass::Generation { 1.0 } else { TIME_SLACK_MS };
+        let log = ((took + slack) / (expected? + slack)).ln();
         let speed = match self.servers.get_mut(server) {
             Some(speed) => speed,
             None => self
@@ -176,7 +179,6 @@
                 .entry(server.clone())
                 .or_insert_with(|| ServerSpeed::new(Timestamp::default())),
         };
-        let class = sample.work.class();
         let known = speed.evidence[class.index()].log(now);
         let stated = if sample.unfinished { None } else { speed.relative_stated(sample.stated) };
         let mut corrected = log;
--- a/crates/berylwheel-route/tests/speed.rs
+++ b/crates/berylwheel-route/tests/speed.rs
@@ -119,6 +119,34 @@
     assert!(of_e0(&after) > of_e0(&before) && of_e0(&after) > 200, "{before:?} {after:?}");
 }
 
+/// Guards against the slowest of several idle servers getting no work at all: a fresh server whose first
+/// call takes long because of a new connection would look slow until the evidence has aged.
+#[test]
+fn slowest_idle_server_gets_some_work() {
+    let mut balancer = balancer_with_engines(4, 64);
+    answer_prompts(&mut balancer, 4, 0..30, |n| if n == 0 { 3.0 } else { 1.0 });
+    let counts = pick_counts(&mut balancer, at(30_000), &prompt_query(1_000), 4_000);
+    let of_e0 = counts.iter().find(|c| c.0 == "e0").map_or(0, |c| c.1);
+    assert!((40..600).contains(&of_e0), "{counts:?}");
+}
+
+/// Guards against prefixes that stay at a slow home for good, although another home is much faster.
+#[test]
+fn prefixes_avoid_a_slow_home() {
+    let mut balancer = balancer_with_engines(3, 64);
+    let home = |balancer: &mut LoadBalancer| {
+        let mut counts = pick_counts(balancer, at(30_000), &query("m1", 77), 400);
+        counts.sort_by_key(|(_, picks)| *picks);
+        counts.pop().unwrap().0
+    };
+    let before = home(&mut balancer);
+    let slow: usize = before[1..].parse().unwrap();
+    answer_prompts(&mut balancer, 3, 0..30, |n| if n == slow { 3.0 } else { 1.0 });
+    let after = home(&mut balancer);
+    assert_ne!(before, after);
+    assert_eq!(home(&mut balancer), after, "the choice of the home is stable");
+}
+
 /// Guards against a server that never answers and therefore has no samples: it would look as fast as
 /// the mean.
 #[test]
--- a/crates/berylwheel-router/src/control/command.rs
+++ b/crates/berylwheel-router/src/control/command.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use berylwheel_route::ExpectedTime;
 use berylwheel_route::Outcome;
 use berylwheel_route::RouteQuery;
 use berylwheel_route::Server;
@@ -72,6 +73,8 @@
     /// Receives a message when the request should be cancelled before its answer begins: to be
     /// queued again, because parts of its prompt were quarantined, or because the router exits.
     pub preempt: Receiver<()>,
+    /// The time that the server is expected to take; `None` if that is unknown.
+    pub expected: Option<ExpectedTime>,
     /// Tag under which the engine records the usage, if the request uses tokens.
     pub usage_tag: Option<String>,
 }
--- a/crates/berylwheel-router/src/control/requests.rs
+++ b/crates/berylwheel-router/src/control/requests.rs
@@ -229,12 +229,13 @@
     fn place(&mut self, now: Timestamp, request: &RequestId) -> Option<Placement> {
         let state = self.requests.get_mut(request)?;
         let server = self.balancer.pick(now, &state.admit.query)?;
+        let expected = self.balancer.expected_time(&server.id, &state.admit.query);
         self.balancer.request_started(now, &server.id);
         let (sender, receiver) = async_channel::bounded(1);
         state.server = Some(server.id.clone());
         state.preempt = Some(sender);
         let usage_tag = self.holder.usage_tag(request).map(|tag| tag.to_string());
-        Some(Placement { server, preempt: receiver, usage_tag })
+        Some(Placement { server, preempt: receiver, expected, usage_tag })
     }
 
     /// Refuses queued requests whose deadline can no longer be met, and preempts batch requests in
--- a/crates/berylwheel-router/src/forward/measure.rs
+++ b/crates/berylwheel-router/src/forward/measure.rs
@@ -112,7 +112,8 @@
         self.report_work(call, placement, work, call.trace.age(self.clock.now()), true);
     }
 
-    /// Reports the time that a complete answer took after its first event.
+    /// Reports the time that a complete answer took after its first event. A resumed stream does not
+    /// count.
     pub(crate) fn report_generation(
         &self,
         call: &Call,
@@ -120,6 +121,9 @@
         timer: &GenerationTimer,
         events: u64,
     ) {
+        if call.last_event.is_some() {
+            return;
+        }
         let Some((generated, took)) = timer.result(events) else { return };
         let tokens = Tokens(generated.0.saturating_mul(call.event_tokens));
         self.report_work(call, placement, Work::Generation(tokens), took, false);
--- a/crates/berylwheel-router/src/forward/mod.rs
+++ b/crates/berylwheel-router/src/forward/mod.rs
@@ -46,6 +46,7 @@
 pub use resumed::check_resumed;
 pub use signal::response_signal;
 pub use silence::Awaited;
+pub use silence::extended_limit;
 pub use silence::silence_limit;
 pub use silence::wait_time;
 pub(crate) use trace::PartList;
--- a/crates/berylwheel-router/src/forward/silence.rs
+++ b/crates/berylwheel-router/src/forward/silence.rs
@@ -18,6 +18,7 @@
 use super::classify::AttemptFailure;
 use super::classify::is_repeatable;
 use super::listen::Forwarder;
+use super::measure::awaited_work;
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
 
@@ -33,6 +34,12 @@
 /// Minimum time that a server has for a whole response.
 const MIN_RESPONSE_TIME: Millis = Millis(250);
 
+/// A server is silent for too long after this many times the time that it is expected to take. On a
+/// machine that is slow for a while, work takes 2.5 times as long.
+const EXPECTED_TIMES: u64 = 3;
+/// Part of the time left that is kept for another server.
+const RESERVED_TIME: u64 = 2;
+
 /// Part of a caller's time that is kept for a refusal to reach it before its deadline.
 const ANSWER_SHARE: u64 = 10;
 /// Maximum time kept for a refusal to reach the caller.
@@ -69,6 +76,28 @@
     }
 }
 
+/// Returns the silence after which another server is asked, if the caller waits for `left` and the
+/// server is expected to take `expected`.
+///
+/// A slow server with a long prompt is not a silent one. Moving its request means reading the prompt
+/// again. Half of the time left is kept for another server.
+///
+/// ```
+/// use berylwheel_router::extended_limit;
+/// use berylwheel_types::Millis;
+/// let (limit, left) = (Millis(1_000), Millis(20_000));
+/// assert_eq!(extended_limit(limit, None, left), Millis(1_000));
+/// assert_eq!(extended_limit(limit, Some(Millis(200)), left), Millis(1_000));
+/// assert_eq!(extended_limit(limit, Some(Millis(900)), left), Millis(2_700));
+/// assert_eq!(extended_limit(limit, Some(Millis(900)), Millis(3_000)), Millis(1_500));
+/// assert_eq!(extended_limit(limit, Some(Millis(900)), Millis(500)), Millis(1_000));
+/// ```
+pub fn extended_limit(limit: Millis, expected: Option<Millis>, left: Millis) -> Millis {
+    let Some(expected) = expected else { return limit };
+    let patience = Millis(expected.0.saturating_mul(EXPECTED_TIMES));
+    limit.max(patience.min(Millis(left.0 / RESERVED_TIME)))
+}
+
 /// Returns how long to wait for a server if the caller waits for `left`. The rest is kept for a
 /// refusal to reach the caller before its deadline.
 ///
@@ -122,7 +151,10 @@
         attempt: impl Future<Output = Result<T, AttemptFailure>>,
     ) -> AttemptResult<T> {
         let mut attempt = pin!(attempt.or(cancelled(placement)));
+        let expected = awaited_work(call, awaited).and(placement.expected);
+        let left = call.time_left(self.clock.now());
         let limit = silence_limit(&call.kind, awaited);
+        let limit = extended_limit(limit, expected.map(|expected| expected.first), left);
         loop {
             if let Some(result) = local_timeout(limit, attempt.as_mut()).await {
                 return AttemptResult::Ended(result);
--- a/crates/berylwheel-router/src/lib.rs
+++ b/crates/berylwheel-router/src/lib.rs
@@ -36,6 +36,7 @@
 pub use forward::check_resumed;
 pub use forward::classify_response;
 pub use forward::connect_timeout;
+pub use forward::extended_limit;
 pub use forward::is_repeatable;
 pub use forward::may_pass_on;
 pub use forward::may_retry;
