Share measured server speeds between routers

Cause: a router has about one sample of a server in 20 s, while its fleet has several a second.

Change: with its heartbeats, a router sends what it has measured since the last ones: at most 16 entries, nothing if nothing is new, and only own samples. It is a message of its own kind, since an older router skips a kind that it does not know, but could not read a longer heartbeat. Entries for unknown servers or classes, or with values out of range, are ignored.

--- a/crates/berylwheel-peer/src/lib.rs
+++ b/crates/berylwheel-peer/src/lib.rs
@@ -11,6 +11,7 @@
 mod registry;
 mod runtime;
 mod sender;
+mod speed;
 
 pub use authority::Authority;
 pub use authority::IssuedCertificate;
@@ -27,3 +28,4 @@
 pub use receiver::InboundMessage;
 pub use registry::KindStats;
 pub use registry::PeerStats;
+pub use speed::ServerSpeed;
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -23,6 +23,7 @@
 use serde::Serialize;
 
 use crate::bounded;
+use crate::speed::ServerSpeed;
 
 /// The maximum size of an encoded message, in bytes.
 pub const FRAME_LIMIT: usize = 1 << 20;
@@ -40,6 +41,9 @@
 /// The maximum number of requests, prompt parts or holds accepted in a message about prompt parts.
 const SUSPECT_COUNT_LIMIT: usize = 64;
 
+/// The maximum number of entries accepted in a message about the speed of servers. Routers send 16.
+const SPEED_COUNT_LIMIT: usize = 64;
+
 /// A message from one router to another.
 ///
 /// The encoding depends on the order of variants and fields, so new ones must be added at the end.
@@ -202,6 +206,13 @@
         #[serde(deserialize_with = "bounded::deserialize_list::<_, _, SUSPECT_COUNT_LIMIT>")]
         holds: Vec<PartHold>,
     },
+    /// Reports how fast backend servers worked for the sender since its last report. Sent together
+    /// with a heartbeat, and only if there is something to report.
+    ServerSpeeds {
+        /// The servers.
+        #[serde(deserialize_with = "bounded::deserialize_list::<_, _, SPEED_COUNT_LIMIT>")]
+        speeds: Vec<ServerSpeed>,
+    },
 }
 
 /// The state of a request at its home router.
@@ -311,6 +322,7 @@
             Self::AnswerQuery { .. } => "answer_query",
             Self::PartAnswers { .. } => "part_answers",
             Self::Quarantine { .. } => "quarantine",
+            Self::ServerSpeeds { .. } => "server_speeds",
         }
     }
 
--- a/crates/berylwheel-peer/tests/message.rs
+++ b/crates/berylwheel-peer/tests/message.rs
@@ -11,6 +11,7 @@
 use berylwheel_peer::Message;
 use berylwheel_peer::PeerState;
 use berylwheel_peer::ServedShare;
+use berylwheel_peer::ServerSpeed;
 use berylwheel_types::BillKey;
 use berylwheel_types::LoanResponse;
 use berylwheel_types::Millis;
@@ -145,6 +146,26 @@
     assert!(4 * sizes[1] < 20_000 / 2, "{sizes:?}");
 }
 
+/// Guards against lost fields, and against speeds of servers that exceed the bandwidth planned for
+/// control traffic: four heartbeats per second with 16 entries each must take less than half of 20 KB/s.
+#[test]
+fn server_speeds_round_trip_and_are_small() {
+    let speed = |n: usize| ServerSpeed {
+        server: format!("engine-{n:04}.region-west-a").parse().unwrap(),
+        class: 2,
+        permille: 4_000,
+        samples: 200,
+        age: Millis(900),
+    };
+    let message = |count| Message::ServerSpeeds { speeds: (0..count).map(speed).collect() };
+    let frame = message(16).encode().unwrap();
+    assert_eq!(Message::decode(&frame), Ok(message(16)));
+    let sizes = [heartbeat(8, 48).encode().unwrap().len(), frame.len()];
+    println!("heartbeat: {} bytes, speeds: {}", sizes[0], sizes[1]);
+    assert!(4 * (sizes[0] + sizes[1]) < 20_000 / 2, "{sizes:?}");
+    assert!(Message::decode(&message(65).encode().unwrap()).is_err());
+}
+
 /// Guards against unbounded memory use by frames that declare more entries or bytes than they
 /// contain, or that contain a large number of tiny entries.
 #[test]
--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -14,14 +14,20 @@
 use berylwheel_http::Traffic;
 use berylwheel_peer::InboundMessage;
 use berylwheel_peer::Message;
+use berylwheel_route::ListedServer;
+use berylwheel_route::ServerListEvent;
+use berylwheel_route::WorkClass;
+use berylwheel_route::WorkSample;
 use berylwheel_settings::RouterSettings;
 use berylwheel_settings::Settings;
 use berylwheel_store::GuardedStore;
 use berylwheel_store::MemoryStore;
+use berylwheel_types::BackendId;
 use berylwheel_types::Clock;
 use berylwheel_types::FailureDomain;
 use berylwheel_types::FastSet;
 use berylwheel_types::Incarnation;
+use berylwheel_types::KindId;
 use berylwheel_types::ManualClock;
 use berylwheel_types::RouterId;
 use berylwheel_types::Version;
@@ -128,6 +134,21 @@
         self.handle(Event::PeerMessage(inbound));
     }
 
+    /// Replaces the list of backend servers, as read from the platform's store.
+    pub fn list_servers(&mut self, servers: Vec<ListedServer>) {
+        self.handle(Event::ServerListEvent(ServerListEvent::All(servers)));
+    }
+
+    /// Records how long a backend server took for work of a pool.
+    pub fn record_work(&mut self, server: &BackendId, pool: &KindId, sample: WorkSample) {
+        self.handle(Event::WorkMeasured(server.clone(), pool.clone(), sample));
+    }
+
+    /// Returns how much longer than expected a backend server takes for a class of work.
+    pub fn speed_factor(&self, server: &BackendId, class: WorkClass) -> f64 {
+        self.control.balancer.speed_factor(server, class)
+    }
+
     /// Announces that the router will stop.
     pub fn announce_shutdown(&mut self) {
         self.handle(Event::AnnounceShutdown);
--- a/crates/berylwheel-router/src/fleet/config_sync.rs
+++ b/crates/berylwheel-router/src/fleet/config_sync.rs
@@ -45,12 +45,14 @@
         if !heartbeats.is_empty() {
             self.check_clock(now);
             let served = self.scheduler.served_totals();
+            let speeds = self.take_speeds(now);
             for (to, heartbeat) in heartbeats {
                 let domain = &self.fleet.own_entry.domain;
                 let reaches = !self.effects.guard.is_unavailable();
                 let message = heartbeat_message(heartbeat, served.clone(), now, domain, reaches);
                 self.fleet.send(&to, message);
                 self.send_holds(&to);
+                self.send_speeds(&to, speeds.as_ref());
             }
             if let Some(link) = &self.fleet.link {
                 let stats = link.stats();
--- a/crates/berylwheel-router/src/fleet/mod.rs
+++ b/crates/berylwheel-router/src/fleet/mod.rs
@@ -8,4 +8,5 @@
 pub(crate) mod peers;
 pub(crate) mod reclaim;
 pub(crate) mod registry;
+pub(crate) mod speeds;
 pub(crate) mod state;
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -120,6 +120,7 @@
             }
             Message::PartAnswers { answers } => self.quarantine.handle_answers(now, &answers),
             Message::Quarantine { holds } => self.handle_holds(now, holds),
+            Message::ServerSpeeds { speeds } => self.handle_speeds(now, speeds),
             // A server list that the store keeps up to date takes precedence over a peer.
             Message::Leaving { .. } if self.has_current_list() => {}
             Message::Leaving { server } => self.balancer.set_leaving(now, &server),
