Compare the choice of servers with the previous one

Cause: nothing showed what measured speeds change under load.

Time is simulated, so the results don't depend on the machine.

--- a/benches/overload/main.rs
+++ b/benches/overload/main.rs
@@ -1,5 +1,5 @@
-//! Simulates overload with the scheduler and with a FIFO queue, and routing policies on delayed
-//! load reports. Time is simulated with a manual clock.
+//! Simulates overload with the scheduler and with a FIFO queue, routing policies on delayed
+//! load reports, and servers of unequal speed. Time is simulated with a manual clock.
 //!
 //! Prints one JSON object per line. An optional number after `--` overrides the seed.
 
@@ -9,6 +9,8 @@
 mod queueing;
 mod report;
 mod routing;
+mod speeds;
+mod unequal;
 
 use report::Report;
 
@@ -26,4 +28,5 @@
         figures::print_overload(&size, &mut report);
     }
     routing::run(seed);
+    unequal::run(seed);
 }
