Check that measured speeds cause no crowding

Cause: routers that all turn to the same servers at a time would show as long queues, which no figure contained.

Change: the simulation records the longest queue of prompts at an engine; the bench prints it and the test compares it. Share of late requests is derived.

--- a/benches/overload/speeds.rs
+++ b/benches/overload/speeds.rs
@@ -32,8 +32,8 @@
 const SLOTS: u32 = 64;
 /// Prompt tokens that an engine of the usual speed reads in a millisecond.
 const PROMPT_SPEED: f64 = 51.1;
-const STEP_MS: f64 = 5.09;
-const ANSWER_TOKENS: u64 = 100;
+/// Time to generate an answer of 100 tokens at an idle engine of the usual speed.
+const ANSWER_MS: f64 = 509.0;
 const BASE_MS: f64 = 10.0;
 const PREFIXES: u64 = 400;
 const CACHED_PREFIXES: usize = 40;
@@ -42,6 +42,8 @@
 const TARGET_MS: u64 = 800;
 const DEADLINE_MS: u64 = 12_000;
 const ATTEMPTS: u32 = 3;
+/// Number of the attempt of a request whose answer has begun.
+const ANSWERED: u32 = u32::MAX;
 /// Time between arrivals at the whole fleet, which keeps the engines about half busy.
 const INTERARRIVAL_MS: f64 = 4.6;
 const WARM_UP_MS: u64 = 20_000;
@@ -49,7 +51,6 @@
 const SHIFT_MS: u64 = 600;
 const SLOW_PERCENT: u64 = 15;
 const SLOW_TIMES: f64 = 2.5;
-const HEARTBEAT_PEERS: usize = 4;
 
 /// A load with engines of unequal speed.
 #[derive(Debug, Clone, Copy)]
@@ -69,11 +70,12 @@
 pub struct Outcomes {
     pub requests: u64,
     pub in_target: u64,
-    pub late: u64,
     /// Moves to another server after a silence.
     pub moved: u64,
     /// Prompt tokens of moved requests, which another server reads again.
     pub read_again: u64,
+    /// The longest queue of prompts at an engine. Routers that all follow the same news make it long.
+    pub longest_queue: usize,
     /// Requests answered by the engines of each speed.
     pub by_speed: [u64; 3],
 }
@@ -97,7 +99,6 @@
     sent: u64,
     attempt: u32,
     engine: usize,
-    has_begun: bool,
     tried: Vec<BackendId>,
 }
 
@@ -111,7 +112,6 @@
 
 struct Play {
     scenario: Scenario,
-    measured: bool,
     now: u64,
     rng: SmallRng,
     /// Separate from `rng`, so that both choices get the same requests.
@@ -165,7 +165,6 @@
         };
         Self {
             scenario,
-            measured,
             now: 0,
             rng: SmallRng::seed_from_u64(scenario.seed),
             peer_rng: SmallRng::seed_from_u64(!scenario.seed),
@@ -179,10 +178,6 @@
         }
     }
 
-    fn at(&self) -> Timestamp {
-        Timestamp::from_millis(self.now)
-    }
-
     fn schedule(&mut self, delay: f64, step: Step) {
         self.steps.push(Reverse((self.now + (delay.ceil() as u64).max(1), step)));
     }
@@ -191,8 +186,7 @@
     fn slowness(&self, engine: usize, ms: u64) -> f64 {
         let phase = [engine as u64, ms / SHIFT_MS, self.scenario.seed].map(|n| n.to_string());
         let draw = stable_hash(&[&phase[0], &phase[1], &phase[2]]) % 100;
-        let is_slow = self.scenario.shifting && draw < SLOW_PERCENT;
-        if is_slow { SLOW_TIMES } else { 1.0 }
+        if self.scenario.shifting && draw < SLOW_PERCENT { SLOW_TIMES } else { 1.0 }
     }
 
     /// Returns the time that work takes from now on, if it would take `usual` at the usual speed.
@@ -246,7 +240,6 @@
             sent: self.now,
             attempt: 0,
             engine: 0,
-            has_begun: false,
             tried: Vec::new(),
         });
         self.place(self.requests.len() - 1);
@@ -264,7 +257,7 @@
     }
 
     fn place(&mut self, request: usize) {
-        let (now, query) = (self.at(), self.query(request));
+        let (now, query) = (Timestamp::from_millis(self.now), self.query(request));
         let router = &mut self.routers[self.requests[request].router];
         let Some(server) = router.pick(now, &query) else {
             return self.schedule(20.0, Step::Retry(request));
@@ -281,6 +274,10 @@
         let limit = extended_limit(Millis(2 * TARGET_MS), expected, Millis(left));
         self.schedule(limit.0 as f64, Step::Silent { request, attempt });
         self.engines[engine].queue.push_back(request);
+        if self.now >= WARM_UP_MS {
+            let length = self.engines[engine].queue.len();
+            self.outcomes.longest_queue = self.outcomes.longest_queue.max(length);
+        }
         self.read_next(engine);
     }
 
@@ -324,9 +321,13 @@
         }
         self.engines[engine].reading = None;
         self.engines[engine].generating += 1;
-        let (now, id, sample) = (self.at(), self.ids[engine].clone(), self.sample(request, false));
+        let (now, id, sample) = (
+            Timestamp::from_millis(self.now),
+            self.ids[engine].clone(),
+            self.sample(request, false),
+        );
         let state = &mut self.requests[request];
-        state.has_begun = true;
+        state.attempt = ANSWERED;
         let report = LoadReport {
             at: now,
             in_flight: self.engines[engine].generating,
@@ -337,30 +338,28 @@
         router.apply_report(now, &id, report);
         router.record_work(now, &id, &self.kind, None, sample);
         if state.arrived >= WARM_UP_MS {
-            let in_target = self.now - state.arrived <= TARGET_MS;
             self.outcomes.requests += 1;
-            self.outcomes.in_target += u64::from(in_target);
-            self.outcomes.late += u64::from(!in_target);
+            self.outcomes.in_target += u64::from(self.now - state.arrived <= TARGET_MS);
             self.outcomes.by_speed[engine % 3] += 1;
         }
         let load = f64::from(self.engines[engine].generating) / f64::from(SLOTS);
-        let generation = self.duration(engine, ANSWER_TOKENS as f64 * STEP_MS * (1.0 + load));
+        let generation = self.duration(engine, ANSWER_MS * (1.0 + load));
         self.schedule(generation, Step::Answered { engine, request });
         self.read_next(engine);
     }
 
     fn answered(&mut self, engine: usize, request: usize) {
         self.engines[engine].generating -= 1;
-        let (now, state) = (self.at(), &self.requests[request]);
+        let (now, state) = (Timestamp::from_millis(self.now), &self.requests[request]);
         self.routers[state.router].request_ended(now, &self.ids[engine], Outcome::Ok);
     }
 
     fn handle_silence(&mut self, request: usize, attempt: u32) {
         let state = &self.requests[request];
-        if state.has_begun || state.attempt != attempt || attempt >= ATTEMPTS {
+        if state.attempt != attempt || attempt >= ATTEMPTS {
             return;
         }
-        let (now, engine, number) = (self.at(), state.engine, state.router);
+        let (now, engine, number) = (Timestamp::from_millis(self.now), state.engine, state.router);
         let (id, sample) = (self.ids[engine].clone(), self.sample(request, true));
         self.routers[number].record_work(now, &id, &self.kind, None, sample);
         self.requests[request].tried.push(id.clone());
@@ -386,13 +385,10 @@
         if self.now < END_MS {
             self.schedule(1_000.0, Step::Heartbeat);
         }
-        if !self.measured {
-            return;
-        }
-        let now = self.at();
+        let now = Timestamp::from_millis(self.now);
         for from in 0..self.routers.len() {
             let entries = self.routers[from].take_shared_speeds(now);
-            for _ in 0..HEARTBEAT_PEERS {
+            for _ in 0..4 {
                 let to = self.peer_rng.random_range(0..self.routers.len());
                 if to != from {
                     self.routers[to].apply_shared_speeds(now, &entries);
--- a/benches/overload/unequal.rs
+++ b/benches/overload/unequal.rs
@@ -28,12 +28,18 @@
     let of_slowest = |outcomes: Outcomes| share(outcomes.by_speed[0], outcomes);
     let of_fastest = |outcomes: Outcomes| share(outcomes.by_speed[2], outcomes);
     let in_target = |outcomes: Outcomes| share(outcomes.in_target, outcomes);
-    let late = |outcomes: Outcomes| share(outcomes.late, outcomes);
+    let late = |outcomes: Outcomes| share(outcomes.requests - outcomes.in_target, outcomes);
     let figures = [
         ("in_target", "share of requests", in_target(after), in_target(before)),
         ("late", "share of requests", late(after), late(before)),
         ("moved", "requests", after.moved as f64, before.moved as f64),
         ("read_again", "prompt tokens", after.read_again as f64, before.read_again as f64),
+        (
+            "longest_queue",
+            "prompts at an engine",
+            after.longest_queue as f64,
+            before.longest_queue as f64,
+        ),
         ("first_third_of_engines", "share of requests", of_slowest(after), of_slowest(before)),
         ("last_third_of_engines", "share of requests", of_fastest(after), of_fastest(before)),
     ];
--- a/tests/server_speeds.rs
+++ b/tests/server_speeds.rs
@@ -28,13 +28,15 @@
         assert_eq!(before.requests, after.requests);
         assert!(after.in_target > before.in_target);
         assert!(after.read_again < before.read_again);
+        assert!(after.longest_queue <= before.longest_queue);
         let [slow, _, fast] = after.by_speed;
         assert!(fast > slow, "{:?}", after.by_speed);
         assert!(slow * 20 > after.requests, "{:?}", after.by_speed);
     }
 }
 
-/// Guards against measurements that make the choice among equal servers worse.
+/// Guards against measurements that make the choice among equal servers worse, and against routers that
+/// all turn to the same servers at a time.
 #[test]
 fn equal_servers_meet_as_many_targets_as_before() {
     for shifting in [false, true] {
@@ -43,5 +45,6 @@
         let (before, after) = compare(scenario);
         // A difference of one in a hundred is that between two seeds.
         assert!(after.in_target * 100 >= before.in_target * 99);
+        assert!(after.longest_queue <= before.longest_queue);
     }
 }
