--- a/crates/berylwheel-peer/src/lib.rs
+++ b/crates/berylwheel-peer/src/lib.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod runtime;
 mod sender;
+mod speed;
 
 pub use authority::Authority;
 pub use authority::IssuedCertificate;
@@ -32,3 +33,4 @@
 pub use receiver::InboundMessage;
 pub use registry::KindStats;
 pub use registry::PeerStats;
+pub use speed::ServerSpeed;
--- a/crates/berylwheel-peer/src/message.rs
+++ b/crates/berylwheel-peer/src/message.rs
@@ -24,6 +24,7 @@
 
 use crate::FeedNews;
 use crate::bounded;
+use crate::speed::ServerSpeed;
 
 /// The maximum size of an encoded message, in bytes.
 pub const FRAME_LIMIT: usize = 1 << 20;
@@ -43,6 +44,8 @@
 
 /// The maximum number of prefixes accepted in news of the store. Routers watch two.
 const FEED_COUNT_LIMIT: usize = 8;
+/// The maximum number of entries accepted in a message about the speed of servers. Routers send 16.
+const SPEED_COUNT_LIMIT: usize = 64;
 
 /// A message from one router to another.
 ///
@@ -217,6 +220,13 @@
         #[serde(deserialize_with = "bounded::deserialize_list::<_, _, FEED_COUNT_LIMIT>")]
         feeds: Vec<FeedNews>,
     },
+    /// Reports how fast backend servers worked for the sender since its last report. Sent together
+    /// with a heartbeat, and only if there is something to report.
+    ServerSpeeds {
+        /// The servers.
+        #[serde(deserialize_with = "bounded::deserialize_list::<_, _, SPEED_COUNT_LIMIT>")]
+        speeds: Vec<ServerSpeed>,
+    },
 }
 
 /// The state of a request at its home router.
@@ -327,6 +337,7 @@
             Self::PartAnswers { .. } => "part_answers",
             Self::Quarantine { .. } => "quarantine",
             Self::StoreNews { .. } => "store_news",
+            Self::ServerSpeeds { .. } => "server_speeds",
         }
     }
 
--- a/crates/berylwheel-route/src/dump.rs
+++ b/crates/berylwheel-route/src/dump.rs
@@ -11,6 +11,8 @@
 use crate::ColdSource;
 use crate::EvacuatedDomain;
 use crate::LeavingSource;
+use crate::PoolSpeedDump;
+use crate::SpeedDump;
 
 /// All servers as seen by one router, sorted by name.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -26,6 +28,8 @@
     pub evacuated: Vec<EvacuatedDomain>,
     /// One entry per server.
     pub servers: Vec<ServerDump>,
+    /// The expected times of each pool.
+    pub speeds: Vec<PoolSpeedDump>,
 }
 
 /// One server as seen by one router.
@@ -75,4 +79,6 @@
     pub weight: f64,
     /// Number of prefixes known to be in the server's cache.
     pub prefixes: usize,
+    /// Observed relative to expected times; `None` without samples.
+    pub speed: Option<SpeedDump>,
 }
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -1,5 +1,6 @@
-//! Backend server selection: load estimates, prefix affinity, ejection of failing servers, subsets,
-//! servers that shut down, servers that ask for a pause and cold servers.
+//! Backend server selection: load estimates, measured speeds, prefix affinity, ejection of failing
+//! servers, subsets, evacuated failure domains, servers that shut down, servers that ask for a pause
+//! and cold servers.
 //!
 //! The crate does no I/O and is deterministic: methods take the current time as an argument, and
 //! the random number generator is seeded.
@@ -18,6 +19,7 @@
 mod policy;
 mod server;
 mod server_list;
+mod speed;
 mod standing;
 mod state;
 mod subset;
@@ -46,6 +48,15 @@
 pub use server_list::ServerList;
 pub use server_list::ServerListEvent;
 pub use server_list::ServerStatus;
+pub use speed::ExpectedTime;
+pub use speed::PoolSpeedDump;
+pub use speed::SharedSpeed;
+pub use speed::SpeedChange;
+pub use speed::SpeedDump;
+pub use speed::Speeds;
+pub use speed::Work;
+pub use speed::WorkClass;
+pub use speed::WorkSample;
 pub use standing::LeavingSource;
 pub use standing::PauseNote;
 pub use standing::PauseRequest;
--- a/crates/berylwheel-route/src/load_balancer.rs
+++ b/crates/berylwheel-route/src/load_balancer.rs
@@ -27,6 +27,7 @@
 use crate::choice::Candidate;
 use crate::choice::choose;
 use crate::evacuation::Evacuation;
+use crate::speed::Speeds;
 use crate::standing::Standing;
 use crate::state::ServerState;
 use crate::subset::Pool;
@@ -36,7 +37,7 @@
 ///
 /// ```
 /// use berylwheel_route::{LoadBalancer, Outcome, RoutePolicy, RouteQuery, Server};
-/// use berylwheel_types::Timestamp;
+/// use berylwheel_types::{Timestamp, Tokens};
 ///
 /// let now = Timestamp::from_millis(0);
 /// let mut balancer = LoadBalancer::new("r1".parse().unwrap(), RoutePolicy::default(), 7);
@@ -53,6 +54,7 @@
 ///     model: Some("m1".parse().unwrap()),
 ///     prefix: 0,
 ///     exclude: vec![],
+///     prompt_tokens: Tokens(900),
 /// };
 /// let server = balancer.pick(now, &query).unwrap();
 /// balancer.request_started(now, &server.id);
@@ -75,6 +77,7 @@
     /// server, since an outdated list may bring it back.
     pub(crate) standings: FastMap<BackendId, Standing>,
     pub(crate) evacuation: Evacuation,
+    pub(crate) speeds: Speeds,
     /// The end of the pause that ends last, or later.
     pub(crate) last_pause_end: Timestamp,
     /// Number of load probes that may be sent now, up to the number allowed in one second.
@@ -102,6 +105,7 @@
             subsets: FastMap::default(),
             standings: FastMap::default(),
             evacuation: Evacuation::default(),
+            speeds: Speeds::default(),
             last_pause_end: Timestamp::default(),
             probe_credit: 0.0,
             last_probe: Timestamp::default(),
@@ -138,6 +142,7 @@
             } else if !previous.contains(&server.id) {
                 state.reset(now);
                 added.push(server.id.clone());
+                self.speeds.forget(now, &server.id);
             }
             state.present = true;
             state.server = server;
@@ -145,10 +150,13 @@
         self.states.retain(|_, state| state.present || state.load.own_count() > 0);
         for server in &moved {
             self.clear_notice(server);
+            self.speeds.forget(now, server);
         }
         for server in added.iter().chain(&moved).filter(|_| start_time.is_some()) {
             self.mark_cold(now, server, ColdSource::New);
         }
+        let states = &self.states;
+        self.speeds.retain(|id| states.contains_key(id));
         self.prune_standings(now);
         self.update_subsets();
         self.limit_ejections(now);
@@ -158,6 +166,7 @@
     pub fn server_restarted(&mut self, now: Timestamp, server: &BackendId) {
         self.last_time = now;
         self.renew_standing(now, server);
+        self.speeds.forget(now, server);
         if let Some(state) = self.states.get_mut(server) {
             state.reset(now);
         }
@@ -193,6 +202,7 @@
             // A server never cancels draining, so this report is from a new process.
             state.draining_at = None;
             state.start_time = Some(now);
+            self.speeds.forget(now, server);
         }
         state.loaded_models = report.loaded;
         self.limit_ejections(now);
@@ -216,6 +226,7 @@
     pub fn pick(&mut self, now: Timestamp, query: &RouteQuery) -> Option<Server> {
         self.last_time = now;
         let draws = [self.rng.random(), self.rng.random()];
+        self.speeds.refresh(now);
         let candidates = self.candidates(now, query);
         let chosen = choose(&candidates, query.prefix, &self.policy, draws);
         chosen.map(|candidate| candidate.state.server.clone())
@@ -272,8 +283,9 @@
             let has_room = load < concurrency
                 || f64::from(own) < (concurrency * share).floor()
                 || state.load.needs_new_report(now, self.policy.report_decay);
-            let capacity = concurrency * self.weight(now, state);
-            candidates.push(Candidate { state, load, capacity, has_room });
+            let factor = self.speeds.request_factor(&state.server.id, query.prompt_tokens);
+            let capacity = concurrency * self.weight(now, state) / factor;
+            candidates.push(Candidate { state, load, capacity, factor, has_room });
         }
         candidates
     }
@@ -382,6 +394,7 @@
                 cold_source: self.cold.cold_until(now, &state.server.id).map(|(_, why)| why),
                 weight: self.weight(now, state),
                 prefixes: state.cached.len(),
+                speed: self.speeds.dump(now, &state.server.id),
             })
             .collect();
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
@@ -391,6 +404,7 @@
             cold_requests: self.cold.turns(),
             evacuated: self.evacuated_domains(),
             servers,
+            speeds: self.speeds.dump_pools(),
         }
     }
 }
--- a/crates/berylwheel-router/src/fleet/mod.rs
+++ b/crates/berylwheel-router/src/fleet/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod reclaim;
 pub(crate) mod registry;
 pub(crate) mod relay;
+pub(crate) mod speeds;
 pub(crate) mod state;
--- a/crates/berylwheel-router/src/fleet/peers.rs
+++ b/crates/berylwheel-router/src/fleet/peers.rs
@@ -123,6 +123,7 @@
             Message::StoreNews { origin, sequence, feeds } => {
                 self.handle_store_news(now, origin, sequence, feeds);
             }
+            Message::ServerSpeeds { speeds } => self.handle_speeds(now, speeds),
             // A server list that the store keeps up to date takes precedence over a peer.
             Message::Leaving { .. } if self.has_current_list() => {}
             Message::Leaving { server } => self.balancer.set_leaving(now, &server),
