Read what a server has answered before reporting a failed write

Cause: hyper drops a response when a write of its request fails. A server that answers during an upload and then resets the connection lost its whole answer whenever a write found the reset first, among them answers that state that the request did not run.

ServerSocket, now in server_socket.rs, reports a failed write only when everything received has been read. The kernel reports a reset once; after a write has taken it, reads find the end of the stream as if the server had closed the connection. The kind of the write's error tells the two apart: ConnectionReset means that the server had not closed its side before, and the end is then reported as that error; BrokenPipe means that it had, and the end counts as one. A connection with a failed write does not return to the pool.

The server of early_answers.rs now sends its parts without Nagle's delay: with it, the reset overtook the second part on the server's side, and the answer was not whole.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -29,8 +29,8 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::local_timeout::local_timeout;
-use super::socket::ServerSocket;
-use super::socket::SocketState;
+use super::server_socket::ServerSocket;
+use super::server_socket::SocketState;
 use super::traffic::Traffic;
 
 /// Maximum number of idle connections per server.
@@ -124,8 +124,12 @@
     }
 
     /// Returns the connection to the pool, for at most the `idle_timeout` stated by the server. It
-    /// is closed if the pool was closed in the meantime.
+    /// is closed if the pool was closed in the meantime, or if the request could not be written to
+    /// its end.
     pub fn release(mut self, idle_timeout: Option<Millis>) {
+        if self.connection.socket.has_failed_write() {
+            return;
+        }
         let now = self.upstream.clock.now();
         let keep_time = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
             Millis(stated.0.saturating_sub(IDLE_TIMEOUT_MARGIN.0))
--- a/crates/berylwheel-http/src/forward/mod.rs
+++ b/crates/berylwheel-http/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod idle_limit;
 mod local_timeout;
 mod server;
+mod server_socket;
 mod socket;
 mod traffic;
 
--- a/crates/berylwheel-http/src/forward/socket.rs
+++ b/crates/berylwheel-http/src/forward/socket.rs
@@ -8,9 +8,6 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -47,7 +44,7 @@
 /// A TCP connection that reads only when data may be there. `hyper` polls for more after each event
 /// of a stream and for the caller's next request, and most of these reads would find nothing.
 #[derive(Debug)]
-struct GatedSocket {
+pub(super) struct GatedSocket {
     stream: Arc<Async<TcpStream>>,
     /// Whether the last read took all received bytes, so that the next one waits until the
     /// connection is readable.
@@ -58,15 +55,20 @@
 }
 
 impl GatedSocket {
-    fn new(stream: Arc<Async<TcpStream>>, traffic: Traffic) -> Self {
+    pub(super) fn new(stream: Arc<Async<TcpStream>>, traffic: Traffic) -> Self {
         traffic.record_connection();
         Self { stream, drained: false, reads: 0, traffic }
     }
 }
 
 impl GatedSocket {
+    /// Makes the next read look for bytes although none were reported.
+    pub(super) fn read_at_once(&mut self) {
+        self.drained = false;
+    }
+
     /// Reads into `buffer` and returns the number of bytes read, 0 at the end of the stream.
-    fn poll_receive(
+    pub(super) fn poll_receive(
         &mut self,
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
@@ -153,79 +155,6 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
-/// State that a connection to a backend server shares with its user.
-#[derive(Debug, Default)]
-pub(crate) struct SocketState {
-    /// Number of bytes written, which tells whether a failed request may have reached the server.
-    written: AtomicU64,
-    /// Whether the next read must look for bytes although none were reported.
-    reused: AtomicBool,
-}
-
-impl SocketState {
-    pub(crate) fn written(&self) -> u64 {
-        self.written.load(Ordering::Relaxed)
-    }
-
-    /// Makes the next read look for bytes, which may have arrived a moment ago. `hyper` reads before
-    /// it writes the next request, and closes a connection that has received a second response.
-    pub(crate) fn check_before_reuse(&self) {
-        self.reused.store(true, Ordering::Relaxed);
-    }
-}
-
-/// A connection to a backend server.
-#[derive(Debug)]
-pub(crate) struct ServerSocket {
-    inner: GatedSocket,
-    state: Arc<SocketState>,
-}
-
-impl ServerSocket {
-    pub(crate) fn new(
-        stream: Async<TcpStream>,
-        traffic: Traffic,
-    ) -> io::Result<(Self, Arc<SocketState>)> {
-        stream.get_ref().set_nodelay(true)?;
-        let state = Arc::new(SocketState::default());
-        let inner = GatedSocket::new(Arc::new(stream), traffic);
-        Ok((Self { inner, state: state.clone() }, state))
-    }
-}
-
-impl Read for ServerSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.state.reused.swap(false, Ordering::Relaxed) {
-            self.inner.drained = false;
-        }
-        Pin::new(&mut self.inner).poll_read(cx, buffer)
-    }
-}
-
-impl Write for ServerSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, bytes))?;
-        self.state.written.fetch_add(written as u64, Ordering::Relaxed);
-        Poll::Ready(Ok(written))
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
-
 /// A caller's connection, whose reads fail if the caller stays idle or sends a head too slowly.
 pub(crate) struct CallerSocket {
     inner: GatedSocket,
--- a/crates/berylwheel-http/tests/early_answers.rs
+++ b/crates/berylwheel-http/tests/early_answers.rs
@@ -79,6 +79,8 @@
     }
 
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        // Without this the second part of a response may be sent later than the reset, and is lost.
+        stream.set_nodelay(true)?;
         read_head(&mut stream)?;
         let mut buffer = vec![0; 64 << 10];
         let mut left = self.read_first;
