Notice crashing prompt parts behind answers that end with their connection

Change: the end of such a stream within 250 ms of its first event, and of a whole answer without framing, is reported as a suspected break. The quarantine keeps it as unconfirmed and checks the server, at most once a second and only for parts not answered within 5 s. If the server refuses connections or its entry has a later start, the request is a suspect like any other; if both connections of a check that began after the answer are accepted (Event::ServerRunning), the answer was complete and counts for its parts. Without this second half sound requests that ended up to 10 s before their server would be suspects. It also makes short unframed answers count, which none did before.

--- a/crates/berylwheel-quarantine/src/answers.rs
+++ b/crates/berylwheel-quarantine/src/answers.rs
@@ -18,7 +18,8 @@
 
     pub(crate) fn record(&mut self, now: Timestamp, parts: &[PromptPartId]) {
         for part in parts {
-            self.times.insert(*part, now);
+            let last = self.times.entry(*part).or_insert(now);
+            *last = now.max(*last);
         }
         if self.times.len() <= self.limit {
             return;
--- a/crates/berylwheel-quarantine/src/quarantine.rs
+++ b/crates/berylwheel-quarantine/src/quarantine.rs
@@ -17,6 +17,7 @@
 use crate::holds::Holds;
 use crate::judge::PeerReports;
 use crate::judge::Query;
+use crate::suspects::AnswerEnd;
 use crate::suspects::PendingSuspects;
 
 /// Interval at which old state is removed.
@@ -27,7 +28,8 @@
 /// What a router has to do about crashing prompt parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Find out whether a server has ended, which [`Quarantine::record_end`] is then told.
+    /// Find out whether a server has ended, which [`Quarantine::record_end`] or
+    /// [`Quarantine::record_running`] is then told.
     CheckServer(BackendId),
     /// Tell the routers that judge, which may include this one: requests had no answer when a server
     /// ended `age` ago.
@@ -160,11 +162,16 @@
 
     /// Records that a request with `parts` was answered to its end.
     pub fn record_answer(&mut self, now: Timestamp, parts: &[PromptPartId]) {
-        self.answers.record(now, parts);
+        self.record_answer_at(now, now, parts);
+    }
+
+    /// Records an answer that is known `now` to have been complete at the time `at`.
+    fn record_answer_at(&mut self, now: Timestamp, at: Timestamp, parts: &[PromptPartId]) {
+        self.answers.record(at, parts);
         let mut reported = Vec::new();
         for part in parts {
             if self.suspected.remove(part).is_some() {
-                reported.push((*part, Millis(0)));
+                reported.push((*part, now.since(at)));
             }
         }
         if !reported.is_empty() {
@@ -185,12 +192,64 @@
         if parts.is_empty() {
             return;
         }
-        let request = SuspectRequest { ran_for, parts: parts.to_vec() };
-        if self.pending.add(now, server, request, self.policy.max_suspects) {
+        self.add_suspect(now, server, AnswerEnd::Broken, ran_for, parts.to_vec());
+    }
+
+    /// Records that an answer ended with its connection, soon after its beginning and without a
+    /// length or chunks: it is complete, unless its server ended then. Parts that were answered lately
+    /// are left out, so that servers are not checked for the usual requests.
+    ///
+    /// ```
+    /// use berylwheel_quarantine::{Action, Quarantine, QuarantinePolicy};
+    /// use berylwheel_types::{Millis, PromptPartId, Timestamp};
+    /// let (now, later) = (Timestamp::from_millis(1_000), Timestamp::from_millis(1_300));
+    /// let server = "s1".parse().unwrap();
+    /// let mut quarantine = Quarantine::new(QuarantinePolicy::default());
+    /// quarantine.record_unconfirmed(now, &server, Millis(50), &[PromptPartId(7)]);
+    /// assert_eq!(quarantine.poll(now), [Action::CheckServer(server.clone())]);
+    /// quarantine.record_running(later, &server, now);
+    /// quarantine.record_end(later, &server);
+    /// assert_eq!(quarantine.poll(later), []);
+    /// ```
+    pub fn record_unconfirmed(
+        &mut self,
+        now: Timestamp,
+        server: &BackendId,
+        ran_for: Millis,
+        parts: &[PromptPartId],
+    ) {
+        let fresh = self.policy.fresh_answer;
+        let is_unsound = |part: &PromptPartId| {
+            self.answers.last(*part).is_none_or(|answered| now.since(answered) > fresh)
+        };
+        let parts: Vec<PromptPartId> = parts.iter().copied().filter(is_unsound).collect();
+        if !parts.is_empty() {
+            self.add_suspect(now, server, AnswerEnd::Unconfirmed, ran_for, parts);
+        }
+    }
+
+    fn add_suspect(
+        &mut self,
+        now: Timestamp,
+        server: &BackendId,
+        end: AnswerEnd,
+        ran_for: Millis,
+        parts: Vec<PromptPartId>,
+    ) {
+        let request = SuspectRequest { ran_for, parts };
+        if self.pending.add(now, server, end, request, self.policy.max_suspects) {
             self.actions.push(Action::CheckServer(server.clone()));
         }
     }
 
+    /// Records that a check begun at `since` has found a server running. The answers that ended with
+    /// their connections before are complete.
+    pub fn record_running(&mut self, now: Timestamp, server: &BackendId, since: Timestamp) {
+        for (at, parts) in self.pending.take_confirmed(server, since) {
+            self.record_answer_at(now, at, &parts);
+        }
+    }
+
     /// Records that the process of a server is known to have ended.
     pub fn record_end(&mut self, now: Timestamp, server: &BackendId) {
         let Some((broke_at, mut suspects)) = self.pending.take(server) else { return };
@@ -291,6 +350,8 @@
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.expire(now);
         }
+        let checks = self.pending.due_checks(now).into_iter();
+        self.actions.extend(checks.map(Action::CheckServer));
         let mut due = Vec::new();
         for (part, query) in &mut self.queries {
             if query.judge_at.take_if(|time| now >= *time).is_some() {
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -189,6 +189,9 @@
                 self.balancer.server_refused(now, &server);
                 self.quarantine.record_end(now, &server);
             }
+            Event::ServerRunning(server, since) => {
+                self.quarantine.record_running(now, &server, since);
+            }
             Event::HoldsRead(holds) => self.handle_holds(now, holds),
             Event::HoldsWritten(succeeded) => self.handle_holds_written(now, succeeded),
             Event::PartReleased(part, reply) => {
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -145,7 +145,9 @@
     /// Finds out whether a server refuses connections, that is, whether its process has ended. Checks
     /// twice, since a process may lose its connections before its listener.
     pub fn check_server(&self, server: BackendId, address: SocketAddr) {
+        let since = self.clock.now();
         self.spawn(async move {
+            let mut accepted = 0;
             for pause in CHECK_PAUSES {
                 Timer::after(pause.duration()).await;
                 let connecting = Async::<TcpStream>::connect(address);
@@ -156,10 +158,11 @@
                     Some(Err(error)) => {
                         log::debug!(server = server.as_str(), error:% = error; "server not checked");
                     }
-                    Some(Ok(_)) | None => {}
+                    Some(Ok(_)) => accepted += 1,
+                    None => {}
                 }
             }
-            None
+            (accepted == CHECK_PAUSES.len()).then_some(Event::ServerRunning(server, since))
         });
     }
 
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -16,6 +16,7 @@
 use berylwheel_types::Incarnation;
 use berylwheel_types::PartHold;
 use berylwheel_types::PromptPartId;
+use berylwheel_types::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -76,6 +77,8 @@
     AttemptBroken(BrokenAttempt),
     /// A backend server refuses connections, so its process has ended.
     ServerRefused(BackendId),
+    /// A check of a backend server that began at this time has found it running.
+    ServerRunning(BackendId, Timestamp),
     /// Quarantined prompt parts were read from the store.
     HoldsRead(Vec<PartHold>),
     /// The write of the quarantined prompt parts has ended; true if it succeeded.
@@ -135,7 +138,8 @@
             | Self::ServerDraining(_)
             | Self::ServerSignal(..)
             | Self::AttemptBroken(_)
-            | Self::ServerRefused(_) => "server",
+            | Self::ServerRefused(_)
+            | Self::ServerRunning(..) => "server",
             Self::ServerListEvent(_) | Self::VmListRead(_) => "server_list",
             Self::PeerMessage(inbound) => inbound.message.kind(),
             Self::RootRead(_)
--- a/crates/berylwheel-router/src/control/quarantine.rs
+++ b/crates/berylwheel-router/src/control/quarantine.rs
@@ -25,9 +25,20 @@
 /// Maximum number of entries in one message about prompt parts.
 const MESSAGE_ENTRIES: usize = 64;
 
+/// How certain it is that an attempt broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakCertainty {
+    /// The answer did not come, or not to its end.
+    Certain,
+    /// The answer ended with its connection, as a complete one does that has no length or chunks.
+    Suspected,
+}
+
 /// A request whose connection to a server ended without an answer or at its very beginning.
 #[derive(Debug)]
 pub struct BrokenAttempt {
+    /// Whether the answer may be complete.
+    pub certainty: BreakCertainty,
     /// The server.
     pub server: BackendId,
     /// Time since the attempt was sent.
@@ -43,7 +54,13 @@
         if self.balancer.is_leaving(server) || !self.balancer.is_present(server) {
             return;
         }
-        self.quarantine.record_break(now, server, broken.ran_for, &broken.parts);
+        let (ran_for, parts) = (broken.ran_for, &broken.parts);
+        match broken.certainty {
+            BreakCertainty::Certain => self.quarantine.record_break(now, server, ran_for, parts),
+            BreakCertainty::Suspected => {
+                self.quarantine.record_unconfirmed(now, server, ran_for, parts);
+            }
+        }
     }
 
     /// Carries out what the quarantine has decided.
--- a/crates/berylwheel-router/src/forward/attempt.rs
+++ b/crates/berylwheel-router/src/forward/attempt.rs
@@ -37,6 +37,7 @@
 use crate::calls::request_guard::RequestGuard;
 use crate::control::command::Placement;
 use crate::control::event::Event;
+use crate::control::quarantine::BreakCertainty;
 use crate::control::quarantine::BrokenAttempt;
 
 /// Maximum idle time of a reused connection for a request that must not run twice. The server may
@@ -211,17 +212,34 @@
         call: &Call,
         placement: &Placement,
         failure: &AttemptFailure,
+    ) {
+        if matches!(failure, AttemptFailure::Unknown { timed_out: false, .. }) {
+            self.report_end_of_connection(call, placement, BreakCertainty::Certain);
+        }
+    }
+
+    /// Reports an answer that ended with its connection, just after it began. It has no length or
+    /// chunks, so that it is complete unless its server ended then, which the quarantine finds out.
+    pub(crate) fn report_suspected_break(&self, call: &Call, placement: &Placement) {
+        self.report_end_of_connection(call, placement, BreakCertainty::Suspected);
+    }
+
+    fn report_end_of_connection(
+        &self,
+        call: &Call,
+        placement: &Placement,
+        certainty: BreakCertainty,
     ) {
         let now = self.clock.now();
-        let is_broken = matches!(failure, AttemptFailure::Unknown { timed_out: false, .. });
         let has_begun = match call.trace.progress(now) {
             AnswerProgress::Nothing | AnswerProgress::Head => false,
             AnswerProgress::Events(age) => age >= ANSWER_START,
         };
-        if !is_broken || has_begun || call.parts.is_empty() {
+        if has_begun || call.parts.is_empty() {
             return;
         }
         self.send_event(Event::AttemptBroken(BrokenAttempt {
+            certainty,
             server: placement.server.id.clone(),
             ran_for: call.trace.age(now),
             parts: call.parts.clone(),
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -259,12 +259,14 @@
     }
 
     fn finish(self) -> NextFrame {
-        let Self { forwarder, call, mut guard, stream, event_count, .. } = self;
+        let Self { forwarder, call, mut guard, placement, stream, event_count, .. } = self;
         // A server that ends may leave a stream that looks complete if nothing states its length.
         let is_framed = stream.as_ref().is_some_and(OpenStream::is_framed);
         let progress = call.trace.progress(forwarder.clock.now());
         if is_framed || matches!(progress, AnswerProgress::Events(age) if age >= ANSWER_START) {
             guard.set_answered();
+        } else {
+            forwarder.report_suspected_break(&call, &placement);
         }
         log::debug!(request = call.id.as_str(), events = event_count; "stream ended");
         if let Some(stream) = stream {
--- a/crates/berylwheel-router/src/forward/whole.rs
+++ b/crates/berylwheel-router/src/forward/whole.rs
@@ -49,6 +49,8 @@
             guard.set_usage(Usage::Unknown);
             if has_framing(&head.headers) {
                 guard.set_answered();
+            } else {
+                self.report_suspected_break(&call, &pipeline.placement);
             }
         }
         guard.finish(response_outcome(class, head.status.as_u16()), true);
