--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -83,6 +83,8 @@
     WorkMeasured(BackendId, KindId, WorkSample),
     /// A backend server refuses connections, so its process has ended.
     ServerRefused(BackendId),
+    /// A check of a backend server that began at this time has found it running.
+    ServerRunning(BackendId, Timestamp),
     /// Quarantined prompt parts were read from the store.
     HoldsRead(Vec<PartHold>),
     /// The write of the quarantined prompt parts has ended; true if it succeeded.
@@ -147,7 +149,8 @@
             | Self::ServerSignal(..)
             | Self::AttemptBroken(_)
             | Self::WorkMeasured(..)
-            | Self::ServerRefused(_) => "server",
+            | Self::ServerRefused(_)
+            | Self::ServerRunning(..) => "server",
             Self::DomainsEvacuated(_) => "evacuation",
             Self::ServerListEvent(_) | Self::VmListRead(_) => "server_list",
             Self::PeerMessage(inbound) => inbound.message.kind(),
--- a/crates/berylwheel-router/src/forward/relay.rs
+++ b/crates/berylwheel-router/src/forward/relay.rs
@@ -274,6 +274,8 @@
         let progress = call.trace.progress(forwarder.clock.now());
         if is_framed || matches!(progress, AnswerProgress::Events(age) if age >= ANSWER_START) {
             guard.set_answered();
+        } else {
+            forwarder.report_suspected_break(&call, &placement);
         }
         if is_framed {
             forwarder.report_generation(&call, &placement, &timer, event_count);
