Compare clocks by the fastest recent heartbeat

A clock agreed with a peer's if the latest heartbeat showed a difference of at most 400 ms. A late heartbeat shows its delay as well.

Each peer's least difference of the last 5 s counts now. Delay only adds to the difference, so the least one is the closest to that of the clocks. A clock that is behind also no longer agrees because its heartbeats come late by as much. Ruled out: a larger limit, which the bound of a second between two clocks that agree does not allow.

Test: late_heartbeats_do_not_withdraw_an_agreement and late_heartbeats_do_not_hide_a_clock_that_is_behind failed before; all tests of berylwheel-config pass.

--- a/crates/berylwheel-config/src/peer_clocks.rs
+++ b/crates/berylwheel-config/src/peer_clocks.rs
@@ -7,7 +7,7 @@
 use berylwheel_types::VisitCounter;
 
 /// Maximum difference between clocks that agree. A heartbeat takes milliseconds to arrive, or a few
-/// hundred if a router is short of CPU time.
+/// hundred if a router is short of CPU time; the fastest of the recent ones counts.
 const MAX_SKEW: Millis = Millis(400);
 /// Time for which a clock reading from a heartbeat is used.
 const REPORT_TTL: Millis = Millis(5_000);
@@ -16,6 +16,23 @@
 /// Minimum number of other routers whose clocks have to agree.
 const MIN_PEERS: usize = 2;
 
+/// The last readings of the clock of another router.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    /// When the latest reading was received.
+    received: Timestamp,
+    /// The least of the recent differences between the time of receipt and the reading, in
+    /// milliseconds, and when it was received. A heartbeat that is late only adds to the
+    /// difference, so the least one is the closest to the difference of the clocks.
+    least: (i64, Timestamp),
+}
+
+impl Report {
+    fn agrees(&self) -> bool {
+        self.least.0.unsigned_abs() <= MAX_SKEW.0
+    }
+}
+
 /// The clocks of other routers as reported in their heartbeats.
 ///
 /// ```
@@ -32,8 +49,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct PeerClocks {
-    /// When each router last sent its clock, and whether that clock agreed with the local one.
-    reports: FastMap<RouterId, (Timestamp, bool)>,
+    reports: FastMap<RouterId, Report>,
     visits: VisitCounter,
 }
 
@@ -49,20 +65,27 @@
 
     /// Records the clock reading in a heartbeat from `from`.
     pub fn record(&mut self, now: Timestamp, from: &RouterId, clock: Timestamp) {
-        let skew = now.since(clock).max(clock.since(now));
+        let difference = i64::try_from(now.since(clock).0).unwrap_or(i64::MAX)
+            - i64::try_from(clock.since(now).0).unwrap_or(i64::MAX);
         if self.reports.len() >= PRUNE_LENGTH {
             self.visits.add(self.reports.len());
-            self.reports.retain(|_, (at, _)| now.since(*at) <= REPORT_TTL);
+            self.reports.retain(|_, report| now.since(report.received) <= REPORT_TTL);
         }
-        self.reports.insert(from.clone(), (now, skew <= MAX_SKEW));
+        let latest = (difference, now);
+        let earlier = self.reports.get(from).map(|report| report.least);
+        let least = earlier
+            .filter(|(least, at)| *least < difference && now.since(*at) <= REPORT_TTL)
+            .unwrap_or(latest);
+        self.reports.insert(from.clone(), Report { received: now, least });
     }
 
     /// Returns whether the local clock agrees with the majority of recent readings and with at
     /// least two of them.
     pub fn is_synchronized(&self, now: Timestamp) -> bool {
         self.visits.add(self.reports.len());
-        let recent = self.reports.values().filter(|(at, _)| now.since(*at) <= REPORT_TTL);
-        let agreeing = recent.clone().filter(|(_, agreeing)| *agreeing).count();
+        let recent =
+            self.reports.values().filter(|report| now.since(report.received) <= REPORT_TTL);
+        let agreeing = recent.clone().filter(|report| report.agrees()).count();
         agreeing >= MIN_PEERS && agreeing * 2 > recent.count()
     }
 }
