Report the tokens of ended runs in budget show, dump and metric

Nothing told how many tokens of a budget ended processes hold, since when and whether they can still come back: rows had to be compared with the list of routers.

`berylwheel budget show` lists them under `unusable` (run, tokens, last write, cause), the dump under `holder.unusable` for the budgets that the router is the home of, and the gauge `unusable_tokens` is their sum. The cause tells `may_be_spent` from `not_returned`. A run counts as ended if a later run at its address has written the page or its successor is known; silence does not count. No call of the store is added.

Test: homes_report_what_is_unusable.

--- a/crates/berylwheel-budget/src/holder/dump.rs
+++ b/crates/berylwheel-budget/src/holder/dump.rs
@@ -9,6 +9,7 @@
 
 use super::core::Holder;
 use crate::PageId;
+use crate::UnusableGrant;
 
 /// The grants of one holder.
 #[derive(Debug, Serialize)]
@@ -19,6 +20,8 @@
     pub draining: bool,
     /// One entry for each budget in use.
     pub budgets: Vec<BudgetDump>,
+    /// Tokens of ended runs, of the budgets that this holder is the home of.
+    pub unusable: Vec<UnusableGrant>,
 }
 
 /// The grant that one holder has of one budget.
@@ -64,6 +67,30 @@
             holder: self.own_id.clone(),
             draining: self.draining,
             budgets: budgets.collect(),
+            unusable: self.unusable(),
         }
     }
+
+    /// Returns the tokens that runs hold which have ended, of the budgets that this holder is the
+    /// home of, as of the last read or write of their pages.
+    ///
+    /// ```
+    /// use berylwheel_budget::{Holder, HolderPolicy};
+    /// let holder = Holder::new("r1@1".parse().unwrap(), HolderPolicy::default());
+    /// assert!(holder.unusable().is_empty());
+    /// ```
+    pub fn unusable(&self) -> Vec<UnusableGrant> {
+        // A run that others have replaced is known by its successor, which heartbeats tell of.
+        let is_ended = |run: &Incarnation| {
+            let later =
+                |other: &Incarnation| other.router == run.router && other.number > run.number;
+            later(&self.own_id) || self.lenders.iter().any(later)
+        };
+        let pages = self.pages.values().filter_map(|page| Some((page, page.cached.as_ref()?)));
+        let grants = pages.flat_map(|(page, content)| {
+            let own = page.grants.keys().filter(|budget| self.home_of(budget) == self.own_id);
+            own.flat_map(|budget| content.unusable(budget, is_ended)).collect::<Vec<_>>()
+        });
+        grants.collect()
+    }
 }
--- a/crates/berylwheel-budget/src/lib.rs
+++ b/crates/berylwheel-budget/src/lib.rs
@@ -16,6 +16,7 @@
 mod reclaim;
 mod serials;
 mod tag;
+mod unusable;
 
 pub use account::Account;
 pub use account::BilledAt;
@@ -45,3 +46,5 @@
 pub use reclaim::UsageRecord;
 pub use serials::SerialSet;
 pub use tag::UsageTag;
+pub use unusable::UnusableCause;
+pub use unusable::UnusableGrant;
--- a/crates/berylwheel-budget/tests/lending/mod.rs
+++ b/crates/berylwheel-budget/tests/lending/mod.rs
@@ -285,44 +285,6 @@
         account.held_by(&dead).0
     }
 
-    /// Sets whether the clocks of all holders agree with those of their peers.
-    pub fn set_clocks_agree(&mut self, agree: bool) {
-        self.clocks_agree = agree;
-        for slot in 0..self.holders.len() {
-            let now = self.clock_of(&self.holders[slot].0);
-            let address = SocketAddr::from(([10, 0, 0, slot as u8], 7_000));
-            let agrees = self.agrees(&self.holders[slot].0);
-            self.holders[slot].1.set_address(now, self.started[slot], address, agrees);
-        }
-    }
-
-    /// Kills all holders at once and restarts them `downtime` milliseconds later.
-    pub fn kill_all_and_restart(&mut self, downtime: u64) {
-        self.lossy = true;
-        let count = self.holders.len();
-        self.used += self.running.values().map(|pending| pending.amount).sum::<u64>();
-        self.running.clear();
-        self.waiting.clear();
-        self.messages.clear();
-        self.holders.clear();
-        self.started.clear();
-        self.now += downtime;
-        for slot in 0..count {
-            let started = self.start(slot, count);
-            self.holders.push(started);
-            self.started.push(self.clock_of(&self.holders[slot].0));
-        }
-        self.update_lenders();
-    }
-
-    /// Returns the tokens that processes hold which have ended.
-    pub fn stranded(&self) -> u64 {
-        let Some(account) = self.page.account(&budget()) else { return 0 };
-        let live = |run: &Incarnation| self.holders.iter().any(|(holder_id, _)| holder_id == run);
-        let ended = account.rows.iter().filter(|(run, _)| !live(run));
-        ended.map(|(_, row)| row.outstanding().0).sum()
-    }
-
     /// Announces the departure of a holder, so that the others no longer ask it for loans.
     pub fn depart(&mut self, slot: usize) {
         let leaving = self.holders[slot].0.clone();
--- a/crates/berylwheel-budget/tests/lending/power_loss.rs
+++ b/crates/berylwheel-budget/tests/lending/power_loss.rs
@@ -1,9 +1,61 @@
 //! Tests of the tokens that stay unusable after processes were killed.
 
+use std::net::SocketAddr;
+
+use berylwheel_budget::UnusableCause;
+use berylwheel_types::Incarnation;
+
 use super::Simulation;
+use super::budget;
 
 const TOTAL: u64 = 1_000_000;
 
+impl Simulation {
+    /// Sets whether the clocks of all holders agree with those of their peers.
+    pub fn set_clocks_agree(&mut self, agree: bool) {
+        self.clocks_agree = agree;
+        for slot in 0..self.holders.len() {
+            let now = self.clock_of(&self.holders[slot].0);
+            let address = SocketAddr::from(([10, 0, 0, slot as u8], 7_000));
+            let agrees = self.agrees(&self.holders[slot].0);
+            self.holders[slot].1.set_address(now, self.started[slot], address, agrees);
+        }
+    }
+
+    /// Kills all holders at once and restarts them `downtime` milliseconds later.
+    pub fn kill_all_and_restart(&mut self, downtime: u64) {
+        self.lossy = true;
+        let count = self.holders.len();
+        self.used += self.running.values().map(|pending| pending.amount).sum::<u64>();
+        self.running.clear();
+        self.waiting.clear();
+        self.messages.clear();
+        self.holders.clear();
+        self.started.clear();
+        self.now += downtime;
+        for slot in 0..count {
+            let started = self.start(slot, count);
+            self.holders.push(started);
+            self.started.push(self.clock_of(&self.holders[slot].0));
+        }
+        self.update_lenders();
+    }
+
+    /// Returns the tokens that processes hold which have ended.
+    pub fn stranded(&self) -> u64 {
+        let Some(account) = self.page.account(&budget()) else { return 0 };
+        let live = |run: &Incarnation| self.holders.iter().any(|(holder_id, _)| holder_id == run);
+        let ended = account.rows.iter().filter(|(run, _)| !live(run));
+        ended.map(|(_, row)| row.outstanding().0).sum()
+    }
+
+    /// Returns the tokens of ended runs that the homes of the budget report, by cause.
+    pub fn reported(&self, cause: UnusableCause) -> u64 {
+        let reported = self.holders.iter().flat_map(|(_, holder)| holder.unusable());
+        reported.filter(|grant| grant.cause == cause).map(|grant| grant.tokens.0).sum()
+    }
+}
+
 /// Serves requests of 500 tokens at each of `slots` in turn, one every 100 ms.
 fn spend(sim: &mut Simulation, slots: usize, requests: usize) {
     for request in 0..requests {
@@ -71,3 +123,22 @@
     let stranded = sim.stranded();
     assert!(stranded <= TOTAL / 10, "{stranded} tokens are not returned");
 }
+
+/// Guards against operators who cannot see what is unusable: the home of a budget must report all
+/// that ended runs hold, and whether a later run can still return it.
+#[test]
+fn homes_report_what_is_unusable() {
+    let mut sim = Simulation::new(9, TOTAL);
+    sim.advance(3_000);
+    spend(&mut sim, 9, 30);
+    sim.clocks_agree = false;
+    sim.kill_all_and_restart(1_500);
+    spend(&mut sim, 9, 5);
+    let reported =
+        sim.reported(UnusableCause::MayBeSpent) + sim.reported(UnusableCause::NotReturned);
+    assert!(reported > 0);
+    assert_eq!(reported, sim.stranded());
+    sim.set_clocks_agree(true);
+    sim.advance(2_000);
+    assert_eq!(sim.reported(UnusableCause::MayBeSpent), sim.stranded());
+}
--- a/crates/berylwheel-router/src/control/work.rs
+++ b/crates/berylwheel-router/src/control/work.rs
@@ -85,6 +85,8 @@
         let link = self.fleet.link.as_ref().map(|link| link.stats()).unwrap_or_default();
         log::info!(work:% = self.work_dump(); "work since the start");
         let metrics = &self.effects.metrics;
+        let unusable = self.holder.unusable();
+        metrics.record_unusable(unusable.iter().map(|grant| grant.tokens.0).sum());
         metrics.record_work("turns", self.work.turns);
         metrics.record_work("busy_us", self.work.busy_us);
         metrics.record_work("visits", self.visits());
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -127,6 +127,11 @@
         let _ = self.client.gauge_with_tags("work", total).with_tag("what", what).try_send();
     }
 
+    /// Records the tokens of ended runs, of the budgets that this router is the home of.
+    pub fn record_unusable(&self, tokens: u64) {
+        let _ = self.client.gauge_with_tags("unusable_tokens", tokens).try_send();
+    }
+
     pub fn count_retry(&self, kind: &KindId) {
         let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
     }
--- a/crates/berylwheel-router/src/operate/admin.rs
+++ b/crates/berylwheel-router/src/operate/admin.rs
@@ -227,9 +227,12 @@
         let budget = parse_budget(budget)?;
         let page = self.ledger()?.page(&budget).await?;
         let account = page.account(&budget);
+        let snapshot = self.snapshot.load();
+        let unusable = page.unusable(&budget, |run| snapshot.ended_runs.contains(run));
         Ok(json_response(&json!({
             "budget": budget,
             "account": account,
+            "unusable": unusable,
             "audit": page.audit(&budget),
         })))
     }
