Open the spend of the lock time without an agreeing clock

Cause: a holder whose clock is not confirmed opened the expected spend of ten seconds after each write.

--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -341,7 +341,8 @@
     ///
     /// A holder whose clock does not agree with its peers' opens nothing more until its next write,
     /// so that the tokens that it cannot have spent do not depend on a clock. It opens the expected
-    /// spend of a store outage at once instead.
+    /// spend of the lock time at once instead. With the spend of a whole store outage, a few kills
+    /// made a budget that lasts for a minute unusable.
     fn open_tokens(
         &self,
         now: Timestamp,
@@ -349,7 +350,7 @@
         account: &Account,
         clock_agrees: bool,
     ) -> Tokens {
-        let span = if clock_agrees { WRITE_INTERVAL } else { self.horizon };
+        let span = if clock_agrees { WRITE_INTERVAL } else { self.lock_time };
         let waiting: Tokens = grant.waiters.iter().map(|waiter| waiter.amount).sum();
         let unspent = account.balance + account.outstanding();
         let part = Tokens((unspent.0 as f64 * self.open_share.fraction()) as u64);
--- a/crates/berylwheel-budget/tests/lending/power_loss.rs
+++ b/crates/berylwheel-budget/tests/lending/power_loss.rs
@@ -142,3 +142,26 @@
     sim.advance(2_000);
     assert_eq!(sim.reported(UnusableCause::MayBeSpent), sim.stranded());
 }
+
+/// Guards against an open part of ten seconds' spend, which three kills of the last two routers made
+/// unusable of a budget that lasts for a minute: later requests were all refused (review, case 1).
+#[test]
+fn a_budget_in_heavy_use_outlasts_kills_without_peers() {
+    let mut sim = Simulation::new(2, 144_213);
+    sim.set_clocks_agree(false);
+    sim.advance(4_000);
+    let spend = |sim: &mut Simulation, requests: usize| {
+        for request in 0..requests {
+            sim.request(request % 2, 1_600);
+            sim.advance(750);
+            sim.finish_all(1_600);
+        }
+    };
+    spend(&mut sim, 18);
+    for _ in 0..3 {
+        spend(&mut sim, 7);
+        sim.kill_all_and_restart(800);
+    }
+    spend(&mut sim, 25);
+    assert_eq!(sim.refused(), []);
+}
