Measure speeds where servers state their own, and keep prompts at their homes

Cached and uncached prompts make equal servers look unequal, and homes more than 1.5 times as slow as the best one were passed over. The earlier deployments have equal servers and state no work time. Change: SpeedUse::IfStated on a platform; homes up to 2.5 times as slow stay in use. All tests of berylwheel-route pass; the new one guards the switch.

--- a/benches/overload/speeds.rs
+++ b/benches/overload/speeds.rs
@@ -15,6 +15,7 @@
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::RouteQuery;
 use berylwheel_route::Server;
+use berylwheel_route::SpeedUse;
 use berylwheel_route::Work;
 use berylwheel_route::WorkSample;
 use berylwheel_router::extended_limit;
@@ -152,7 +153,7 @@
             affinity_first: true,
             slow_start: Millis(1_000),
             probe_rate: 0,
-            measure_speed: measured,
+            measure_speed: if measured { SpeedUse::Always } else { SpeedUse::Never },
             ..RoutePolicy::default()
         };
         let router = |n: usize| {
--- a/crates/berylwheel-route/src/choice.rs
+++ b/crates/berylwheel-route/src/choice.rs
@@ -12,7 +12,7 @@
 const IDLE_TIME: f64 = 1.0;
 /// Maximum factor of a server that prefix affinity chooses, relative to the least factor of the
 /// prefix's homes. Reading a prefix again at a server that is faster than that costs less.
-const AFFINITY_FACTOR: f64 = 1.5;
+const AFFINITY_FACTOR: f64 = 2.5;
 
 /// One in this many choices ignores the measured factors. Of idle servers the slowest would otherwise
 /// get no work at all, so that nothing would be learned of its recovery until the evidence has aged.
--- a/crates/berylwheel-route/src/evacuation.rs
+++ b/crates/berylwheel-route/src/evacuation.rs
@@ -54,7 +54,7 @@
     ///
     /// ```
     /// use berylwheel_route::{Availability, LoadBalancer, RoutePolicy, RouteQuery, Server};
-    /// use berylwheel_types::{FastSet, Timestamp};
+    /// use berylwheel_types::{FastSet, Timestamp, Tokens};
     /// let now = Timestamp::from_millis(0);
     /// let mut balancer = LoadBalancer::new("r1".parse().unwrap(), RoutePolicy::default(), 7);
     /// balancer.set_servers(now, vec![Server {
@@ -65,8 +65,13 @@
     ///     concurrency: 1,
     ///     domain: "d1".parse().unwrap(),
     /// }]);
-    /// let query =
-    ///     RouteQuery { kind: "stock".parse().unwrap(), model: None, prefix: 0, exclude: vec![] };
+    /// let query = RouteQuery {
+    ///     kind: "stock".parse().unwrap(),
+    ///     model: None,
+    ///     prefix: 0,
+    ///     exclude: vec![],
+    ///     prompt_tokens: Tokens::ZERO,
+    /// };
     /// let set: FastSet<_> = ["d1".parse().unwrap()].into_iter().collect();
     /// assert_eq!(balancer.set_evacuated(now, set).evacuated.len(), 1);
     /// assert_eq!(balancer.pick(now, &query), None);
--- a/crates/berylwheel-route/src/lib.rs
+++ b/crates/berylwheel-route/src/lib.rs
@@ -37,6 +37,7 @@
 pub use evacuation::EvacuationChange;
 pub use load_balancer::LoadBalancer;
 pub use policy::RoutePolicy;
+pub use policy::SpeedUse;
 pub use server::CacheEvent;
 pub use server::LoadReport;
 pub use server::Outcome;
--- a/crates/berylwheel-route/src/policy.rs
+++ b/crates/berylwheel-route/src/policy.rs
@@ -2,6 +2,18 @@
 
 use berylwheel_types::Millis;
 
+/// When servers are chosen by their measured speeds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SpeedUse {
+    /// Never; servers count as equal.
+    Never,
+    /// Once a server has stated how long work takes on its machine. Servers that share machines
+    /// state it. Others are of equal speed, and the differences that caches and queues cause between
+    /// them would cost cached prefixes.
+    IfStated,
+    Always,
+}
+
 /// Limits, weights and intervals of server selection.
 ///
 /// ```
@@ -54,8 +66,8 @@
     /// How long a server gets no requests after another one responded at its address. A server list
     /// drops the entry of a silent server within this time.
     pub misdirected_hold: Millis,
-    /// Whether the choice goes by the measured speeds of servers.
-    pub measure_speed: bool,
+    /// When the choice goes by the measured speeds of servers.
+    pub measure_speed: SpeedUse,
 }
 
 impl Default for RoutePolicy {
@@ -77,7 +89,7 @@
             leaving_hold: Millis(60_000),
             pause_limit: Millis(300_000),
             misdirected_hold: Millis(4_000),
-            measure_speed: true,
+            measure_speed: SpeedUse::Always,
         }
     }
 }
--- a/crates/berylwheel-route/src/speed/balance.rs
+++ b/crates/berylwheel-route/src/speed/balance.rs
@@ -15,6 +15,7 @@
 use super::speeds::Speeds;
 use crate::LoadBalancer;
 use crate::RouteQuery;
+use crate::SpeedUse;
 use crate::subset::Pool;
 
 /// The speed of one server as seen by one router.
@@ -105,7 +106,8 @@
         model: Option<&ModelId>,
         sample: WorkSample,
     ) -> Option<SpeedChange> {
-        if !self.policy.measure_speed || !self.states.contains_key(server) {
+        self.speeds.has_stated |= sample.stated.is_some();
+        if !self.uses_speeds() || !self.states.contains_key(server) {
             return None;
         }
         self.last_time = now;
@@ -113,6 +115,14 @@
         self.speeds.record(now, pool, server, sample)
     }
 
+    fn uses_speeds(&self) -> bool {
+        match self.policy.measure_speed {
+            SpeedUse::Never => false,
+            SpeedUse::IfStated => self.speeds.has_stated,
+            SpeedUse::Always => true,
+        }
+    }
+
     /// Returns the time that a server is expected to take for a request, or `None` if this router
     /// has too few samples of the pool.
     ///
@@ -170,7 +180,7 @@
     /// assert_eq!(balancer.speed_factor(&entry.server, WorkClass::Plain), 1.0);
     /// ```
     pub fn apply_shared_speeds(&mut self, now: Timestamp, entries: &[SharedSpeed]) {
-        if !self.policy.measure_speed {
+        if !self.uses_speeds() {
             return;
         }
         for entry in entries.iter().filter(|entry| self.states.contains_key(&entry.server)) {
--- a/crates/berylwheel-route/src/speed/speeds.rs
+++ b/crates/berylwheel-route/src/speed/speeds.rs
@@ -114,6 +114,8 @@
     refreshed: Timestamp,
     /// Whether stated times improve the predictions of any pool.
     uses_stated: bool,
+    /// Whether a server has stated how long work takes on its machine.
+    pub(super) has_stated: bool,
 }
 
 impl Speeds {
--- a/crates/berylwheel-route/tests/speed.rs
+++ b/crates/berylwheel-route/tests/speed.rs
@@ -6,6 +6,7 @@
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::RouteQuery;
 use berylwheel_route::SharedSpeed;
+use berylwheel_route::SpeedUse;
 use berylwheel_route::Work;
 use berylwheel_route::WorkClass;
 use berylwheel_route::WorkSample;
@@ -280,7 +281,8 @@
 /// share of each must stay as it is without measured speeds.
 #[test]
 fn equal_servers_are_chosen_as_without_measurements() {
-    let spread = |measure_speed: bool| {
+    let spread = |measured: bool| {
+        let measure_speed = if measured { SpeedUse::Always } else { SpeedUse::Never };
         let policy = RoutePolicy { measure_speed, ..RoutePolicy::default() };
         let mut balancer = LoadBalancer::new("r1".parse().unwrap(), policy, SEED);
         balancer
@@ -350,3 +352,25 @@
         }
     }
 }
+
+/// Guards against measurements where no server states how long work takes on its machine: such
+/// servers must be chosen as before.
+#[test]
+fn speeds_are_measured_once_a_server_has_stated_its_own() {
+    let policy = RoutePolicy { measure_speed: SpeedUse::IfStated, ..RoutePolicy::default() };
+    let mut balancer = LoadBalancer::new("r1".parse().unwrap(), policy, SEED);
+    balancer.set_servers(at(0), vec![engine("e0", &["m1"], 64), engine("e1", &["m1"], 64)]);
+    let (kind, model) = ("chat".parse().unwrap(), "m1".parse().unwrap());
+    let mut record = |server: &str, took: u64, stated: Option<u32>| {
+        let work = Work::Prompt(Tokens(1_000));
+        let sample = WorkSample { work, took: Millis(took), unfinished: false, stated };
+        for n in 0..40 {
+            balancer.record_work(at(n * 50), &id(server), &kind, Some(&model), sample);
+        }
+        balancer.speed_factor(&id(server), WorkClass::Prompt)
+    };
+    record("e0", 100, None);
+    assert_eq!(record("e1", 400, None), 1.0);
+    record("e0", 100, Some(100));
+    assert!(record("e1", 400, Some(100)) > 1.0);
+}
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -11,6 +11,7 @@
 use berylwheel_route::RoutePolicy;
 use berylwheel_route::Server;
 use berylwheel_route::ServerListEvent;
+use berylwheel_route::SpeedUse;
 use berylwheel_schedule::KindLimits;
 use berylwheel_schedule::RankPolicy;
 use berylwheel_schedule::SchedulePolicy;
@@ -185,6 +186,7 @@
             eject_base: Millis(1_000),
             eject_limit: Millis(8_000),
             probe_rate: 0,
+            measure_speed: SpeedUse::IfStated,
             leaving_hold: Millis(10_000),
             ..RoutePolicy::default()
         },
--- a/crates/berylwheel-router/tests/speeds.rs
+++ b/crates/berylwheel-router/tests/speeds.rs
@@ -67,7 +67,7 @@
             for number in 0..40 {
                 let took = Millis(if number == 0 { 200 } else { 60 });
                 let sample =
-                    WorkSample { work: Work::Plain, took, unfinished: false, stated: None };
+                    WorkSample { work: Work::Plain, took, unfinished: false, stated: Some(100) };
                 fleet.router.record_work(&server(number), &pool(), sample);
             }
         }
