--- a/crates/berylwheel-router/src/calls/relay.rs
+++ b/crates/berylwheel-router/src/calls/relay.rs
@@ -124,8 +124,11 @@
         id: &RequestId,
         tokens: u64,
     ) -> Option<EventReader<ResponseStream>> {
-        let outgoing =
+        let mut outgoing =
             self.engine_request(job, placement, id).header("x-resume-from", tokens.to_string());
+        // An engine whose stream broke off may be closing its pooled connections, and there is one
+        // attempt only.
+        outgoing.pooled = false;
         let (response, stream) =
             self.client.send(placement.server.address, &outgoing).await.ok()?;
         (response.status() == 200).then(|| EventReader::new(stream))
