--- a/crates/berylwheel-route/src/speed/balance.rs
+++ b/crates/berylwheel-route/src/speed/balance.rs
@@ -180,10 +180,12 @@
     /// assert_eq!(balancer.speed_factor(&entry.server, WorkClass::Plain), 1.0);
     /// ```
     pub fn apply_shared_speeds(&mut self, now: Timestamp, entries: &[SharedSpeed]) {
-        if !self.uses_speeds() {
+        if self.policy.measure_speed == SpeedUse::Never {
             return;
         }
         for entry in entries.iter().filter(|entry| self.states.contains_key(&entry.server)) {
+            // A router sends what it has measured, so a server has stated its own to that router.
+            self.speeds.has_stated = true;
             self.speeds.apply_shared(now, entry);
         }
     }
