--- a/crates/berylwheel-route/src/choice.rs
+++ b/crates/berylwheel-route/src/choice.rs
@@ -54,8 +54,7 @@
 ///
 /// Prefers a server that has cached the prefix, then one of the prefix's home servers, as long as
 /// its load is within the affinity bound. Otherwise takes the one of two random candidates with the
-/// shorter expected time;
-/// `draws` are the random numbers for these.
+/// shorter expected time. `draws` are the random numbers for these.
 pub(crate) fn choose<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     prefix: u64,
--- a/crates/berylwheel-router/src/fleet/relay/core.rs
+++ b/crates/berylwheel-router/src/fleet/relay/core.rs
@@ -24,6 +24,7 @@
 const SLOT_CYCLE: Millis = Millis(3_000);
 /// Shortest wait of a watch. A shorter one would be a call for nothing.
 const MIN_WAIT: Millis = Millis(300);
+
 /// The relay of one router.
 ///
 /// ```
