Add case 6: a restored store lets a tenant exceed its prepaid tokens

The store may come back from a copy some seconds old. Grants and bills of these seconds are then back in the ledger, although they were spent.

Adds a script with stand-ins for the store, model servers and clients, written against the standard library only.

--- /dev/null
+++ b/review/cases-2/main.rs
@@ -0,0 +1,42 @@
+//! Runs one case of the review: `cases-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
+//! held and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
+
+mod client;
+mod clock;
+mod fleet;
+mod http;
+mod json;
+mod server;
+mod store;
+mod store_restored;
+
+use std::fs;
+use std::path::Path;
+use std::process::exit;
+
+/// What a case found.
+pub struct Verdict {
+    pub broken: bool,
+    pub record: Vec<String>,
+}
+
+fn main() {
+    clock::since_start();
+    let words: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &words[..] else { exit(2) };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let result = match case.as_str() {
+        "store-restored" => store_restored::run(trouble),
+        _ => Err(format!("no case {case}")),
+    };
+    let (status, mut record) = match result {
+        Ok(Verdict { broken, record }) => (i32::from(broken), record),
+        Err(error) => (2, vec![format!("could not run: {error}")]),
+    };
+    record.push(format!("exit status {status}"));
+    println!("{}", record[..record.len().min(12)].join("\n"));
+    if fs::write(Path::new(folder).join("record.txt"), record.join("\n") + "\n").is_err() {
+        exit(2);
+    }
+    exit(status);
+}
