--- a/review/cases-2/server.rs
+++ b/review/cases-2/server.rs
@@ -24,9 +24,8 @@
 
 /// Interval of a server's entries in the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Time to the first event of a stream, and between two events.
+/// Time to the first event of a stream.
 const FIRST_EVENT: Duration = Duration::from_millis(30);
-const EVENT_GAP: Duration = Duration::from_millis(15);
 /// Tokens in one event of a stream.
 pub const STRIDE: u64 = 7;
 
@@ -49,6 +48,7 @@
     service: String,
     zone: String,
     slots: u32,
+    event_gap: Duration,
     running: Arc<AtomicU64>,
     is_listed: Arc<AtomicBool>,
     runs: Runs,
@@ -59,6 +59,8 @@
     pub service: &'a str,
     pub zone: &'a str,
     pub slots: u32,
+    /// Time between two events of a stream.
+    pub event_gap: Duration,
 }
 
 impl Server {
@@ -69,6 +71,7 @@
             service: plan.service.to_owned(),
             zone: plan.zone.to_owned(),
             slots: plan.slots,
+            event_gap: plan.event_gap,
             running: Arc::default(),
             is_listed: Arc::new(AtomicBool::new(true)),
             runs: runs.clone(),
@@ -158,7 +161,7 @@
         for event in first..=most / STRIDE {
             let text = format!("id: {event}\ndata: tokens of {id}\n\n");
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-            thread::sleep(EVENT_GAP);
+            thread::sleep(self.event_gap);
         }
         writer.write_all(b"0\r\n\r\n")
     }
--- a/review/cases-2/store_restored.rs
+++ b/review/cases-2/store_restored.rs
@@ -28,6 +28,8 @@
 const PREPAID: u64 = 240_000;
 const PROMPT_TOKENS: u64 = 300;
 const EVENTS: u64 = 10;
+/// Time between two events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(15);
 const REQUESTS_PER_SECOND: u64 = 20;
 /// Length of the traffic.
 const TRAFFIC: Duration = Duration::from_secs(60);
@@ -52,7 +54,13 @@
     let runs = Runs::default();
     for number in 0..SERVERS {
         let id = format!("i-{number:08x}");
-        let plan = ServerPlan { id: &id, service: "huvo11a", zone: ZONES[number % 3], slots: 64 };
+        let plan = ServerPlan {
+            id: &id,
+            service: "huvo11a",
+            zone: ZONES[number % 3],
+            slots: 64,
+            event_gap: EVENT_GAP,
+        };
         Server::start(listen(machine_ip(3, number)), &plan, &store, &runs);
     }
     let mut fleet = Fleet::start(ROUTERS, store.address).map_err(|error| error.to_string())?;
