--- a/review/cases-2/client.rs
+++ b/review/cases-2/client.rs
@@ -12,6 +12,7 @@
 use crate::http::header;
 use crate::http::read_chunk;
 use crate::http::read_head;
+use crate::wire::wire;
 
 /// A model request.
 #[derive(Clone)]
@@ -59,7 +60,11 @@
     let ModelRequest { id, host, path, key, prompt_tokens, output_tokens, deadline_ms } = request;
     let body = "a prompt";
     let text = format!(
-        "POST {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Counts: {prompt_tokens},{output_tokens}\r\nPrompt-Prefix: {id}:{prompt_tokens}\r\nDeadline-Remaining: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: {host}\r\n{}: {id}\r\nModel: m\r\n{}: {prompt_tokens},{output_tokens}\r\n{}: {id}:{prompt_tokens}\r\n{}: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
+        wire("request_id"),
+        wire("tokens"),
+        wire("prompt"),
+        wire("time_left"),
         body.len()
     );
     (&stream).write_all(text.as_bytes())?;
@@ -68,7 +73,7 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
     };
     answer.status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-    answer.sealed = header(&headers, "response-seal").is_some();
+    answer.sealed = header(&headers, wire("seal")).is_some();
     let mut received = Vec::new();
     if header(&headers, "transfer-encoding").is_some() {
         loop {
--- a/review/cases-2/fleet.rs
+++ b/review/cases-2/fleet.rs
@@ -22,6 +22,7 @@
 use std::time::Instant;
 
 use crate::http::read_head;
+use crate::wire::parse_lines;
 
 pub const ZONES: [&str; 3] = ["ahmedabad-a", "surat-b", "vadodara-c"];
 const PROGRAM: &str = "target/release/berylwheel";
@@ -123,22 +124,20 @@
     pub fn write_settings(&self, number: usize, store: SocketAddr, first: bool) -> io::Result<()> {
         let router = &self.routers[number];
         let (ip, ports) = (router.ip, router.ports);
-        let fields: BTreeMap<&str, String> = BTreeMap::from([
+        let own: BTreeMap<&str, String> = BTreeMap::from([
             ("node", format!("front-{}-{}", ZONES[number % 3], number / 3 + 1)),
             ("zone", ZONES[number % 3].to_owned()),
-            ("region", "gujarat-west".to_owned()),
             ("ip_address", ip.to_string()),
             ("listen_addresses.front", format!("{ip}:{}", ports.front)),
             ("listen_addresses.ready", format!("{ip}:{}", ports.ready)),
             ("internal_ports.0", ports.internal[0].to_string()),
             ("internal_ports.1", ports.internal[1].to_string()),
             ("platform.address", store.to_string()),
-            ("limits.link_mbps", "1000.0".to_owned()),
             ("initial_start", first.to_string()),
-            ("bounds.grace_s", "8".to_owned()),
-            ("bounds.retry_budget_ratio", "0.2".to_owned()),
-            ("bounds.budget_extra_retries", "58".to_owned()),
         ]);
+        let shared = parse_lines(include_str!("sheet.txt"));
+        let shared = shared.into_iter().map(|(name, value)| (name, value.to_owned()));
+        let fields: BTreeMap<&str, String> = own.into_iter().chain(shared).collect();
         fs::write(&router.settings, render(&fs::read_to_string(TEMPLATE)?, &fields))
     }
 
--- a/review/cases-2/main.rs
+++ b/review/cases-2/main.rs
@@ -9,6 +9,7 @@
 mod server;
 mod store;
 mod store_restored;
+mod wire;
 
 use std::fs;
 use std::path::Path;
--- a/review/cases-2/server.rs
+++ b/review/cases-2/server.rs
@@ -21,6 +21,7 @@
 use crate::http::read_request;
 use crate::http::write_response;
 use crate::store::Store;
+use crate::wire::wire;
 
 /// Interval of a server's entries in the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -96,11 +97,15 @@
             if !self.is_listed.load(Ordering::Relaxed) {
                 return;
             }
-            let entry = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"born\":{born},\"seq\":{seq}}}",
-                self.service, self.address, self.zone, self.slots
-            );
-            store.put_outside(&format!("servers/{}", self.id), &entry);
+            let entry = include_str!("entry.json")
+                .trim()
+                .replace("SERVICE", &self.service)
+                .replace("ADDRESS", &self.address.to_string())
+                .replace("ZONE", &self.zone)
+                .replace("SLOTS", &self.slots.to_string())
+                .replace("BORN", &born.to_string())
+                .replace("SEQ", &seq.to_string());
+            store.put_outside(&format!("{}{}", wire("servers"), self.id), &entry);
             thread::sleep(HEARTBEAT);
         }
     }
@@ -111,19 +116,19 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader)? {
             if request.path() == "/health" {
-                write_response(&mut writer, 200, &[("Instance-Id", &self.id)], "")?;
+                write_response(&mut writer, 200, &[(wire("instance"), &self.id)], "")?;
                 continue;
             }
-            let expected = request.header("expected-instance");
+            let expected = request.header(wire("expected"));
             if expected.is_some_and(|expected| expected != self.id) {
-                write_response(&mut writer, 421, &[("Instance-Id", &self.id)], "")?;
+                write_response(&mut writer, 421, &[(wire("instance"), &self.id)], "")?;
                 continue;
             }
             let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
             let result = match running > u64::from(self.slots) {
                 true => {
-                    let id = request.header("attempt-id").unwrap_or_default();
-                    let headers = [("Not-Executed", "1"), ("Attempt-Id", id)];
+                    let id = request.header(wire("request_id")).unwrap_or_default();
+                    let headers = [(wire("not_run"), "1"), (wire("request_id"), id)];
                     write_response(&mut writer, 503, &headers, "")
                 }
                 false => self.run(&request, &mut writer),
@@ -135,27 +140,30 @@
     }
 
     fn run(&self, request: &Request, writer: &mut TcpStream) -> io::Result<()> {
-        let id = request.header("attempt-id").unwrap_or_default().to_owned();
+        let id = request.header(wire("request_id")).unwrap_or_default().to_owned();
         let tenant = request.header("tenant").unwrap_or("-").to_owned();
         let run = Run { at: since_start(), server: self.id.clone(), request: id.clone(), tenant };
         self.runs.lock().unwrap().push(run);
         let load = format!("{},0,{}", self.running.load(Ordering::Relaxed), self.slots);
         let seal = format!("seal.{}.{id}", self.id);
-        let Some(counts) = request.header("token-counts") else {
+        let Some(counts) = request.header(wire("tokens")) else {
             thread::sleep(FIRST_EVENT);
             let headers = [
-                ("Attempt-Id", id.as_str()),
-                ("Response-Seal", seal.as_str()),
-                ("Server-Load", load.as_str()),
+                (wire("request_id"), id.as_str()),
+                (wire("seal"), seal.as_str()),
+                (wire("load"), load.as_str()),
             ];
             return write_response(writer, 200, &headers, &format!("done {id}\n"));
         };
         let most: u64 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let first: u64 =
-            request.header("last-event-id").and_then(|n| n.trim().parse().ok()).unwrap_or(0) + 1;
+            request.header(wire("last_event")).and_then(|n| n.trim().parse().ok()).unwrap_or(0) + 1;
         thread::sleep(FIRST_EVENT);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nAttempt-Id: {id}\r\nResponse-Seal: {seal}\r\nServer-Load: {load}\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}: {id}\r\n{}: {seal}\r\n{}: {load}\r\n\r\n",
+            wire("request_id"),
+            wire("seal"),
+            wire("load")
         );
         writer.write_all(head.as_bytes())?;
         for event in first..=most / STRIDE {
--- a/review/cases-2/store.rs
+++ b/review/cases-2/store.rs
@@ -21,6 +21,7 @@
 use crate::http::write_response;
 use crate::json::Json;
 use crate::json::base64;
+use crate::wire::wire;
 
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
@@ -223,7 +224,7 @@
         let gone: Vec<String> = content
             .items
             .keys()
-            .filter(|key| key.starts_with("op/") || key.starts_with("servers/"))
+            .filter(|key| is_outside(key))
             .filter(|key| !state.outside.contains_key(*key))
             .cloned()
             .collect();
@@ -274,7 +275,7 @@
                 }
                 state.era.to_string()
             };
-            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+            let headers = [("Content-Type", "application/json"), (wire("era"), era.as_str())];
             write_response(&mut writer, status, &headers, &body)?;
         }
         Ok(())
@@ -289,7 +290,7 @@
         state.calls += 1;
         let path = request.path().to_owned();
         match path.as_str() {
-            "/kv-key" => {
+            path if path == wire("key") => {
                 let key = request.query("key").unwrap_or_default();
                 let at = state.content.revision;
                 if !state.content.items.contains_key(&key) {
@@ -298,7 +299,7 @@
                 let item = state.content.item_json(&key);
                 Some((200, format!("{},\"at\":{at}}}", item.trim_end_matches('}'))))
             }
-            "/kv-range" => {
+            path if path == wire("range") => {
                 let prefix = request.query("prefix").unwrap_or_default();
                 let after = request.query("after").unwrap_or_default();
                 let content = &state.content;
@@ -310,14 +311,14 @@
                 let items = items.join(",");
                 Some((200, format!("{{\"items\":[{items}],\"has_more\":{more},\"at\":{at}}}")))
             }
-            "/kv-watch" => self.watch(state, request, outages),
-            "/kv-txn" => {
+            path if path == wire("watch") => self.watch(state, request, outages),
+            path if path == wire("transaction") => {
                 let body = Json::parse(&String::from_utf8_lossy(&request.body))?;
                 let answer = transact(&mut state.content, &body);
                 self.shared.1.notify_all();
                 Some(answer)
             }
-            "/kv-lease" => {
+            path if path == wire("lease") => {
                 let body = Json::parse(&String::from_utf8_lossy(&request.body))?;
                 let ttl = body.get("ttl_ms").and_then(Json::number).unwrap_or(1_000);
                 let ttl = ttl.clamp(1_000, 600_000);
@@ -327,8 +328,8 @@
                 state.content.leases.insert(id, Lease { ttl: span, until: Instant::now() + span });
                 Some((200, format!("{{\"lease\":{id},\"ttl_ms\":{ttl}}}")))
             }
-            path if path.starts_with("/kv-keep/") => {
-                let id: u64 = path["/kv-keep/".len()..].parse().ok()?;
+            path if path.starts_with(wire("keep")) => {
+                let id: u64 = path[wire("keep").len()..].parse().ok()?;
                 match state.content.leases.get_mut(&id) {
                     Some(lease) => {
                         lease.until = Instant::now() + lease.ttl;
@@ -337,8 +338,8 @@
                     None => Some((404, "{}".to_owned())),
                 }
             }
-            path if path.starts_with("/kv-lease-end/") => {
-                let id: u64 = path["/kv-lease-end/".len()..].parse().ok()?;
+            path if path.starts_with(wire("lease_end")) => {
+                let id: u64 = path[wire("lease_end").len()..].parse().ok()?;
                 if let Some(lease) = state.content.leases.get_mut(&id) {
                     lease.until = Instant::now();
                 }
@@ -385,8 +386,13 @@
     }
 }
 
+/// Returns whether a key is written by the operator or the servers only.
+fn is_outside(key: &str) -> bool {
+    key.starts_with(wire("operator")) || key.starts_with(wire("servers"))
+}
+
 fn transact(content: &mut Content, body: &Json) -> (u16, String) {
-    let expected = body.get("expected_revision").map(Json::list).unwrap_or_default();
+    let expected = body.get(wire("conditions")).map(Json::list).unwrap_or_default();
     let key_of = |row: &Json| row.get("key").and_then(Json::text).unwrap_or_default().to_owned();
     let holds = |row: &Json| {
         let found = content.items.get(&key_of(row)).map_or(0, |item| item.revision);
@@ -409,7 +415,7 @@
     let removed = body.get("remove").map(Json::list).unwrap_or_default();
     let keys =
         writes.iter().map(key_of).chain(removed.iter().filter_map(Json::text).map(str::to_owned));
-    if keys.into_iter().any(|key| key.starts_with("op/") || key.starts_with("servers/")) {
+    if keys.into_iter().any(|key| is_outside(&key)) {
         return (403, "{}".to_owned());
     }
     for write in writes {
--- a/review/cases-2/store_restored.rs
+++ b/review/cases-2/store_restored.rs
@@ -21,6 +21,7 @@
 use crate::server::Server;
 use crate::server::ServerPlan;
 use crate::store::Store;
+use crate::wire::wire;
 
 const ROUTERS: usize = 9;
 const SERVERS: usize = 6;
@@ -39,18 +40,13 @@
 const AWAY: Duration = Duration::from_secs(1);
 
 fn configuration() -> String {
-    let route = "{\"name\":\"r-chat\",\"host\":\"ficu95.example\",\"prefix\":\"/lohu930/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"goal_latency_ms\":500,\"priority\":0,\"service\":\"huvo11a\",\"attempts\":1,\"public\":false,\"session_affinity\":true,\"resumable\":false,\"gap_target_ms\":400}";
-    let service = format!(
-        "{{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"connection_cap\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kv_tokens\":387213,\"stride\":{STRIDE},\"models\":[{{\"name\":\"m\"}}]}}}}"
-    );
-    format!(
-        "{{\"version\":7,\"routes\":[{route}],\"services\":[{service}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"keys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1,\"prepaid\":{PREPAID}}}]}}"
-    )
+    let text = include_str!("configuration.json").trim();
+    text.replace("STRIDE", &STRIDE.to_string()).replace("PREPAID", &PREPAID.to_string())
 }
 
 pub fn run(trouble: bool) -> Result<Verdict, String> {
     let store = Store::start(listen(machine_ip(2, 0)));
-    store.put_outside("op/config", &configuration());
+    store.put_outside(wire("configuration"), &configuration());
     let runs = Runs::default();
     for number in 0..SERVERS {
         let id = format!("i-{number:08x}");
