Add case 8: large prompts of one tenant end a router

A body counts once towards the 32 MB for bodies, the buffers of connections that hold it as well count nowhere, and no bound follows from the memory of the machine.

--- a/review/cases-2/client.rs
+++ b/review/cases-2/client.rs
@@ -1,4 +1,4 @@
-//! Clients: each request on a new connection, and what came back of it.
+//! Clients: a request, and what came back of it.
 
 use std::io;
 use std::io::BufReader;
@@ -31,6 +31,8 @@
 pub struct Answer {
     pub id: String,
     pub router: usize,
+    /// Whether the connection had carried an answer before.
+    pub kept: bool,
     pub sent: f64,
     pub ended: f64,
     /// 0 if the connection ended without an answer.
@@ -43,24 +45,48 @@
     pub note: String,
 }
 
+/// Sends a request on a new connection.
 pub fn send(address: SocketAddr, router: usize, request: &ModelRequest) -> Answer {
+    let mut connection = None;
+    send_on(&mut connection, address, router, request, b"a prompt")
+}
+
+/// Sends a request on the connection, or on a new one if there is none. The connection is kept only
+/// if the answer came to its end and does not close it.
+pub fn send_on(
+    connection: &mut Option<TcpStream>,
+    address: SocketAddr,
+    router: usize,
+    request: &ModelRequest,
+    body: &[u8],
+) -> Answer {
+    let kept = connection.is_some();
     let mut answer =
-        Answer { id: request.id.clone(), router, sent: since_start(), ..Answer::default() };
-    if let Err(error) = exchange(address, request, &mut answer) {
-        answer.note = error.to_string();
+        Answer { id: request.id.clone(), router, kept, sent: since_start(), ..Answer::default() };
+    let opened = match connection.take() {
+        Some(stream) => Ok(stream),
+        None => TcpStream::connect_timeout(&address, Duration::from_secs(1)),
+    };
+    match opened.and_then(|stream| exchange(stream, request, body, &mut answer)) {
+        Ok(stream) => *connection = stream,
+        Err(error) => answer.note = error.to_string(),
     }
     answer.ended = since_start();
     answer
 }
 
-fn exchange(address: SocketAddr, request: &ModelRequest, answer: &mut Answer) -> io::Result<()> {
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+/// Returns the connection if it may carry another request.
+fn exchange(
+    stream: TcpStream,
+    request: &ModelRequest,
+    body: &[u8],
+    answer: &mut Answer,
+) -> io::Result<Option<TcpStream>> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_millis(request.deadline_ms)))?;
     let ModelRequest { id, host, path, key, prompt_tokens, output_tokens, deadline_ms } = request;
-    let body = "a prompt";
     let text = format!(
-        "POST {path} HTTP/1.1\r\nHost: {host}\r\n{}: {id}\r\nModel: m\r\n{}: {prompt_tokens},{output_tokens}\r\n{}: {id}:{prompt_tokens}\r\n{}: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: {host}\r\n{}: {id}\r\nModel: m\r\n{}: {prompt_tokens},{output_tokens}\r\n{}: {id}:{prompt_tokens}\r\n{}: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n",
         wire("request_id"),
         wire("tokens"),
         wire("prompt"),
@@ -68,6 +94,7 @@
         body.len()
     );
     (&stream).write_all(text.as_bytes())?;
+    (&stream).write_all(body)?;
     let mut reader = BufReader::new(&stream);
     let Some((first, headers)) = read_head(&mut reader)? else {
         return Err(io::ErrorKind::UnexpectedEof.into());
@@ -93,5 +120,6 @@
     if answer.status != 200 {
         answer.note = String::from_utf8_lossy(&received).chars().take(160).collect();
     }
-    Ok(())
+    let closes = header(&headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    Ok((!closes).then_some(stream))
 }
--- a/review/cases-2/fleet.rs
+++ b/review/cases-2/fleet.rs
@@ -190,6 +190,14 @@
         }
     }
 
+    /// Returns the process's own memory in bytes, without the pages of its files.
+    pub fn memory(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok().map(|kb| kb * 1_024)
+    }
+
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
--- a/review/cases-2/main.rs
+++ b/review/cases-2/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod json;
+mod large_prompts;
 mod server;
 mod store;
 mod store_restored;
@@ -27,6 +28,7 @@
     let [_, case, folder] = &words[..] else { exit(2) };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
+        "large-prompts" => large_prompts::run(trouble),
         "store-restored" => store_restored::run(trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/cases-2/server.rs
+++ b/review/cases-2/server.rs
@@ -25,8 +25,6 @@
 
 /// Interval of a server's entries in the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Time to the first event of a stream.
-const FIRST_EVENT: Duration = Duration::from_millis(30);
 /// Tokens in one event of a stream.
 pub const STRIDE: u64 = 7;
 
@@ -49,6 +47,7 @@
     service: String,
     zone: String,
     slots: u32,
+    first_event: Duration,
     event_gap: Duration,
     running: Arc<AtomicU64>,
     is_listed: Arc<AtomicBool>,
@@ -60,6 +59,8 @@
     pub service: &'a str,
     pub zone: &'a str,
     pub slots: u32,
+    /// Time to the first event of a stream.
+    pub first_event: Duration,
     /// Time between two events of a stream.
     pub event_gap: Duration,
 }
@@ -72,6 +73,7 @@
             service: plan.service.to_owned(),
             zone: plan.zone.to_owned(),
             slots: plan.slots,
+            first_event: plan.first_event,
             event_gap: plan.event_gap,
             running: Arc::default(),
             is_listed: Arc::new(AtomicBool::new(true)),
@@ -147,7 +149,7 @@
         let load = format!("{},0,{}", self.running.load(Ordering::Relaxed), self.slots);
         let seal = format!("seal.{}.{id}", self.id);
         let Some(counts) = request.header(wire("tokens")) else {
-            thread::sleep(FIRST_EVENT);
+            thread::sleep(self.first_event);
             let headers = [
                 (wire("request_id"), id.as_str()),
                 (wire("seal"), seal.as_str()),
@@ -158,7 +160,7 @@
         let most: u64 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let first: u64 =
             request.header(wire("last_event")).and_then(|n| n.trim().parse().ok()).unwrap_or(0) + 1;
-        thread::sleep(FIRST_EVENT);
+        thread::sleep(self.first_event);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}: {id}\r\n{}: {seal}\r\n{}: {load}\r\n\r\n",
             wire("request_id"),
--- a/review/cases-2/store_restored.rs
+++ b/review/cases-2/store_restored.rs
@@ -21,6 +21,7 @@
 use crate::server::Server;
 use crate::server::ServerPlan;
 use crate::store::Store;
+use crate::wire::configuration;
 use crate::wire::wire;
 
 const ROUTERS: usize = 9;
@@ -29,7 +30,8 @@
 const PREPAID: u64 = 240_000;
 const PROMPT_TOKENS: u64 = 300;
 const EVENTS: u64 = 10;
-/// Time between two events of a stream.
+/// Time to the first event of a stream, and between two events.
+const FIRST_EVENT: Duration = Duration::from_millis(30);
 const EVENT_GAP: Duration = Duration::from_millis(15);
 const REQUESTS_PER_SECOND: u64 = 20;
 /// Length of the traffic.
@@ -39,14 +41,9 @@
 const COPY_AGE: Duration = Duration::from_secs(5);
 const AWAY: Duration = Duration::from_secs(1);
 
-fn configuration() -> String {
-    let text = include_str!("configuration.json").trim();
-    text.replace("STRIDE", &STRIDE.to_string()).replace("PREPAID", &PREPAID.to_string())
-}
-
 pub fn run(trouble: bool) -> Result<Verdict, String> {
     let store = Store::start(listen(machine_ip(2, 0)));
-    store.put_outside(wire("configuration"), &configuration());
+    store.put_outside(wire("configuration"), &configuration(PREPAID));
     let runs = Runs::default();
     for number in 0..SERVERS {
         let id = format!("i-{number:08x}");
@@ -55,6 +52,7 @@
             service: "huvo11a",
             zone: ZONES[number % 3],
             slots: 64,
+            first_event: FIRST_EVENT,
             event_gap: EVENT_GAP,
         };
         Server::start(listen(machine_ip(3, number)), &plan, &store, &runs);
