--- a/review/cases-2/main.rs
+++ b/review/cases-2/main.rs
@@ -13,6 +13,7 @@
 mod wire;
 
 use std::fs;
+use std::panic::catch_unwind;
 use std::path::Path;
 use std::process::exit;
 
@@ -27,11 +28,13 @@
     let words: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &words[..] else { exit(2) };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let result = match case.as_str() {
+    let play = || match case.as_str() {
         "large-prompts" => large_prompts::run(trouble),
         "store-restored" => store_restored::run(trouble),
         _ => Err(format!("no case {case}")),
     };
+    // A case that panics could not run. Unwinding ends the routers that it started.
+    let result = catch_unwind(play).unwrap_or_else(|_| Err("the case panicked".to_owned()));
     let (status, mut record) = match result {
         Ok(Verdict { broken, record }) => (i32::from(broken), record),
         Err(error) => (2, vec![format!("could not run: {error}")]),
