Apply writes again that a restored store has lost

Cause: a confirmed write was taken for final. Holders forgot their bills with the confirmation, and a page from before, once another router had written it, brought the tokens back into the balance. Nothing followed the era of the store. Ruled out: bills that were not written yet, and loans; both are kept in memory.

Change: the store client fails each call over a change of the era (StoreError::Restored), so that no revision is compared with one of another era. Holders keep what their confirmed writes of the last 60 s changed, and apply again what a page lacks by the sequence numbers that it states. For 5 s nothing is granted from the balance, and tokens are kept back for runs that have not written since. Entries of routers, quarantined parts and the certificate authority are written again.

Why it works: the sequence number of a run on a page tells exactly which of its writes the copy has, and each run speaks only for itself, so that the order of runs does not matter.

--- a/crates/berylwheel-budget/src/account.rs
+++ b/crates/berylwheel-budget/src/account.rs
@@ -158,6 +158,18 @@
         amount
     }
 
+    /// Moves exactly `amount` to `holder`, as a write did that a restored store has lost.
+    ///
+    /// The balance may lack tokens that another holder had returned by a lost write. They are added
+    /// to the account and owed to it until that holder has written its return again.
+    pub(crate) fn grant_again(&mut self, holder: &Incarnation, amount: Tokens) {
+        let missing = amount.saturating_sub(self.balance);
+        self.credited += missing;
+        self.owed += missing;
+        self.balance = self.balance + missing - amount;
+        self.rows.entry(holder.clone()).or_default().granted += amount;
+    }
+
     /// Moves up to `amount` from `holder` back to the balance, and returns the amount moved. Owed
     /// tokens are then collected from the balance.
     pub(crate) fn return_tokens(&mut self, holder: &Incarnation, amount: Tokens) -> Tokens {
--- a/crates/berylwheel-budget/src/holder/core.rs
+++ b/crates/berylwheel-budget/src/holder/core.rs
@@ -12,6 +12,7 @@
 use berylwheel_types::Millis;
 use berylwheel_types::Refusal;
 use berylwheel_types::RequestId;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::Version;
@@ -116,6 +117,10 @@
     pub(super) totals: (Version, FastMap<BudgetId, Tokens>),
     pub(super) home_cache: RefCell<HomeCache>,
     pub(super) visits: VisitCounter,
+    /// The era of the store, `None` until it is known.
+    pub(super) era: Option<StoreEra>,
+    /// When the store was restored last, if this holder was there.
+    pub(super) era_began: Option<Timestamp>,
 }
 
 impl Holder {
@@ -149,6 +154,8 @@
             totals: (Version::default(), FastMap::default()),
             home_cache: RefCell::default(),
             visits: VisitCounter::default(),
+            era: None,
+            era_began: None,
         }
     }
 
--- a/crates/berylwheel-budget/src/holder/earlier.rs
+++ b/crates/berylwheel-budget/src/holder/earlier.rs
@@ -94,6 +94,9 @@
     /// Moves tokens that earlier runs of this router cannot have spent back to the balances, and
     /// returns whether there were any.
     ///
+    /// The limit of a write does not bind later ones that a restored store has lost, so only runs
+    /// whose last write is of the current era count.
+    ///
     /// An earlier run that listened at the same address had ended when this run started. Until
     /// then, the spend limit of its last write applied. How far that limit had risen is known only
     /// while the clock agrees with those of the peers; a limit that does not rise needs no clock.
@@ -102,7 +105,9 @@
             return false;
         };
         let ended = |(run, writer): (&Incarnation, &Writer)| {
-            let own = run.router == self.own_id.router && *run != self.own_id;
+            let own = run.router == self.own_id.router
+                && *run != self.own_id
+                && writer.era == self.current_era();
             let known = self.clock_agrees && writer.at <= self.started;
             let age = Millis(self.started.since(writer.at).0 + self.policy.clock_error.0);
             (own && writer.address == Some(address)).then(|| (run.clone(), known.then_some(age)))
--- a/crates/berylwheel-budget/src/holder/mod.rs
+++ b/crates/berylwheel-budget/src/holder/mod.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod loan;
 mod pages;
+mod restore;
 mod retry_delay;
 mod timing;
 mod wait;
--- a/crates/berylwheel-budget/src/holder/pages.rs
+++ b/crates/berylwheel-budget/src/holder/pages.rs
@@ -8,6 +8,8 @@
 use berylwheel_types::Tokens;
 
 use super::grant::Grant;
+use super::restore::BudgetChange;
+use super::restore::KeptWrites;
 use crate::HolderPolicy;
 use crate::LedgerPage;
 
@@ -40,6 +42,8 @@
     pub(crate) expected: u64,
     pub(crate) content: LedgerPage,
     pub(crate) effects: Vec<Effect>,
+    /// Whether the write applies lost writes again.
+    pub(crate) restores: bool,
 }
 
 #[derive(Debug)]
@@ -68,6 +72,12 @@
     pub(crate) conflicts: u32,
     /// Whether the page may lack budget totals of the configuration.
     pub(crate) totals_stale: bool,
+    /// The confirmed writes, in case the store is restored from an older copy.
+    pub(crate) kept: KeptWrites,
+    /// Whether the store was restored, and confirmed writes may be missing.
+    pub(crate) is_restored: bool,
+    /// When tokens may be taken from the balance of a restored page.
+    pub(crate) settles_at: Option<Timestamp>,
     /// The time of the page's timer.
     pub(crate) wake_at: Option<Timestamp>,
 }
@@ -91,6 +101,9 @@
             failures: 0,
             conflicts: 0,
             totals_stale: false,
+            kept: KeptWrites::default(),
+            is_restored: false,
+            settles_at: None,
             wake_at: None,
         }
     }
@@ -124,6 +137,11 @@
             grant.limits.confirm();
         }
         self.cached = Some(pending.content);
+        if pending.restores {
+            self.is_restored = false;
+            self.kept.renew(now);
+        }
+        let mut changes = Vec::new();
         for effect in pending.effects {
             let Some(grant) = self.grants.get_mut(&effect.budget) else {
                 continue;
@@ -131,10 +149,13 @@
             let removed = effect.returned + effect.billed;
             grant.held = (grant.held + effect.granted).saturating_sub(removed);
             grant.returning = Tokens::ZERO;
-            let settled: Tokens =
-                grant.unbilled.drain(..effect.bill_count).map(|request| request.bill.used).sum();
-            grant.unsettled -= settled;
+            let settled = grant.unbilled.drain(..effect.bill_count).map(|request| request.bill);
+            let bills: Vec<_> = settled.filter(|bill| bill.used > Tokens::ZERO).collect();
+            grant.unsettled -= bills.iter().map(|bill| bill.used).sum();
+            let Effect { budget, granted, returned, .. } = effect;
+            changes.push(BudgetChange { budget, bills, granted, returned });
         }
+        self.kept.add(now, pending.sequence, changes);
     }
 
     /// Discards the pending write, which can no longer take effect.
--- a/crates/berylwheel-budget/src/holder/timing.rs
+++ b/crates/berylwheel-budget/src/holder/timing.rs
@@ -41,10 +41,12 @@
     let needed = page.grants.values().filter_map(grant_need).min();
     let pending = page.pending.is_some().then_some(page.retry_at);
     let settle = page.dirty_since.map(|dirty| urgent.max(dirty + interval));
+    let restore = page.needs_restore().then_some(urgent);
     let update_totals = page.totals_stale.then_some(urgent);
     let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
     let refresh = holds.then(|| urgent.max(page.written_at + page.refresh_after(policy)));
-    let due = [needed, pending, settle, update_totals, refresh].into_iter().flatten().min()?;
+    let due =
+        [needed, pending, settle, restore, update_totals, refresh].into_iter().flatten().min()?;
     Some(due.max(page.retry_at))
 }
 
--- a/crates/berylwheel-budget/src/holder/wait.rs
+++ b/crates/berylwheel-budget/src/holder/wait.rs
@@ -15,6 +15,7 @@
 use super::grant::Grant;
 use super::grant::RecallRound;
 use super::grant::Waiter;
+use super::restore::Withholding;
 use crate::Account;
 use crate::HolderPolicy;
 use crate::LedgerPage;
@@ -47,6 +48,8 @@
     pub(crate) writers: &'a [(Incarnation, u64)],
     /// The holders that can be asked for loans.
     pub(crate) lenders: &'a [Incarnation],
+    /// What must not be taken from the balance.
+    pub(crate) withholding: &'a Withholding,
 }
 
 /// Decides on the waiting requests that neither the grant nor the balance covers.
@@ -58,14 +61,15 @@
     account: &Account,
     grant: &mut Grant,
 ) -> WaitDecisions {
-    let WaitContext { now, policy, own_id, read_at, writers, lenders } = *context;
+    let WaitContext { now, policy, own_id, read_at, writers, lenders, withholding } = *context;
     let held = account.held_by(own_id).saturating_sub(grant.reserved);
-    let mut available = held + if account.closed { Tokens::ZERO } else { account.balance };
+    let balance = withholding.available(account);
+    let mut available = held + if account.closed { Tokens::ZERO } else { balance };
     let mut decisions = WaitDecisions::default();
     let holds = |holder: &Incarnation| holder != own_id && account.held_by(holder) > Tokens::ZERO;
     let holders = writers.iter().filter(|(holder, _)| holds(holder));
-    let total: Tokens =
-        available + holders.clone().map(|(holder, _)| account.held_by(holder)).sum();
+    let total: Tokens = available + account.balance - balance
+        + holders.clone().map(|(holder, _)| account.held_by(holder)).sum();
     // With loans enabled, the holder knows which of the others are live and can return tokens.
     let is_live = |holder: &Incarnation| !policy.loans_enabled || lenders.contains(holder);
     let others: Vec<&(Incarnation, u64)> = holders.filter(|(holder, _)| is_live(holder)).collect();
@@ -94,7 +98,7 @@
         }
         // A read that started before the request arrived may miss a top-up made in between.
         let is_fresh = read_at.is_some_and(|at| waiter.arrived <= at + policy.max_staleness);
-        let exceeds_reachable = waiter.amount > reachable && is_fresh;
+        let exceeds_reachable = waiter.amount > reachable && is_fresh && !withholding.is_settling;
         let held_by_others = exceeds_reachable && !account.closed && waiter.amount <= total;
         let recall_failed = recall_done && recall_started.is_some_and(|at| waiter.arrived <= at);
         if exceeds_reachable && !held_by_others {
--- a/crates/berylwheel-budget/src/holder/write.rs
+++ b/crates/berylwheel-budget/src/holder/write.rs
@@ -16,6 +16,7 @@
 use super::pages::Effect;
 use super::pages::Operation;
 use super::pages::PendingWrite;
+use super::restore::Withholding;
 use super::wait::WaitContext;
 use super::wait::decide_waiters;
 use crate::Account;
@@ -55,12 +56,14 @@
     own_id: &'a Incarnation,
     /// Whether this holder is the home of the budget, `None` if loans are disabled.
     is_home: Option<bool>,
+    withholding: &'a Withholding,
 }
 
 impl GrantSizer<'_> {
     fn target(&self, grant: &Grant, account: &Account) -> Target {
         let unreserved = account.held_by(self.own_id).saturating_sub(grant.reserved);
-        let reachable = unreserved + if account.closed { Tokens::ZERO } else { account.balance };
+        let balance = self.withholding.available(account);
+        let reachable = unreserved + if account.closed { Tokens::ZERO } else { balance };
         let mut need = Tokens::ZERO;
         for waiter in &grant.waiters {
             if need + waiter.amount <= reachable {
@@ -121,7 +124,8 @@
         let shrink =
             target.without_margin || held.0 > desired.0 + desired.0 / 4 + grant.max_reservation().0;
         if held < desired && grow {
-            change.granted = account.grant(self.own_id, desired - held);
+            let amount = (desired - held).min(self.withholding.available(account));
+            change.granted = account.grant(self.own_id, amount);
         } else if held > desired && shrink {
             change.returned = account.return_tokens(self.own_id, held - desired);
         }
@@ -186,8 +190,10 @@
     /// Processes an up-to-date page without a pending write: admits and refuses waiting requests,
     /// and writes the page if anything changes.
     pub(super) fn process_page(&mut self, now: Timestamp, id: PageId, mut content: LedgerPage) {
-        let totals_changed =
-            self.apply_totals(now, id, &mut content) | self.return_earlier_grants(id, &mut content);
+        let withholding = self.withholding(now, id, &content);
+        let totals_changed = self.apply_totals(now, id, &mut content);
+        let restores = self.apply_lost_writes(now, id, &mut content);
+        let totals_changed = totals_changed | self.return_earlier_grants(id, &mut content);
         self.refuse_unknown(now, id, &content);
         if let Some(page) = self.pages.get_mut(&id) {
             for (budget, grant) in &mut page.grants {
@@ -200,6 +206,7 @@
         }
         self.admit_waiters(now, id);
         let home_flags = self.home_flags(id);
+        let era = self.current_era();
         let Some(page) = self.pages.get_mut(&id) else {
             return;
         };
@@ -207,12 +214,16 @@
             content.writers.iter().map(|(holder, last)| (holder.clone(), last.sequence)).collect();
         let holds = page.grants.values().any(|grant| grant.held > Tokens::ZERO);
         page.totals_stale = totals_changed;
-        let mut changed =
-            totals_changed || holds && now >= page.written_at + page.refresh_after(&self.policy);
+        // A holder with tokens shows that it has written all that the page had lost.
+        let joins_era = holds && content.writers.get(&self.own_id).is_none_or(|w| w.era != era);
+        let mut changed = totals_changed
+            || restores
+            || joins_era
+            || holds && now >= page.written_at + page.refresh_after(&self.policy);
         // Each sequence number is used for one content only, so the page shows which write it has.
         let sequence = page.sequence + 1;
-        let writer = Writer { sequence, at: now, address: self.address };
-        let version = content.begin_write(&self.own_id, writer);
+        let writer = Writer { sequence, at: now, address: self.address, era };
+        let version = content.begin_write(&self.own_id, writer, self.clock_agrees);
         let mut limits = Vec::new();
         let mut uncovered = false;
         let mut effects = Vec::new();
@@ -230,6 +241,7 @@
                 draining: self.draining,
                 own_id: &self.own_id,
                 is_home: home_flags.get(budget).copied(),
+                withholding: &withholding,
             };
             let change = sizer.apply(version, grant, account);
             let context = WaitContext {
@@ -239,6 +251,7 @@
                 read_at: page.read_at,
                 writers: &writers,
                 lenders: &self.lenders,
+                withholding: &withholding,
             };
             let decisions = decide_waiters(&context, account, grant);
             held_elsewhere.extend(decisions.held_elsewhere);
@@ -301,8 +314,13 @@
             page.operation = Operation::Writing(now);
             let write =
                 HolderAction::Write { page: id, expected: page.revision, content: content.clone() };
-            page.pending =
-                Some(PendingWrite { sequence, expected: page.revision, content, effects });
+            page.pending = Some(PendingWrite {
+                sequence,
+                expected: page.revision,
+                content,
+                effects,
+                restores,
+            });
             self.pending_actions.push(write);
         }
         for budget in borrowing {
--- a/crates/berylwheel-budget/src/page.rs
+++ b/crates/berylwheel-budget/src/page.rs
@@ -7,6 +7,7 @@
 use berylwheel_types::BudgetId;
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 use berylwheel_types::Tokens;
 use berylwheel_types::stable_hash;
@@ -16,7 +17,7 @@
 use crate::Account;
 
 /// Format number of an encoded page, stored in its first byte.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 /// Largest version of a page, which leaves room for all further changes.
 const MAX_VERSION: u64 = u64::MAX / 2;
@@ -115,6 +116,11 @@
     pub(crate) accounts: BTreeMap<BudgetId, Account>,
     /// The last write of each holder.
     pub(crate) writers: BTreeMap<Incarnation, Writer>,
+    /// The era of the store in which the page was last written.
+    pub(crate) era: StoreEra,
+    /// When the page was first written in this era, if it had been written in an earlier one and the
+    /// clock of its writer was confirmed.
+    pub(crate) restored_at: Option<Timestamp>,
 }
 
 /// The last write of a holder.
@@ -127,6 +133,8 @@
     /// The holder's peer address, `None` if it was not known yet. No other process can have listened
     /// at this address while the holder ran.
     pub address: Option<SocketAddr>,
+    /// The era of the store.
+    pub era: StoreEra,
 }
 
 impl LedgerPage {
@@ -212,8 +220,19 @@
     }
 
     /// Starts a write of `holder` and returns the new version of the page.
-    pub(crate) fn begin_write(&mut self, holder: &Incarnation, writer: Writer) -> u64 {
+    ///
+    /// `clock_agrees` tells whether the time of the write can be compared with those of others.
+    pub(crate) fn begin_write(
+        &mut self,
+        holder: &Incarnation,
+        writer: Writer,
+        clock_agrees: bool,
+    ) -> u64 {
         self.version += 1;
+        if self.era != writer.era {
+            self.restored_at = Some(writer.at).filter(|_| self.is_written() && clock_agrees);
+            self.era = writer.era;
+        }
         // A newer incarnation supersedes older ones of the same router. Entries of incarnations
         // that still have a row are kept, since their writes still matter.
         let superseded: Vec<_> = self
@@ -230,6 +249,11 @@
         self.version
     }
 
+    /// Returns whether any holder has written the page.
+    pub(crate) fn is_written(&self) -> bool {
+        !self.writers.is_empty()
+    }
+
     /// Moves the tokens that an ended holder cannot have spent within `age` after its last write
     /// back to the balances, and returns their amount. The age is `None` if no clock can tell it;
     /// only rows that open no further tokens as time passes are used then.
--- a/crates/berylwheel-budget/tests/lending/power_loss.rs
+++ b/crates/berylwheel-budget/tests/lending/power_loss.rs
@@ -25,6 +25,7 @@
     /// Kills all holders at once and restarts them `downtime` milliseconds later.
     pub fn kill_all_and_restart(&mut self, downtime: u64) {
         self.lossy = true;
+        self.killed_at = Some(self.now);
         let count = self.holders.len();
         self.used += self.running.values().map(|pending| pending.amount).sum::<u64>();
         self.running.clear();
@@ -37,6 +38,7 @@
             let started = self.start(slot, count);
             self.holders.push(started);
             self.started.push(self.clock_of(&self.holders[slot].0));
+            self.known_eras[slot] = self.era;
         }
         self.update_lenders();
     }
--- a/crates/berylwheel-peer/src/news.rs
+++ b/crates/berylwheel-peer/src/news.rs
@@ -1,6 +1,7 @@
 //! What a router tells others about the platform's store.
 
 use berylwheel_types::Millis;
+use berylwheel_types::StoreEra;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -14,6 +15,8 @@
 pub struct FeedNews {
     /// The prefix.
     pub prefix: String,
+    /// The era of the store that the revisions belong to.
+    pub era: StoreEra,
     /// The revision of the newest change that the origin knows.
     pub changed: u64,
     /// How long ago the origin last had proof that it knew all changes; `None` without proof.
--- a/crates/berylwheel-router/src/control/apply.rs
+++ b/crates/berylwheel-router/src/control/apply.rs
@@ -76,6 +76,7 @@
             // The number of ledger pages cannot change once budgets exist. Replacing the holder is
             // safe here because no request is accepted before the first settings.
             self.holder = Holder::new(self.incarnation.clone(), self.holder_policy(&settings));
+            self.holder.set_era(now, self.restores.era);
             // The new holder does not know the live routers yet.
             self.fleet.applied_changes = None;
             if !self.router_settings.first_start {
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -5,6 +5,7 @@
 use async_io::Timer;
 use berylwheel_budget::Holder;
 use berylwheel_budget::HolderPolicy;
+use berylwheel_budget::WriteResult;
 use berylwheel_quarantine::Quarantine;
 use berylwheel_quarantine::QuarantinePolicy;
 use berylwheel_route::CacheEvent;
@@ -46,6 +47,7 @@
 use crate::control::snapshot::SharedSnapshot;
 use crate::control::work::ControlWork;
 use crate::fleet::claims::Claims;
+use crate::fleet::restore::Restores;
 use crate::fleet::state::Fleet;
 
 /// Interval of the work that is triggered by time alone, such as timeouts and heartbeats.
@@ -89,6 +91,7 @@
     /// The requests to cold servers that the metrics contain.
     pub(super) cold_requests: u64,
     pub(super) work: ControlWork,
+    pub(crate) restores: Restores,
 }
 
 impl Control {
@@ -130,6 +133,7 @@
             next_tick: clock.now(),
             cold_requests: 0,
             work: ControlWork::default(),
+            restores: Restores::default(),
             clock,
             incarnation,
             fleet,
@@ -179,13 +183,19 @@
 
     pub(super) fn handle_event(&mut self, now: Timestamp, event: Event) {
         self.work.count_event(event.group());
+        self.check_era(now);
         match event {
             Event::Command(command) => self.handle_command(now, command),
-            Event::PageRead(page, revision, content) => {
-                self.holder.page_read(now, page, revision, content);
-            }
+            Event::PageRead(page, revision, content, era) => match era == self.restores.era {
+                true => self.holder.page_read(now, page, revision, content),
+                false => self.holder.read_failed(now, page),
+            },
             Event::PageReadFailed(page) => self.holder.read_failed(now, page),
-            Event::PageWritten(page, result) => self.holder.page_written(now, page, result),
+            Event::PageWritten(page, result, era) => {
+                let is_current = era == self.restores.era;
+                let result = if is_current { result } else { WriteResult::Unknown };
+                self.holder.page_written(now, page, result);
+            }
             Event::LoadReported(server, report) => self.balancer.apply_report(now, &server, report),
             Event::CacheChanged(server, reports) => self.apply_cache_events(now, &server, &reports),
             Event::ServerDraining(server) => self.balancer.set_draining(now, &server),
@@ -244,6 +254,7 @@
     }
 
     pub(super) fn drive(&mut self, now: Timestamp) {
+        self.check_era(now);
         if let Some(change) = self.server_list.poll(now) {
             self.apply_server_change(now, change);
         }
@@ -377,6 +388,7 @@
             "routes": self.balancer.dump(),
             "quarantine": self.quarantine.dump(self.clock.now()),
             "fleet": self.fleet.dump(),
+            "store": self.restores,
             "store_relay": self.relay_dump(),
             "work": self.work_dump(),
         })
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -26,12 +26,14 @@
 use berylwheel_types::BackendId;
 use berylwheel_types::Clock;
 use berylwheel_types::Millis;
+use berylwheel_types::StoreEra;
 use http_types::Method;
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::control::event::Event;
 use crate::fleet::relay::store::SharedRelay;
+use crate::fleet::restore::RestoreState;
 use crate::metrics::Metrics;
 
 /// Timeout of reads of load reports, cache events and the VM list.
@@ -54,6 +56,8 @@
     pub watched: Arc<dyn Store>,
     /// The state of these watches.
     pub relay: Arc<SharedRelay>,
+    /// What has to outlast a restore of the store.
+    pub(crate) restores: Arc<RestoreState>,
     /// HTTP client for backend servers and the VM list.
     pub client: Client,
     /// Channel for the resulting events.
@@ -98,10 +102,10 @@
                 }
             };
             let Some(entry) = entries.first() else {
-                return Some(Event::PageRead(page, 0, LedgerPage::default()));
+                return Some(Event::PageRead(page, 0, LedgerPage::default(), store.era()));
             };
             match LedgerPage::decode(&entry.value) {
-                Ok(content) => Some(Event::PageRead(page, entry.revision, content)),
+                Ok(content) => Some(Event::PageRead(page, entry.revision, content, store.era())),
                 Err(error) => {
                     log::error!(page:% = page; "failed to decode ledger page: {error}");
                     Some(Event::PageReadFailed(page))
@@ -113,12 +117,31 @@
     /// Writes a ledger page if its revision is still `expected`.
     pub fn write_page(&self, page: PageId, expected: u64, content: &LedgerPage) {
         let store = self.store.clone();
-        let put = Put::new(page.key(), content.encode());
+        let mut puts = vec![Put::new(page.key(), content.encode())];
+        let mut compares = vec![Compare::new(page.key(), expected)];
+        let (restores, era) = (self.restores.clone(), store.era());
+        let mut writes_era = false;
+        if era != StoreEra::default() {
+            let (compare, put) = restores.era_entry().conditions();
+            compares.push(compare);
+            writes_era = put.is_some();
+            puts.extend(put);
+        }
         self.spawn(async move {
-            let compare = Compare::new(page.key(), expected);
-            let result = match store.swap(vec![compare], vec![put]).await {
-                Ok(SwapResult::Committed(revision)) => WriteResult::Written(revision),
-                Ok(SwapResult::Conflict(_)) => WriteResult::Conflict,
+            if store.era() != era {
+                return Some(Event::PageWritten(page, WriteResult::Unknown, era));
+            }
+            let result = match store.swap(compares, puts).await {
+                Ok(SwapResult::Committed(revision)) => {
+                    if writes_era {
+                        restores.era_entry().written(revision);
+                    }
+                    WriteResult::Written(revision)
+                }
+                Ok(SwapResult::Conflict(entries)) => {
+                    restores.era_entry().conflicted(&entries);
+                    WriteResult::Conflict
+                }
                 // Includes writes that were rejected or never sent: the holder reads the page
                 // again, as it does after a lost response.
                 Err(error) => {
@@ -126,7 +149,7 @@
                     WriteResult::Unknown
                 }
             };
-            Some(Event::PageWritten(page, result))
+            Some(Event::PageWritten(page, result, era))
         });
     }
 
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -20,6 +20,7 @@
 use berylwheel_types::KindId;
 use berylwheel_types::PartHold;
 use berylwheel_types::PromptPartId;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
@@ -63,12 +64,13 @@
 pub enum Event {
     /// A message from a traffic thread.
     Command(Command),
-    /// A ledger page was read at a revision, which is 0 if the page does not exist.
-    PageRead(PageId, u64, LedgerPage),
+    /// A ledger page was read at a revision, which is 0 if the page does not exist, and in an era of
+    /// the store.
+    PageRead(PageId, u64, LedgerPage, StoreEra),
     /// A ledger page could not be read.
     PageReadFailed(PageId),
-    /// The write of a ledger page has ended.
-    PageWritten(PageId, WriteResult),
+    /// The write of a ledger page, sent in an era of the store, has ended.
+    PageWritten(PageId, WriteResult, StoreEra),
     /// A backend server reported its load.
     LoadReported(BackendId, LoadReport),
     /// An engine added prefixes to its cache or evicted them.
--- a/crates/berylwheel-router/src/control/quarantine.rs
+++ b/crates/berylwheel-router/src/control/quarantine.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Writes the holds to the store again, which has lost the latest ones. Judges do it for all.
+    pub(crate) fn store_holds_again(&mut self) {
+        self.fleet.holds_to_store |= self.is_judge() && !self.quarantine.holds().is_empty();
+    }
+
     /// Carries out what the quarantine has decided.
     pub(super) fn drive_quarantine(&mut self, now: Timestamp) {
         for action in self.quarantine.poll(now) {
--- a/crates/berylwheel-router/src/fleet/mod.rs
+++ b/crates/berylwheel-router/src/fleet/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod reclaim;
 pub(crate) mod registry;
 pub(crate) mod relay;
+pub(crate) mod restore;
 pub(crate) mod speeds;
 pub(crate) mod state;
--- a/crates/berylwheel-router/src/fleet/relay/core.rs
+++ b/crates/berylwheel-router/src/fleet/relay/core.rs
@@ -8,6 +8,7 @@
 use berylwheel_types::Incarnation;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 use berylwheel_types::stable_hash;
 
@@ -51,6 +52,8 @@
     pub(super) children: FastMap<RouterId, Vec<RouterId>>,
     pub(super) received: FastMap<RouterId, ReceivedNumbers>,
     pub(super) feeds: BTreeMap<String, Feed>,
+    /// The era of the store that all revisions belong to.
+    pub(super) era: StoreEra,
     pub(super) sequence: u64,
     pub(super) sent_at: Timestamp,
     /// Time of the newest proof that was sent.
@@ -86,6 +89,7 @@
             children: FastMap::default(),
             received: FastMap::default(),
             feeds: BTreeMap::new(),
+            era: StoreEra::default(),
             sequence: 0,
             sent_at: Timestamp::default(),
             sent_proof: Timestamp::default(),
@@ -199,6 +203,26 @@
         }
     }
 
+    /// Sets the era of the store. All that is known of another era is dropped, and this router reads
+    /// by itself for a while.
+    ///
+    /// ```
+    /// # use berylwheel_router::{Relay, RelayPolicy, WatchRole};
+    /// # use berylwheel_types::{StoreEra, Timestamp};
+    /// let now = Timestamp::from_millis(0);
+    /// let mut relay = Relay::new("r1@1".parse().unwrap(), RelayPolicy::default());
+    /// relay.begin_watch(now, "servers/", 7);
+    /// relay.set_era(now, StoreEra(2));
+    /// assert_eq!(relay.roles().count(), 0);
+    /// ```
+    pub fn set_era(&mut self, now: Timestamp, era: StoreEra) {
+        if self.era != era {
+            self.era = era;
+            self.feeds.clear();
+            self.fall_back(now, FallbackCause::Start);
+        }
+    }
+
     /// Decides how this router gets the changes of `prefix` after the revision `known`.
     ///
     /// ```
--- a/crates/berylwheel-router/src/fleet/relay/feed.rs
+++ b/crates/berylwheel-router/src/fleet/relay/feed.rs
@@ -8,6 +8,7 @@
 use berylwheel_peer::RelayedChange;
 use berylwheel_store::Entry;
 use berylwheel_types::FastSet;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 
 use super::policy::FallbackCause;
@@ -164,7 +165,7 @@
         &mut self,
         now: Timestamp,
         policy: &RelayPolicy,
-        prefix: &str,
+        (prefix, era): (&str, StoreEra),
         answered_at: Timestamp,
     ) -> FeedNews {
         let age = self.proof(now, policy, answered_at).map(|at| now.since(at));
@@ -172,7 +173,8 @@
         // A change counts as known once the message with it has gone out.
         let batch = self.unsent.pop_front();
         let next = self.unsent.front().map(|next| next.base);
-        FeedNews { prefix, changed: next.map_or(self.changed, |b| b.min(self.changed)), age, batch }
+        let changed = next.map_or(self.changed, |base| base.min(self.changed));
+        FeedNews { prefix, era, changed, age, batch }
     }
 
     /// Adds the news of a watcher. Returns whether they may let a waiting router go on.
--- a/crates/berylwheel-router/src/fleet/relay/news.rs
+++ b/crates/berylwheel-router/src/fleet/relay/news.rs
@@ -102,9 +102,11 @@
         self.sent_at = now;
         self.sent_proof = proof;
         self.sequence += 1;
+        let era = self.era;
         let feeds = self.feeds.iter_mut().take(FEED_LIMIT);
-        let feeds =
-            feeds.map(|(prefix, feed)| feed.take_news(now, policy, prefix, answered_at)).collect();
+        let feeds = feeds
+            .map(|(prefix, feed)| feed.take_news(now, policy, (prefix, era), answered_at))
+            .collect();
         self.counts.published += 1;
         let own = self.own.router.clone();
         Some(OutgoingNews { to: self.children_of(&own), sequence: self.sequence, feeds })
@@ -135,7 +137,9 @@
         if !received.insert(origin.number, sequence) {
             return Vec::new();
         }
-        for news in feeds {
+        // Revisions of another era say nothing. A router that lacks the era reads by itself soon,
+        // since it has no proof of recent news then.
+        for news in feeds.iter().filter(|news| news.era == self.era) {
             if let Some(feed) = self.feeds.get_mut(&news.prefix) {
                 feed.add_news(now, news);
             }
--- a/crates/berylwheel-router/src/fleet/relay/store.rs
+++ b/crates/berylwheel-router/src/fleet/relay/store.rs
@@ -19,6 +19,7 @@
 use berylwheel_types::Clock;
 use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 use futures_lite::FutureExt;
 
@@ -121,6 +122,10 @@
 }
 
 impl Store for RelayedStore {
+    fn era(&self) -> StoreEra {
+        self.inner.era()
+    }
+
     fn range(&self, from: &str, prefix: bool, limit: u32) -> StoreFuture<'_, Vec<Entry>> {
         self.inner.range(from, prefix, limit)
     }
@@ -130,7 +135,11 @@
         Box::pin(async move {
             let result = self.inner.range_with_revision(&key, prefix).await;
             let read = result.as_ref().ok().map(|(entries, at)| (entries.as_slice(), *at));
-            self.relay.lock().end_read(self.clock.now(), &key, read);
+            let now = self.clock.now();
+            let mut relay = self.relay.lock();
+            relay.set_era(now, self.inner.era());
+            relay.end_read(now, &key, read);
+            drop(relay);
             result
         })
     }
@@ -152,7 +161,11 @@
         let known = from_revision.saturating_sub(1);
         Box::pin(async move {
             let waker = self.relay.waker(&prefix);
+            let era = self.inner.era();
             loop {
+                if self.inner.era() != era {
+                    return Err(StoreError::Restored);
+                }
                 let wait = match self.relay.begin_watch(self.clock.now(), &prefix, known) {
                     NextWatch::Changes(changes) => return Ok(changes),
                     NextWatch::Wait(until) => {
--- a/crates/berylwheel-router/src/fleet/state.rs
+++ b/crates/berylwheel-router/src/fleet/state.rs
@@ -5,6 +5,8 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
 use berylwheel_config::ConfigState;
 use berylwheel_config::MemberPolicy;
 use berylwheel_config::Members;
@@ -20,10 +22,12 @@
 use berylwheel_types::FailureDomain;
 use berylwheel_types::FastMap;
 use berylwheel_types::Incarnation;
+use berylwheel_types::Millis;
 use berylwheel_types::RequestId;
 use berylwheel_types::RouterId;
 use berylwheel_types::Timestamp;
 use berylwheel_types::VisitCounter;
+use berylwheel_types::stable_hash;
 use serde_json::Value;
 use serde_json::json;
 
@@ -35,6 +39,9 @@
 use crate::fleet::registry;
 use crate::fleet::registry::RouterEntry;
 
+/// Time over which the routers of a fleet register again after a restore of the store.
+const REGISTER_SPREAD: Millis = Millis(1_000);
+
 /// State that one router keeps about the others.
 pub struct Fleet {
     /// State of the configuration exchange.
@@ -45,6 +52,8 @@
     pub(crate) link: Option<PeerLink>,
     pub(crate) address: SocketAddr,
     pub(crate) own_entry: RouterEntry,
+    /// Keeps the entry of this router in the store. Dropping it ends the task.
+    pub(crate) registration: Task<()>,
     pub(crate) clocks: PeerClocks,
     /// Whether the local clock agreed with those of the peers when it was last compared.
     pub(crate) clock_agrees: bool,
@@ -109,7 +118,7 @@
             ended: Vec::new(),
         };
         let registration = register_run(effects.clone(), own_entry.clone(), settings.adapter);
-        effects.executor.spawn(registration).detach();
+        let registration = effects.executor.spawn(registration);
         effects.executor.spawn(read_holds(effects.clone())).detach();
         let config = ConfigState::new(
             incarnation.router.clone(),
@@ -123,6 +132,7 @@
             link,
             address,
             own_entry,
+            registration,
             clocks: PeerClocks::default(),
             clock_agrees: false,
             store_reach: StoreReach::default(),
@@ -277,6 +287,19 @@
         }
     }
 
+    /// Writes the entry of this router again, after the store has lost it or its lease. The lease may
+    /// belong to another router now, so it is not renewed any more.
+    pub(crate) fn register_again(&mut self, effects: &Effects) {
+        let (effects, own) = (effects.clone(), self.own_entry.clone());
+        let hash = stable_hash(&["register", own.incarnation.router.as_str()]);
+        let delay = Millis(hash % REGISTER_SPREAD.0);
+        let (executor, adapter) = (effects.executor.clone(), self.adapter);
+        self.registration = executor.spawn(async move {
+            Timer::after(delay.duration()).await;
+            register_run(effects, own, adapter).await;
+        });
+    }
+
     /// Deregisters this router and closes the link, once a drain has completed.
     pub async fn leave(&self, effects: &Effects) {
         registry::deregister(&effects.store, &self.own_entry.incarnation).await;
--- a/crates/berylwheel-router/src/forward/operator.rs
+++ b/crates/berylwheel-router/src/forward/operator.rs
@@ -25,6 +25,11 @@
         Self { platform, evacuated: FastSet::default(), applied: None }
     }
 
+    /// Forgets the revisions that were applied, since the store gives them out again.
+    pub(crate) fn forget_revisions(&mut self) {
+        self.applied = self.applied.map(|_| 0);
+    }
+
     /// Returns whether a configuration was read.
     pub(crate) fn has_configuration(&self) -> bool {
         self.applied.is_some()
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -17,6 +17,7 @@
 use berylwheel_types::FastMap;
 use berylwheel_types::Millis;
 use berylwheel_types::RouterId;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 
 use crate::control::effects::Effects;
@@ -52,6 +53,7 @@
     let mut keys = OperatorKeys::new(platform);
     let mut delay = WatchDelay::new(&effects.clock);
     let mut pace = Pace::Slow;
+    let mut known_era = effects.watched.era();
     loop {
         let (entries, mut revision) = match effects.watched.range_with_revision(&prefix, true).await
         {
@@ -62,6 +64,10 @@
                 continue;
             }
         };
+        let era = effects.watched.era();
+        if std::mem::replace(&mut known_era, era) != era {
+            keys.forget_revisions();
+        }
         let is_reconfigured = send_events(&effects, keys.apply_read(&entries)).await;
         if !keys.has_configuration() {
             Timer::after(POLL_INTERVAL.duration()).await;
@@ -72,7 +78,7 @@
             continue;
         }
         loop {
-            match effects.watched.watch(&prefix, revision.saturating_add(1)).await {
+            match watch_in_era(&effects, &prefix, era, revision).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
                     let is_reconfigured = send_events(&effects, keys.apply_changes(&changes)).await;
@@ -91,6 +97,21 @@
     }
 }
 
+/// Watches for changes after `revision`, which was read in `era`.
+async fn watch_in_era(
+    effects: &Effects,
+    prefix: &str,
+    era: StoreEra,
+    revision: u64,
+) -> Result<Vec<Entry>, StoreError> {
+    let store = &effects.watched;
+    if store.era() != era {
+        return Err(StoreError::Restored);
+    }
+    let changes = store.watch(prefix, revision.saturating_add(1)).await?;
+    if store.era() == era { Ok(changes) } else { Err(StoreError::Restored) }
+}
+
 /// Sends events to the control thread. Returns whether one of them is about a configuration.
 async fn send_events(effects: &Effects, events: Vec<Event>) -> bool {
     let mut is_reconfigured = false;
@@ -155,6 +176,7 @@
                 continue;
             }
         };
+        let era = effects.watched.era();
         invalid.retain(&entries);
         let (mut listed, mut replaced) = (Vec::new(), Vec::new());
         for entry in &entries {
@@ -169,7 +191,7 @@
         }
         let mut watch_delay = WatchDelay::new(&effects.clock);
         loop {
-            match effects.watched.watch(&prefix, revision.saturating_add(1)).await {
+            match watch_in_era(&effects, &prefix, era, revision).await {
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
                     for change in &changes {
@@ -250,7 +272,9 @@
     let mut logged = String::new();
     loop {
         let identity = load_or_create_authority(&effects.store).await.and_then(|authority| {
-            authority.identity(&name).map_err(|error| StoreError::Protocol(error.to_string()))
+            let identity = authority.identity(&name);
+            *effects.restores.authority() = Some(authority);
+            identity.map_err(|error| StoreError::Protocol(error.to_string()))
         });
         match identity {
             Ok(identity) => return effects.send(Event::IdentityIssued(identity)).await,
@@ -271,15 +295,12 @@
 }
 
 async fn load_or_create_authority(store: &Arc<dyn Store>) -> Result<Authority, StoreError> {
-    let entries = store.range(AUTHORITY_KEY, false, 1).await?;
-    if let Some(entry) = entries.first() {
-        return decode_authority(&entry.value);
+    if let Some(authority) = read_authority(store).await? {
+        return Ok(authority);
     }
     let generated =
         Authority::generate().map_err(|error| StoreError::Protocol(error.to_string()))?;
-    let value = serde_json::to_vec(&generated).map_err(|e| StoreError::Protocol(e.to_string()))?;
-    let put = Put::new(AUTHORITY_KEY, value);
-    match store.swap(vec![Compare::absent(AUTHORITY_KEY)], vec![put]).await? {
+    match store_authority(store, &generated).await? {
         SwapResult::Committed(_) => Ok(generated),
         SwapResult::Conflict(entries) => match entries.first() {
             Some(entry) => decode_authority(&entry.value),
@@ -288,6 +309,24 @@
     }
 }
 
+/// Reads the certificate authority, which is `None` if there is none in the store.
+pub(crate) async fn read_authority(
+    store: &Arc<dyn Store>,
+) -> Result<Option<Authority>, StoreError> {
+    let entries = store.range(AUTHORITY_KEY, false, 1).await?;
+    entries.first().map(|entry| decode_authority(&entry.value)).transpose()
+}
+
+/// Writes a certificate authority if there is none in the store.
+pub(crate) async fn store_authority(
+    store: &Arc<dyn Store>,
+    authority: &Authority,
+) -> Result<SwapResult, StoreError> {
+    let value = serde_json::to_vec(authority).map_err(|e| StoreError::Protocol(e.to_string()))?;
+    let put = Put::new(AUTHORITY_KEY, value);
+    store.swap(vec![Compare::absent(AUTHORITY_KEY)], vec![put]).await
+}
+
 fn decode_authority(value: &[u8]) -> Result<Authority, StoreError> {
     serde_json::from_slice(value).map_err(|error| StoreError::Protocol(error.to_string()))
 }
@@ -299,6 +338,7 @@
         StoreError::Compacted(_) => {
             log::info!(what; "watch ended: revision was compacted; reading all entries again")
         }
+        StoreError::Restored => log::info!(what; "watch ended: reading all entries again"),
         error => log::info!(what, error:% = error; "watch ended"),
     }
     if let StoreError::Protocol(_) = error {
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -132,6 +132,11 @@
         let _ = self.client.gauge_with_tags("unusable_tokens", tokens).try_send();
     }
 
+    /// Counts a restore of the platform's store from an older copy.
+    pub fn count_restore(&self) {
+        let _ = self.client.incr("store_restores");
+    }
+
     pub fn count_retry(&self, kind: &KindId) {
         let _ = self.client.incr_with_tags("retries").with_tag("kind", kind.as_str()).try_send();
     }
--- a/crates/berylwheel-standin/src/store.rs
+++ b/crates/berylwheel-standin/src/store.rs
@@ -121,7 +121,9 @@
         Ok(response) => Some(response),
         // Close the connection, so that the client cannot tell whether the write was applied.
         Err(StoreError::Unknown) => None,
-        Err(StoreError::Unavailable) => Some(grpc_error(503, 14, "etcdserver: no leader")),
+        Err(StoreError::Unavailable | StoreError::Restored) => {
+            Some(grpc_error(503, 14, "etcdserver: no leader"))
+        }
         Err(StoreError::Protocol(detail)) => Some(grpc_error(400, 3, &detail)),
         Err(StoreError::Compacted(_)) => Some(grpc_error(400, 11, "compacted")),
     }
--- a/crates/berylwheel-store/src/breaker.rs
+++ b/crates/berylwheel-store/src/breaker.rs
@@ -12,6 +12,7 @@
 use berylwheel_types::Clock;
 use berylwheel_types::Millis;
 use berylwheel_types::Share;
+use berylwheel_types::StoreEra;
 use berylwheel_types::Timestamp;
 
 use crate::Compare;
@@ -252,7 +253,8 @@
                     log::warn!(error:% = error, failures = FAILURE_LIMIT; "store lost");
                 }
             }
-            None | Some(StoreError::Compacted(_) | StoreError::Protocol(_)) => {
+            None
+            | Some(StoreError::Compacted(_) | StoreError::Restored | StoreError::Protocol(_)) => {
                 if let Some(outage) = self.lock().record_success(now) {
                     log::info!(ms = outage.0; "store regained");
                 }
@@ -269,6 +271,10 @@
 }
 
 impl Store for GuardedStore {
+    fn era(&self) -> StoreEra {
+        self.inner.era()
+    }
+
     fn range(&self, from: &str, prefix: bool, limit: u32) -> StoreFuture<'_, Vec<Entry>> {
         let from = from.to_owned();
         self.call(purpose("read", &from), move |store| store.range(&from, prefix, limit))
--- a/crates/berylwheel-store/src/lib.rs
+++ b/crates/berylwheel-store/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod breaker;
 mod client;
+mod era;
 mod fault;
 mod memory;
 mod store;
@@ -12,6 +13,8 @@
 pub use breaker::GuardedStore;
 pub use client::HttpStore;
 pub use client::StoreOptions;
+pub use era::CallStart;
+pub use era::EraTracker;
 pub use fault::LossCount;
 pub use fault::StoreFaults;
 pub use memory::MemoryStore;
--- a/crates/berylwheel-store/src/store.rs
+++ b/crates/berylwheel-store/src/store.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 
 use berylwheel_types::Millis;
+use berylwheel_types::StoreEra;
 
 /// The future returned by each [`Store`] method.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
@@ -12,7 +13,15 @@
 /// A key-value store with compare-and-swap, leases and watches.
 ///
 /// If the future of a write is dropped, the write may or may not take effect.
+///
+/// A successful call belongs to the era that [`Store::era`] returned when it began and returns when
+/// it ends. Revisions of different eras cannot be compared.
 pub trait Store: Send + Sync {
+    /// Returns the era of the store as stated in its last response; 0 for stores that state none.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Reads the entry with the key `from` or, if `prefix` is set, all entries whose keys start
     /// with `from`, in key order. Returns at most `limit` entries; 0 means no limit.
     ///
@@ -170,6 +179,9 @@
     /// The history requested by a watch has been compacted; it now starts at this revision. The
     /// watcher has to read the current state again.
     Compacted(u64),
+    /// The store was restored from an older copy since the call began; a write may have taken effect.
+    /// Whoever holds something from the store has to read it again.
+    Restored,
     /// The store rejected the call or violated the protocol; the call had no effect.
     Protocol(String),
 }
@@ -184,6 +196,7 @@
             Self::Compacted(revision) => {
                 write!(f, "changes before revision {revision} have been compacted")
             }
+            Self::Restored => f.write_str("the store was restored from an older copy"),
             Self::Protocol(detail) => write!(f, "store protocol error: {detail}"),
         }
     }
--- a/crates/berylwheel-types/src/id.rs
+++ b/crates/berylwheel-types/src/id.rs
@@ -274,3 +274,8 @@
     /// A fencing number, with which a backend server rejects outdated orders.
     FenceNumber
 );
+number_id!(
+    /// The era of a store, which differs after each restore from a copy. 0 stands for a store that
+    /// states no era.
+    StoreEra
+);
--- a/crates/berylwheel-types/src/lib.rs
+++ b/crates/berylwheel-types/src/lib.rs
@@ -36,6 +36,7 @@
 pub use id::ParseIdError;
 pub use id::RequestId;
 pub use id::RouterId;
+pub use id::StoreEra;
 pub use id::Version;
 pub use id::WorkspaceId;
 pub use loan::LoanResponse;
