Choose what a report of an ended server leaves out by evidence, not by id

Cause: a report kept the 16 lowest part ids of a request, and the judge did the same, so a part above them was never suspected. Ruled out: parts that answers clear; the others are of one request each.

Change: 512 parts of a request are kept and 4,096 in a report, and memory is bounded by the number of all parts. What is left out is chosen by a hash that differs between ends, by a reservoir among the requests of an end, and by evidence: parts at one end go first. The same for suspects of one end, holds of peers, parts asked about, and the dump, which all kept the first by order. implausible_holds_of_peers_are_ignored takes one part more than the limit in place of 40.

Why it works: no part is left out of each report any more, and the parts of one request only, which fill the reports, are the first to go.

--- a/crates/berylwheel-quarantine/src/dump.rs
+++ b/crates/berylwheel-quarantine/src/dump.rs
@@ -11,6 +11,8 @@
     pub holds: Vec<PartHold>,
     /// Parts under which servers have ended, as far as this router was told.
     pub suspected: Vec<SuspectedPart>,
+    /// Number of parts of prompts that are kept as evidence, each as often as it is.
+    pub kept_parts: usize,
     /// Number of requests that this router has refused.
     pub refused: u64,
 }
--- a/crates/berylwheel-quarantine/src/evidence.rs
+++ b/crates/berylwheel-quarantine/src/evidence.rs
@@ -4,12 +4,15 @@
 
 use berylwheel_types::BackendId;
 use berylwheel_types::FastMap;
+use berylwheel_types::FastSet;
 use berylwheel_types::Millis;
 use berylwheel_types::PromptPartId;
 use berylwheel_types::SuspectRequest;
 use berylwheel_types::Timestamp;
 
 use crate::QuarantinePolicy;
+use crate::bounds::reservoir_place;
+use crate::bounds::seed;
 
 #[derive(Debug)]
 struct Suspect {
@@ -22,6 +25,14 @@
     server: BackendId,
     at: Timestamp,
     suspects: Vec<Suspect>,
+    /// Number of suspected requests that were reported, some of which may be left out.
+    reported: usize,
+}
+
+impl Suspect {
+    fn has(&self, part: PromptPartId) -> bool {
+        self.parts.binary_search(&part).is_ok()
+    }
 }
 
 /// Ends of servers since a part was last answered, with a request that had the part.
@@ -62,29 +73,86 @@
             Some(index) => index,
             None => {
                 let index = self.ends.partition_point(|end| end.at <= at);
-                let end = ServerEnd { server: server.clone(), at, suspects: Vec::new() };
+                let end =
+                    ServerEnd { server: server.clone(), at, suspects: Vec::new(), reported: 0 };
                 self.ends.insert(index, end);
                 index
             }
         };
         let end_at = self.ends[index].at;
         let mut parts = Vec::new();
+        let end = &mut self.ends[index];
         for SuspectRequest { ran_for, parts: own } in suspects {
-            if self.ends[index].suspects.len() >= policy.max_suspects {
-                break;
-            }
+            let place = reservoir_place(end.reported, policy.max_suspects, seed(server, end_at));
+            end.reported += 1;
+            let Some(place) = place else { continue };
             let sent_at = Timestamp::from_millis(end_at.as_millis().saturating_sub(ran_for.0));
             parts.extend_from_slice(&own);
-            self.ends[index].suspects.push(Suspect { sent_at, parts: own });
+            let suspect = Suspect { sent_at, parts: own };
+            match end.suspects.get_mut(place) {
+                Some(replaced) => *replaced = suspect,
+                None => end.suspects.push(suspect),
+            }
         }
         if self.ends.len() > policy.max_ends {
             self.ends.pop_front();
         }
+        self.shrink(policy);
         parts.sort_unstable();
         parts.dedup();
         parts
     }
 
+    /// Returns the number of parts in all suspected requests.
+    pub(crate) fn part_count(&self) -> usize {
+        self.ends.iter().flat_map(|end| &end.suspects).map(|suspect| suspect.parts.len()).sum()
+    }
+
+    /// Keeps within the limit of all parts. Parts of one end only are forgotten first, from the oldest
+    /// end on, and then whole ends.
+    fn shrink(&mut self, policy: &QuarantinePolicy) {
+        let mut count = self.part_count();
+        if count <= policy.max_evidence {
+            return;
+        }
+        let recurring: FastSet<PromptPartId> = self.recurring_parts(None).into_iter().collect();
+        let older = self.ends.len().saturating_sub(1);
+        for suspect in self.ends.iter_mut().take(older).flat_map(|end| &mut end.suspects) {
+            if count <= policy.max_evidence {
+                return;
+            }
+            let before = suspect.parts.len();
+            suspect.parts.retain(|part| recurring.contains(part));
+            count -= before - suspect.parts.len();
+        }
+        while self.part_count() > policy.max_evidence && self.ends.len() > 1 {
+            self.ends.pop_front();
+        }
+    }
+
+    /// Returns the parts that are at more than one end, in ascending order, either of all or of
+    /// `parts`.
+    pub(crate) fn recurring_parts(&self, parts: Option<&[PromptPartId]>) -> Vec<PromptPartId> {
+        let wanted: Option<FastSet<PromptPartId>> =
+            parts.map(|parts| parts.iter().copied().collect());
+        // The last end at which a part was found, and whether it was found at another one before.
+        let mut found: FastMap<PromptPartId, (usize, bool)> = FastMap::default();
+        for (index, end) in self.ends.iter().enumerate() {
+            for part in end.suspects.iter().flat_map(|suspect| &suspect.parts) {
+                if wanted.as_ref().is_some_and(|wanted| !wanted.contains(part)) {
+                    continue;
+                }
+                let (last, recurs) = found.entry(*part).or_insert((index, false));
+                *recurs |= *last != index;
+                *last = index;
+            }
+        }
+        let recurring = found.into_iter().filter(|(_, (_, recurs))| *recurs);
+        let mut recurring: Vec<PromptPartId> = recurring.map(|(part, _)| part).collect();
+        recurring.sort_unstable();
+        recurring
+    }
+
     /// Forgets ends that are too old to count.
     pub(crate) fn expire(&mut self, now: Timestamp, policy: &QuarantinePolicy) {
         self.ends.retain(|end| now.since(end.at) < policy.evidence_window);
@@ -95,8 +163,7 @@
 
     /// Records that a part was answered, so that earlier ends do not count for it.
     pub(crate) fn record_answer(&mut self, at: Timestamp, part: PromptPartId) {
-        let is_suspected =
-            self.ends.iter().flat_map(|end| &end.suspects).any(|s| s.parts.contains(&part));
+        let is_suspected = self.ends.iter().flat_map(|end| &end.suspects).any(|s| s.has(part));
         if is_suspected {
             let last = self.answered.entry(part).or_insert(at);
             *last = at.max(*last);
@@ -136,7 +203,7 @@
     ) -> u32 {
         let others = self.ends.iter().filter(|end| end.at >= first).filter(|end| {
             let mut suspects = end.suspects.iter();
-            suspects.all(|suspect| !suspect.parts.contains(&part) && !is_explained(&suspect.parts))
+            suspects.all(|suspect| !suspect.has(part) && !is_explained(&suspect.parts))
         });
         others.count() as u32
     }
@@ -148,7 +215,7 @@
         for suspect in self.suspects_of(part).flat_map(|(_, suspects)| suspects) {
             match &mut common {
                 None => common = Some(suspect.parts.clone()),
-                Some(common) => common.retain(|other| suspect.parts.contains(other)),
+                Some(common) => common.retain(|other| suspect.has(*other)),
             }
         }
         let mut common = common.unwrap_or_default();
@@ -177,7 +244,7 @@
                     shared = Some(others);
                 }
                 Some(shared) => {
-                    let present: Vec<PromptPartId> = present.by_ref().collect();
+                    let present: FastSet<PromptPartId> = present.by_ref().collect();
                     shared.retain(|other| present.contains(other));
                 }
             }
@@ -188,21 +255,12 @@
         totals.filter(|total| *total >= own).max()
     }
 
-    /// Returns the parts of all suspected requests, each once.
-    pub(crate) fn parts(&self) -> Vec<PromptPartId> {
-        let suspects = self.ends.iter().flat_map(|end| &end.suspects);
-        let mut parts: Vec<PromptPartId> = suspects.flat_map(|s| s.parts.iter().copied()).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        parts
-    }
-
     /// Returns the ends since the last answer to `part`, each with the requests that had it.
     fn suspects_of(&self, part: PromptPartId) -> impl Iterator<Item = (&ServerEnd, Vec<&Suspect>)> {
         let answered = self.answered.get(&part).copied();
         let counted = move |end: &&ServerEnd| answered.is_none_or(|at| end.at > at);
         self.ends.iter().filter(counted).filter_map(move |end| {
-            let has_part = |suspect: &&Suspect| suspect.parts.contains(&part);
+            let has_part = |suspect: &&Suspect| suspect.has(part);
             let suspects: Vec<&Suspect> = end.suspects.iter().filter(has_part).collect();
             (!suspects.is_empty()).then_some((end, suspects))
         })
--- a/crates/berylwheel-quarantine/src/judge.rs
+++ b/crates/berylwheel-quarantine/src/judge.rs
@@ -11,6 +11,8 @@
 
 use crate::Action;
 use crate::Quarantine;
+use crate::bounds::sample_parts;
+use crate::bounds::seed;
 
 /// Maximum age of a report of a server's end.
 const MAX_REPORT_AGE: Millis = Millis(60_000);
@@ -48,16 +50,15 @@
         }
         suspects.truncate(self.policy.max_suspects);
         for suspect in &mut suspects {
-            suspect.parts.truncate(self.policy.max_parts);
-            suspect.parts.sort_unstable();
-            suspect.parts.dedup();
+            sample_parts(&mut suspect.parts, self.policy.max_parts, seed(server, now));
         }
         suspects.retain(|suspect| !suspect.parts.is_empty());
         if suspects.is_empty() {
             return;
         }
         let parts = self.evidence.add(now, server, age, suspects, &self.policy);
-        self.evaluate(now, &parts);
+        let recurring = self.evidence.recurring_parts(Some(&parts));
+        self.evaluate(now, &recurring);
     }
 
     fn accepts_report(&mut self, now: Timestamp, from: &RouterId) -> bool {
--- a/crates/berylwheel-quarantine/src/lib.rs
+++ b/crates/berylwheel-quarantine/src/lib.rs
@@ -5,6 +5,7 @@
 //! what has to be sent is returned as an [`Action`].
 
 mod answers;
+mod bounds;
 mod dump;
 mod evidence;
 mod holds;
--- a/crates/berylwheel-quarantine/src/policy.rs
+++ b/crates/berylwheel-quarantine/src/policy.rs
@@ -52,8 +52,14 @@
     pub max_ends: usize,
     /// Maximum number of suspected requests of one end.
     pub max_suspects: usize,
-    /// Maximum number of parts of a suspected request.
+    /// Maximum number of parts of a suspected request, and of a hold.
     pub max_parts: usize,
+    /// Maximum number of parts in a report of an end, which its requests share.
+    pub max_reported: usize,
+    /// Maximum number of parts in all requests whose server may have ended.
+    pub max_pending: usize,
+    /// Maximum number of parts in all ends that are remembered.
+    pub max_evidence: usize,
     /// Maximum number of holds.
     pub max_holds: usize,
     /// Maximum number of parts whose last answer is remembered.
@@ -86,9 +92,12 @@
             hold_time: Millis(3_600_000),
             max_ends: 128,
             max_suspects: 64,
-            max_parts: 16,
+            max_parts: 512,
+            max_reported: 4_096,
+            max_pending: 65_536,
+            max_evidence: 131_072,
             max_holds: 64,
-            max_answers: 4_096,
+            max_answers: 32_768,
             max_reports: 64,
             report_window: Millis(10_000),
         }
--- a/crates/berylwheel-quarantine/src/quarantine.rs
+++ b/crates/berylwheel-quarantine/src/quarantine.rs
@@ -13,6 +13,8 @@
 use crate::QuarantinePolicy;
 use crate::SuspectedPart;
 use crate::answers::LastAnswers;
+use crate::bounds::sample_parts;
+use crate::bounds::seed;
 use crate::evidence::Evidence;
 use crate::holds::Holds;
 use crate::judge::PeerReports;
@@ -189,10 +191,7 @@
         ran_for: Millis,
         parts: &[PromptPartId],
     ) {
-        if parts.is_empty() {
-            return;
-        }
-        self.add_suspect(now, server, AnswerEnd::Broken, ran_for, parts.to_vec());
+        self.add_suspect(now, server, AnswerEnd::Broken, ran_for, parts);
     }
 
     /// Records that an answer ended with its connection, soon after its beginning and without a
@@ -218,14 +217,13 @@
         ran_for: Millis,
         parts: &[PromptPartId],
     ) {
+        self.add_suspect(now, server, AnswerEnd::Unconfirmed, ran_for, parts);
+    }
+
+    /// Returns whether a part was not answered shortly before `at`.
+    fn is_unsound(&self, at: Timestamp, part: PromptPartId) -> bool {
         let fresh = self.policy.fresh_answer;
-        let is_unsound = |part: &PromptPartId| {
-            self.answers.last(*part).is_none_or(|answered| now.since(answered) > fresh)
-        };
-        let parts: Vec<PromptPartId> = parts.iter().copied().filter(is_unsound).collect();
-        if !parts.is_empty() {
-            self.add_suspect(now, server, AnswerEnd::Unconfirmed, ran_for, parts);
-        }
+        self.answers.last(part).is_none_or(|answered| at.since(answered) > fresh)
     }
 
     fn add_suspect(
@@ -234,10 +232,16 @@
         server: &BackendId,
         end: AnswerEnd,
         ran_for: Millis,
-        parts: Vec<PromptPartId>,
+        parts: &[PromptPartId],
     ) {
+        let unsound = parts.iter().copied().filter(|part| self.is_unsound(now, *part));
+        let mut parts: Vec<PromptPartId> = unsound.collect();
+        sample_parts(&mut parts, self.policy.max_parts, seed(server, now));
+        if parts.is_empty() {
+            return;
+        }
         let request = SuspectRequest { ran_for, parts };
-        if self.pending.add(now, server, end, request, self.policy.max_suspects) {
+        if self.pending.add(now, server, end, request, &self.policy) {
             self.actions.push(Action::CheckServer(server.clone()));
         }
     }
@@ -253,13 +257,10 @@
     /// Records that the process of a server is known to have ended.
     pub fn record_end(&mut self, now: Timestamp, server: &BackendId) {
         let Some((broke_at, mut suspects)) = self.pending.take(server) else { return };
-        let fresh = self.policy.fresh_answer;
+        let share = self.policy.max_reported / suspects.len().max(1);
         for suspect in &mut suspects {
-            let is_unsound = |part: &PromptPartId| {
-                self.answers.last(*part).is_none_or(|answered| broke_at.since(answered) > fresh)
-            };
-            suspect.parts.retain(is_unsound);
-            suspect.parts.truncate(self.policy.max_parts);
+            suspect.parts.retain(|part| self.is_unsound(broke_at, *part));
+            sample_parts(&mut suspect.parts, share, seed(server, broke_at));
         }
         suspects.retain(|suspect| !suspect.parts.is_empty());
         if suspects.is_empty() {
@@ -273,14 +274,17 @@
     pub fn handle_query(&mut self, now: Timestamp, parts: &[PromptPartId], since: Millis) {
         let until = now + self.policy.suspicion_time;
         let mut answers = Vec::new();
-        for part in parts.iter().take(self.policy.max_answers) {
+        for part in parts {
             match self.answers.last(*part) {
                 Some(at) if now.since(at) <= since => answers.push((*part, now.since(at))),
                 _ => {}
             }
-            if self.suspected.len() < self.policy.max_answers {
-                self.suspected.insert(*part, until);
-            }
+            self.suspected.insert(*part, until);
+        }
+        while self.suspected.len() > self.policy.max_answers {
+            let oldest = self.suspected.iter().min_by_key(|(_, until)| **until);
+            let Some(oldest) = oldest.map(|(part, _)| *part) else { break };
+            self.suspected.remove(&oldest);
         }
         if !answers.is_empty() {
             self.actions.push(Action::ReportAnswers(answers));
@@ -290,7 +294,7 @@
     /// Takes over the holds of a peer or of the store, and returns those that are new.
     pub fn handle_holds(&mut self, now: Timestamp, holds: Vec<PartHold>) -> Vec<PartHold> {
         let mut changed = Vec::new();
-        for hold in holds.into_iter().take(self.policy.max_holds) {
+        for hold in holds {
             if hold.parts.iter().any(|part| self.exempt.contains(part)) {
                 continue;
             }
@@ -378,7 +382,7 @@
 
     /// Returns the state for operators.
     pub fn dump(&self, now: Timestamp) -> QuarantineDump {
-        let suspected = self.evidence.parts().into_iter().filter_map(|part| {
+        let suspected = self.evidence.recurring_parts(None).into_iter().filter_map(|part| {
             let ends = self.evidence.ends_of(part, &self.policy)?;
             let query = self.queries.get(&part);
             Some(SuspectedPart {
@@ -389,10 +393,14 @@
                 answered_before: query.is_some_and(|query| query.answered_before),
             })
         });
+        let mut suspected: Vec<SuspectedPart> = suspected.collect();
+        suspected.sort_by_key(|part| std::cmp::Reverse((part.independent, part.ends)));
+        suspected.truncate(self.policy.max_holds);
         QuarantineDump {
             holds: self.holds.active(now).cloned().collect(),
-            suspected: suspected.take(self.policy.max_holds).collect(),
+            suspected,
             refused: self.refused_count,
+            kept_parts: self.pending.part_count() + self.evidence.part_count(),
         }
     }
 }
--- a/crates/berylwheel-quarantine/src/suspects.rs
+++ b/crates/berylwheel-quarantine/src/suspects.rs
@@ -7,6 +7,10 @@
 use berylwheel_types::SuspectRequest;
 use berylwheel_types::Timestamp;
 
+use crate::QuarantinePolicy;
+use crate::bounds::reservoir_place;
+use crate::bounds::seed;
+
 /// Minimum interval between two checks of the same server.
 const CHECK_INTERVAL: Millis = Millis(1_000);
 
@@ -29,6 +33,8 @@
 #[derive(Debug, Default)]
 struct ServerState {
     pending: Vec<Pending>,
+    /// Number of broken requests since the server was known to run, some of which may be left out.
+    broken: usize,
     checked_at: Option<Timestamp>,
 }
 
@@ -58,6 +64,8 @@
     servers: FastMap<BackendId, ServerState>,
     /// Earliest time at which a server is due for another check.
     next_check: Option<Timestamp>,
+    /// Number of parts in all requests.
+    part_count: usize,
 }
 
 impl PendingSuspects {
@@ -68,29 +76,73 @@
         server: &BackendId,
         end: AnswerEnd,
         request: SuspectRequest,
-        limit: usize,
+        policy: &QuarantinePolicy,
     ) -> bool {
         let state = self.servers.entry(server.clone()).or_default();
-        if state.pending.len() >= limit {
+        let broken = state.broken;
+        state.broken += usize::from(end == AnswerEnd::Broken);
+        if state.pending.len() >= policy.max_suspects {
             // A certain break is worth more than an answer that is most likely complete.
             let unconfirmed = |pending: &Pending| pending.end == AnswerEnd::Unconfirmed;
-            match state.pending.iter().position(unconfirmed) {
-                Some(index) if end == AnswerEnd::Broken => {
-                    state.pending.remove(index);
-                }
-                _ => return state.take_check(now),
-            }
+            let place = match state.pending.iter().position(unconfirmed) {
+                _ if end == AnswerEnd::Unconfirmed => None,
+                Some(place) => Some(place),
+                None => reservoir_place(broken, policy.max_suspects, seed(server, now)),
+            };
+            let Some(place) = place else { return state.take_check(now) };
+            let removed = state.pending.swap_remove(place);
+            self.part_count -= removed.request.parts.len();
         }
+        self.part_count += request.parts.len();
         state.pending.push(Pending { at: now, end, request });
         let is_due = state.take_check(now);
         let next = state.next_check();
         self.next_check = self.next_check.into_iter().chain(next).min();
+        self.shrink(policy);
         is_due
     }
 
+    /// Keeps within the limit of all parts: forgets the older half of the answers that are most likely
+    /// complete, and then of all requests.
+    fn shrink(&mut self, policy: &QuarantinePolicy) {
+        for only_unconfirmed in [true, false] {
+            if self.part_count <= policy.max_pending {
+                return;
+            }
+            let may_go =
+                |pending: &Pending| !only_unconfirmed || pending.end == AnswerEnd::Unconfirmed;
+            let all = self.servers.values().flat_map(|state| &state.pending);
+            let mut times: Vec<Timestamp> =
+                all.filter(|pending| may_go(pending)).map(|pending| pending.at).collect();
+            if times.is_empty() {
+                continue;
+            }
+            let middle = times.len() / 2;
+            let median = *times.select_nth_unstable(middle).1;
+            self.retain(|pending| !may_go(pending) || pending.at > median);
+        }
+    }
+
+    /// Returns the number of parts in all requests.
+    pub(crate) fn part_count(&self) -> usize {
+        self.part_count
+    }
+
+    fn retain(&mut self, mut keeps: impl FnMut(&Pending) -> bool) {
+        let mut count = 0;
+        for state in self.servers.values_mut() {
+            state.pending.retain(|pending| keeps(pending));
+            count += state.pending.iter().map(|p| p.request.parts.len()).sum::<usize>();
+        }
+        self.part_count = count;
+    }
+
     /// Takes the requests of a server that has ended, with the time of the first break.
     pub(crate) fn take(&mut self, server: &BackendId) -> Option<(Timestamp, Vec<SuspectRequest>)> {
-        let pending = std::mem::take(&mut self.servers.get_mut(server)?.pending);
+        let state = self.servers.get_mut(server)?;
+        state.broken = 0;
+        let pending = std::mem::take(&mut state.pending);
+        self.part_count -= pending.iter().map(|p| p.request.parts.len()).sum::<usize>();
         let first = pending.iter().map(|pending| pending.at).min()?;
         Some((first, pending.into_iter().map(|pending| pending.request).collect()))
     }
@@ -105,8 +157,9 @@
         let Some(state) = self.servers.get_mut(server) else { return Vec::new() };
         let is_confirmed =
             |pending: &mut Pending| pending.end == AnswerEnd::Unconfirmed && pending.at <= since;
-        let confirmed = state.pending.extract_if(.., is_confirmed);
-        confirmed.map(|pending| (pending.at, pending.request.parts)).collect()
+        let confirmed: Vec<Pending> = state.pending.extract_if(.., is_confirmed).collect();
+        self.part_count -= confirmed.iter().map(|p| p.request.parts.len()).sum::<usize>();
+        confirmed.into_iter().map(|pending| (pending.at, pending.request.parts)).collect()
     }
 
     /// Returns the servers with answers that ended after their last check, and are due for another.
@@ -127,8 +180,8 @@
 
     /// Forgets requests that broke longer ago than `limit`.
     pub(crate) fn expire(&mut self, now: Timestamp, limit: Millis) {
+        self.retain(|pending| now.since(pending.at) < limit);
         self.servers.retain(|_, state| {
-            state.pending.retain(|pending| now.since(pending.at) < limit);
             // Without requests, the time of the last check still limits how often they are made.
             let is_checked = state.checked_at.is_some_and(|at| now.since(at) < CHECK_INTERVAL);
             is_checked || !state.pending.is_empty()
--- a/crates/berylwheel-quarantine/tests/fleet/mod.rs
+++ b/crates/berylwheel-quarantine/tests/fleet/mod.rs
@@ -20,7 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-pub const BAD_PART: PromptPartId = PromptPartId(0xbad);
+pub const BAD_PART: PromptPartId = PromptPartId(0xbad << 32);
 const TICK: u64 = 20;
 const HEARTBEAT: u64 = 1_000;
 /// Routers that a router sends its heartbeat to.
@@ -45,6 +45,10 @@
     pub first_parts: u64,
     /// Number of second parts; each belongs to one subject.
     pub subjects: u64,
+    /// Number of further parts in each prompt, which no other prompt has.
+    pub own_parts: u64,
+    /// The lowest id of these parts.
+    pub own_start: u64,
     /// Whether a request without an answer may go on to a second server.
     pub resumable: bool,
     /// Interval between ends of servers for other reasons, and how many end at once.
@@ -75,6 +79,8 @@
             bad_rate: 1.5,
             first_parts: 40,
             subjects: 400,
+            own_parts: 0,
+            own_start: 1 << 20,
             resumable: false,
             other_ends: None,
             power_loss: None,
@@ -167,6 +173,7 @@
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     next_request: u64,
+    arrived: u64,
     routers: Vec<Quarantine>,
     servers: Vec<ServerState>,
     store: Vec<PartHold>,
@@ -194,6 +201,7 @@
             events: BTreeMap::new(),
             sequence: 0,
             next_request: 0,
+            arrived: 0,
             routers: (0..scenario.routers).map(|_| new()).collect(),
             servers: (0..scenario.servers).map(|_| ServerState::default()).collect(),
             store: Vec::new(),
@@ -292,6 +300,10 @@
     }
 
     fn arrive(&mut self, mut parts: Vec<PromptPartId>, is_bad: bool) {
+        let count = self.scenario.own_parts;
+        let first = self.scenario.own_start + self.arrived * count;
+        self.arrived += 1;
+        parts.extend((first..first + count).map(PromptPartId));
         parts.sort_unstable();
         let router = self.rng.random_range(0..self.routers.len());
         let now = at(self.now);
--- a/crates/berylwheel-quarantine/tests/fleets.rs
+++ b/crates/berylwheel-quarantine/tests/fleets.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// Guards against reports that leave out the crashing part of a long prompt because of its id.
+#[test]
+fn crashing_part_is_found_in_prompts_of_many_parts() {
+    for scenario in scenarios(9, 600..604) {
+        for (own_parts, own_start) in [(24, 1 << 20), (24, 1 << 50), (200, 1 << 20)] {
+            let scenario = Scenario { own_parts, own_start, ..scenario };
+            let figures = Fleet::play(scenario);
+            assert!(figures.after_contact <= LATE_LIMIT, "{scenario:?}: {figures:?}");
+            assert_eq!(figures.sound_refused, 0, "{scenario:?}: {figures:?}");
+        }
+    }
+}
+
 /// Guards against refusing sound requests because servers end for other reasons, alone or by racks.
 #[test]
 fn other_ends_of_servers_refuse_no_sound_request() {
--- a/crates/berylwheel-quarantine/tests/quarantine.rs
+++ b/crates/berylwheel-quarantine/tests/quarantine.rs
@@ -213,6 +213,7 @@
 /// for a part that was answered long after the ends that they are based on.
 #[test]
 fn implausible_holds_of_peers_are_ignored() {
+    let limit = QuarantinePolicy::default().max_parts as u64;
     let hold = PartHold {
         parts: vec![BAD],
         stamp: at(0),
@@ -224,7 +225,7 @@
     let odd = [
         PartHold { parts: vec![], ..hold.clone() },
         PartHold { parts: vec![BAD, FIRST, BAD], ..hold.clone() },
-        PartHold { parts: (0..40).map(PromptPartId).collect(), ..hold.clone() },
+        PartHold { parts: (0..=limit).map(PromptPartId).collect(), ..hold.clone() },
         PartHold { until: at(u64::MAX / 2), ..hold.clone() },
         PartHold { stamp: at(10_000_000), ..hold.clone() },
         PartHold { until: at(0), ..hold.clone() },
@@ -255,6 +256,45 @@
     assert!(ends <= 64, "{ends} ends of one peer count");
 }
 
+/// Guards against memory that grows with the length of prompts, and against a crashing part that is
+/// among those left out each time.
+#[test]
+fn ends_under_many_long_prompts_are_bounded_and_tell_the_bad_part() {
+    let policy = QuarantinePolicy::default();
+    let (mut reporter, mut judge) = (new(), new());
+    let mut next_part = 1 << 40;
+    let mut found_after = None;
+    for number in 0..100 {
+        let time = 1_000 * (number + 1);
+        for request in 0..100 {
+            let mut parts: Vec<PromptPartId> =
+                (next_part..next_part + 300).map(PromptPartId).collect();
+            next_part += 300;
+            if request == 80 {
+                parts.insert(0, BAD);
+            }
+            reporter.record_break(at(time), &server(number), Millis(100), &parts);
+            // Requests at a server that does not end.
+            reporter.record_break(at(time), &server(1_000 + request), Millis(100), &parts[1..]);
+        }
+        reporter.record_end(at(time), &server(number));
+        for action in reporter.poll(at(time)) {
+            if let Action::ReportEnd { server, age, suspects } = action {
+                judge.handle_report(at(time), &router(number as usize % 9), &server, age, suspects);
+            }
+        }
+        judge.poll(at(time + 500));
+        let kept = [&reporter, &judge].map(|quarantine| quarantine.dump(at(time)).kept_parts);
+        assert!(kept[0] <= policy.max_pending && kept[1] <= policy.max_evidence, "{kept:?} parts");
+        if is_refused(&mut judge, time + 500, &[BAD]) {
+            found_after.get_or_insert(number + 1);
+        }
+        assert!(!is_refused(&mut judge, time + 500, &[PromptPartId(next_part - 1)]));
+    }
+    println!("found after {found_after:?} ends");
+    assert!(found_after.is_some());
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     End { server: u64, bad: bool, companion: u64 },
