Notice silent connections to the store before a change is late

Cause, reproduced with seven router processes whose open connections to the store go silent: the watch gave up after 3.4 s, and a change must be in force 3 s after the silence; then calls went over one silent connection after another, a second each; and a watch after a pause took an idle connection. Ruled out in the same setting: cuts of the store with late answers on old connections.

The age of the configuration is in the dump and a gauge, and a gap of more than 3 s is logged.

--- a/crates/berylwheel-http/src/forward/client.rs
+++ b/crates/berylwheel-http/src/forward/client.rs
@@ -159,6 +159,13 @@
         }
     }
 
+    /// Returns a client with an empty pool of its own, which otherwise shares everything with this
+    /// one.
+    #[must_use]
+    pub fn with_own_pool(&self) -> Self {
+        Self { pools: Arc::default(), ..self.clone() }
+    }
+
     /// Returns the number of connections attempted so far.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections.load(Ordering::Relaxed)
--- a/crates/berylwheel-router/src/control/core.rs
+++ b/crates/berylwheel-router/src/control/core.rs
@@ -232,6 +232,7 @@
             Event::ExternalConfigUnreadable(revision) => {
                 self.handle_unreadable_config(now, revision);
             }
+            Event::OperatorKeysCurrent(at) => self.external_config.keys_current(at),
             Event::ServerListEvent(event) => self.apply_server_event(now, event),
             Event::IdentityIssued(identity) => self.fleet.open_link(identity, &self.effects),
             Event::RunEnded(run) => self.record_ended_run(now, run),
@@ -379,7 +380,7 @@
         json!({
             "router": self.incarnation,
             "version": self.version,
-            "external_config": self.external_config,
+            "external_config": self.external_config.dump(self.clock.now()),
             "draining": self.draining,
             "requests": self.requests.len(),
             "claims": self.claims.len(),
--- a/crates/berylwheel-router/src/control/event.rs
+++ b/crates/berylwheel-router/src/control/event.rs
@@ -115,6 +115,8 @@
     ExternalConfigRead(Box<OperatorConfig>),
     /// The operator's configuration cannot be decoded. Contains the revision of its store entry.
     ExternalConfigUnreadable(u64),
+    /// All that the store had of the operator's keys at this time was applied.
+    OperatorKeysCurrent(Timestamp),
     /// The platform's list of backend servers was read or has changed.
     ServerListEvent(ServerListEvent),
     /// The certificates for the link to the other routers are available.
@@ -160,7 +162,8 @@
             | Self::PartsRead(..)
             | Self::ConfigReadFailed
             | Self::ExternalConfigRead(_)
-            | Self::ExternalConfigUnreadable(_) => "configuration",
+            | Self::ExternalConfigUnreadable(_)
+            | Self::OperatorKeysCurrent(_) => "configuration",
             Self::RegistryRead(_) | Self::RouterRegistered | Self::EntryConfirmed(_) => "registry",
             Self::RunEnded(_) | Self::ReclaimEnded(..) => "reclaim",
             Self::HoldsRead(_) | Self::HoldsWritten(_) | Self::PartReleased(..) => "quarantine",
--- a/crates/berylwheel-router/src/control/external.rs
+++ b/crates/berylwheel-router/src/control/external.rs
@@ -6,6 +6,8 @@
 use berylwheel_types::Timestamp;
 use berylwheel_types::Version;
 use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
 
 use crate::control::core::Control;
 use crate::forward::OperatorConfig;
@@ -18,6 +20,10 @@
 /// Maximum length of a logged repair, in characters.
 const REPAIR_LENGTH: usize = 200;
 
+/// Time without an answer about the operator's keys from which on it is logged. Watches end within 2 s
+/// if nothing changes.
+const SILENCE_LIMIT: Millis = Millis(3_000);
+
 /// What was read last of the operator's configuration, as shown by the admin interface.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct ExternalConfig {
@@ -26,6 +32,8 @@
     /// Number of values of that version that are not served as they are written.
     repairs: usize,
     unreadable: Option<UnreadableConfig>,
+    /// When all that the store had of the operator's keys was last applied.
+    current_at: Option<Timestamp>,
 }
 
 /// A configuration that is in the store and cannot be decoded.
@@ -38,6 +46,27 @@
 }
 
 impl ExternalConfig {
+    /// Notes that all that the store had at `at` is applied.
+    pub(crate) fn keys_current(&mut self, at: Timestamp) {
+        let before = self.current_at.replace(at);
+        if let Some(gap) = before.map(|before| at.since(before)).filter(|gap| *gap > SILENCE_LIMIT)
+        {
+            log::warn!(ms = gap.0; "the operator's keys were not confirmed for some time");
+        }
+    }
+
+    /// Returns the time since the configuration was last known to be current.
+    pub(crate) fn age(&self, now: Timestamp) -> Option<Millis> {
+        self.current_at.map(|at| now.since(at))
+    }
+
+    /// Returns the state for operators.
+    pub(crate) fn dump(&self, now: Timestamp) -> Value {
+        let mut dump = json!(self);
+        dump["age_ms"] = json!(self.age(now).map(|age| age.0));
+        dump
+    }
+
     /// Notes that a version was read, and reports what of it is not served as it is written.
     fn version_read(&mut self, config: &OperatorConfig, metrics: &Metrics) {
         self.unreadable = None;
--- a/crates/berylwheel-router/src/control/work.rs
+++ b/crates/berylwheel-router/src/control/work.rs
@@ -87,6 +87,9 @@
         let metrics = &self.effects.metrics;
         let unusable = self.holder.unusable();
         metrics.record_unusable(unusable.iter().map(|grant| grant.tokens.0).sum());
+        if let Some(age) = self.external_config.age(now) {
+            metrics.record_config_age(age);
+        }
         metrics.record_work("turns", self.work.turns);
         metrics.record_work("busy_us", self.work.busy_us);
         metrics.record_work("visits", self.visits());
--- a/crates/berylwheel-router/src/forward/platform.rs
+++ b/crates/berylwheel-router/src/forward/platform.rs
@@ -1,11 +1,11 @@
 //! The interface to the platform: its store and the encoding of its requests and responses.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use berylwheel_http::UpstreamClient;
 use berylwheel_route::ListedServer;
 use berylwheel_route::PauseRequest;
+use berylwheel_settings::RouterSettings;
 use berylwheel_settings::Settings;
 use berylwheel_store::Store;
 use berylwheel_types::BackendId;
@@ -114,7 +114,7 @@
 /// the router's.
 pub trait Platform: Send + Sync {
     /// Creates a client for the platform's store that sends its requests through `upstream`.
-    fn store(&self, addresses: &[SocketAddr], upstream: UpstreamClient) -> Arc<dyn Store>;
+    fn store(&self, settings: &RouterSettings, upstream: UpstreamClient) -> Arc<dyn Store>;
 
     /// Returns the prefix of all store keys that the operator writes.
     fn operator_prefix(&self) -> &str;
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -55,6 +55,7 @@
     let mut pace = Pace::Slow;
     let mut known_era = effects.watched.era();
     loop {
+        let sent_at = effects.clock.now();
         let (entries, mut revision) = match effects.watched.range_with_revision(&prefix, true).await
         {
             Ok(read) => read,
@@ -69,6 +70,7 @@
             keys.forget_revisions();
         }
         let is_reconfigured = send_events(&effects, keys.apply_read(&entries)).await;
+        effects.send(Event::OperatorKeysCurrent(sent_at)).await;
         if !keys.has_configuration() {
             Timer::after(POLL_INTERVAL.duration()).await;
             continue;
@@ -82,6 +84,7 @@
                 Ok(changes) => {
                     revision = last_revision(&changes).max(revision);
                     let is_reconfigured = send_events(&effects, keys.apply_changes(&changes)).await;
+                    effects.send(Event::OperatorKeysCurrent(effects.clock.now())).await;
                     pace = delay.wait_after(&effects.clock, &changes).await;
                     if is_reconfigured && pace == Pace::Quick {
                         break;
--- a/crates/berylwheel-router/src/metrics.rs
+++ b/crates/berylwheel-router/src/metrics.rs
@@ -112,6 +112,11 @@
         let _ = self.client.gauge_with_tags("configuration_newest", version.0).try_send();
     }
 
+    /// Records the time since the configuration was last known to be current.
+    pub fn record_config_age(&self, age: Millis) {
+        let _ = self.client.gauge_with_tags("configuration_age_ms", age.0).try_send();
+    }
+
     /// Counts values of an accepted configuration that are not served as they are written.
     pub fn count_repairs(&self, repairs: usize) {
         let _ = self.client.count_with_tags("configuration_repairs", repairs as i64).try_send();
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -181,7 +181,7 @@
         RouterMode::Platform(platform) => {
             let upstream = UpstreamClient::new(executor.clone(), clock.clone());
             socket_traffic.store = upstream.traffic();
-            platform.store(&settings.store, upstream)
+            platform.store(settings, upstream)
         }
     };
     let guard = Arc::new(GuardedStore::new(raw_store.clone(), clock.clone()));
--- a/crates/berylwheel-settings/src/schema.rs
+++ b/crates/berylwheel-settings/src/schema.rs
@@ -86,6 +86,7 @@
     spec("key", ROUTER, ValueType::Path, No),
     spec("threads", ROUTER, ValueType::Count(0, 64), Default("2")),
     spec("stop_limit", ROUTER, ValueType::Duration(100, 24 * HOUR_MS), No),
+    spec("silence_limit", ROUTER, ValueType::Duration(0, 24 * HOUR_MS), No),
     spec("retry_share", ROUTER, ValueType::Decimal, No),
     spec("retry_extra", ROUTER, ValueType::Decimal, No),
     spec("exempt_parts", ROUTER, ValueType::Names, Default("")),
--- a/crates/berylwheel-settings/src/types.rs
+++ b/crates/berylwheel-settings/src/types.rs
@@ -141,6 +141,9 @@
     pub threads: u32,
     /// How long a planned stop may take before the platform ends the process, if it does so.
     pub stop_limit: Option<Millis>,
+    /// How soon a change in the platform's store must be in force after open connections to the store
+    /// have gone silent; `None` for the default of the platform's client.
+    pub silence_limit: Option<Millis>,
     /// Retries that the fleet may send per request; `None` for the router's default.
     pub retry_share: Option<Decimal>,
     /// Retries that the fleet may send per ten seconds in addition to that share.
