Wait after a restore of the store for runs that the page does not name

Cause: the wait of 5 s ended as soon as all runs on the page had written in the new era. A run whose first write on the page is among the lost ones is not on it, and could still have grants and bills to write. Found in reading the change of the restored store; the histories did not reach it.

Change: the wait goes by the time of the restore alone; what is kept back goes by the runs on the page, as before.

--- a/crates/berylwheel-budget/src/holder/restore.rs
+++ b/crates/berylwheel-budget/src/holder/restore.rs
@@ -237,10 +237,14 @@
     ) -> Withholding {
         let era = self.current_era();
         let unrestored = content.unrestored_holders(era);
-        let Some(page) = self.pages.get_mut(&id).filter(|_| !unrestored.is_empty()) else {
+        let stated = content.restored_at.filter(|_| content.era == era);
+        let is_seen = self.era_began.is_some();
+        let Some(page) = self.pages.get_mut(&id) else { return Withholding::default() };
+        if !is_seen && stated.is_none() && unrestored.is_empty() {
             return Withholding::default();
-        };
-        let stated = content.restored_at.filter(|_| content.era == era && self.clock_agrees);
+        }
+        // A process that has started since knows the time of the restore from the page only.
+        let stated = stated.filter(|_| self.clock_agrees);
         let began = self.era_began.or(stated).unwrap_or(now).min(now);
         let settles_at = *page.settles_at.get_or_insert(began + SETTLE_TIME);
         let others = unrestored.into_iter().filter(|holder| *holder != self.own_id);
