Name the state that outlasts a restore apart from the count of restores

Cause: `restores` stood for two things, the record for operators in Control and the shared state in Effects.

Change: the shared state is `restore_state`. No behaviour changes.

--- a/crates/berylwheel-router/src/control/driver.rs
+++ b/crates/berylwheel-router/src/control/driver.rs
@@ -97,7 +97,7 @@
             watched: Arc::new(RelayedStore::new(guard.clone(), relay.clone(), manual.clone())),
             relay,
             guard,
-            restores: Arc::default(),
+            restore_state: Arc::default(),
             client: Client::default(),
             events: sender,
             clock: manual.clone(),
--- a/crates/berylwheel-router/src/control/effects.rs
+++ b/crates/berylwheel-router/src/control/effects.rs
@@ -57,7 +57,7 @@
     /// The state of these watches.
     pub relay: Arc<SharedRelay>,
     /// What has to outlast a restore of the store.
-    pub(crate) restores: Arc<RestoreState>,
+    pub(crate) restore_state: Arc<RestoreState>,
     /// HTTP client for backend servers and the VM list.
     pub client: Client,
     /// Channel for the resulting events.
@@ -119,10 +119,10 @@
         let store = self.store.clone();
         let mut puts = vec![Put::new(page.key(), content.encode())];
         let mut compares = vec![Compare::new(page.key(), expected)];
-        let (restores, era) = (self.restores.clone(), store.era());
+        let (restore_state, era) = (self.restore_state.clone(), store.era());
         let mut writes_era = false;
         if era != StoreEra::default() {
-            let (compare, put) = restores.era_entry().conditions();
+            let (compare, put) = restore_state.era_entry().conditions();
             compares.push(compare);
             writes_era = put.is_some();
             puts.extend(put);
@@ -134,12 +134,12 @@
             let result = match store.swap(compares, puts).await {
                 Ok(SwapResult::Committed(revision)) => {
                     if writes_era {
-                        restores.era_entry().written(revision);
+                        restore_state.era_entry().written(revision);
                     }
                     WriteResult::Written(revision)
                 }
                 Ok(SwapResult::Conflict(entries)) => {
-                    restores.era_entry().conflicted(&entries);
+                    restore_state.era_entry().conflicted(&entries);
                     WriteResult::Conflict
                 }
                 // Includes writes that were rejected or never sent: the holder reads the page
--- a/crates/berylwheel-router/src/fleet/restore.rs
+++ b/crates/berylwheel-router/src/fleet/restore.rs
@@ -118,7 +118,7 @@
         self.restores.count += 1;
         self.restores.last = Some(now);
         self.effects.metrics.count_restore();
-        self.effects.restores.era_entry().set_restored(era);
+        self.effects.restore_state.era_entry().set_restored(era);
         self.fleet.register_again(&self.effects);
         let name = self.incarnation.router.clone();
         self.effects.executor.spawn(restore_authority(self.effects.clone(), name)).detach();
@@ -130,7 +130,7 @@
 /// Writes the certificate authority of this router again if the store has none. If it has another
 /// one, that one counts for all routers.
 async fn restore_authority(effects: Effects, name: RouterId) {
-    let Some(known) = effects.restores.authority().clone() else { return };
+    let Some(known) = effects.restore_state.authority().clone() else { return };
     loop {
         match current_authority(&effects.store, &known).await {
             Ok(current) if current == known => return,
@@ -138,7 +138,7 @@
                 log::warn!("the certificate authority in the store has changed");
                 match current.identity(&name) {
                     Ok(identity) => {
-                        *effects.restores.authority() = Some(current);
+                        *effects.restore_state.authority() = Some(current);
                         effects.send(Event::IdentityReloaded(identity)).await;
                     }
                     Err(error) => log::error!("cannot issue a certificate: {error}"),
--- a/crates/berylwheel-router/src/forward/watch.rs
+++ b/crates/berylwheel-router/src/forward/watch.rs
@@ -276,7 +276,7 @@
     loop {
         let identity = load_or_create_authority(&effects.store).await.and_then(|authority| {
             let identity = authority.identity(&name);
-            *effects.restores.authority() = Some(authority);
+            *effects.restore_state.authority() = Some(authority);
             identity.map_err(|error| StoreError::Protocol(error.to_string()))
         });
         match identity {
--- a/crates/berylwheel-router/src/process.rs
+++ b/crates/berylwheel-router/src/process.rs
@@ -199,7 +199,7 @@
         watched: Arc::new(RelayedStore::new(store.clone(), relay.clone(), clock.clone())),
         relay,
         guard,
-        restores: Arc::default(),
+        restore_state: Arc::default(),
         client: client.clone(),
         events: events.clone(),
         clock: clock.clone(),
