Show that simultaneous crashes under one prompt part count once

Cause: ends of servers count as independent only if their requests were sent after the end before, so ten requests with a crashing part that come at once are one end, and the next ten reach servers as well.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,10 +4,16 @@
 
 mod json;
 mod net;
+#[path = "crash.rs.in"]
+mod crash;
 #[path = "engine.rs.in"]
 mod engine;
 #[path = "fleet.rs.in"]
 mod fleet;
+#[path = "ids.rs.in"]
+mod ids;
+#[path = "mortal.rs.in"]
+mod mortal;
 #[path = "restore.rs.in"]
 mod restore;
 #[path = "store.rs.in"]
@@ -23,6 +29,8 @@
     };
     let disrupted = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
+        "crash" => crash::run(folder, record, disrupted),
+        "ids" => ids::run(folder, record, disrupted),
         "stopped" => restore::stopped(folder, record, disrupted),
         "added" => restore::added(folder, record, disrupted),
         _ => Err(format!("no case {case}")),
