--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -10,8 +10,6 @@
 mod engine;
 #[path = "fleet.rs.in"]
 mod fleet;
-#[path = "ids.rs.in"]
-mod ids;
 #[path = "mortal.rs.in"]
 mod mortal;
 #[path = "restore.rs.in"]
@@ -30,7 +28,6 @@
     let disrupted = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "crash" => crash::run(folder, record, disrupted),
-        "ids" => ids::run(folder, record, disrupted),
         "stopped" => restore::stopped(folder, record, disrupted),
         "added" => restore::added(folder, record, disrupted),
         _ => Err(format!("no case {case}")),
